--- a/agent/failure_test.go
+++ b/agent/failure_test.go
@@ -8,7 +8,7 @@
 
 	"storj.io/drpc"
 
-	standinplatform "github.com/briarturn/briarturn/internal/standin/platform"
+	standinobjectapi "github.com/briarturn/briarturn/internal/standin/objectapi"
 	"github.com/briarturn/briarturn/lease"
 	"github.com/briarturn/briarturn/wire/wirepb"
 )
@@ -181,7 +181,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		e := newFakeEngine()
 		cfg := testConfig(e)
-		store := standinplatform.NewMemory(standinplatform.Config{})
+		store := standinobjectapi.NewMemory(standinobjectapi.Config{})
 		putLease(t, store, 0, 0)
 		cfg.Fences = lease.NewGate(store)
 		a := startAgent(t, cfg)
@@ -200,7 +200,7 @@
 		if out := order(t, restarted, 7, actionUnload); out.Code != wirepb.RefuseCode_REFUSE_STALE_FENCE {
 			t.Fatal(out)
 		}
-		store.SetFaults(standinplatform.Faults{Down: true})
+		store.SetFaults(standinobjectapi.Faults{Down: true})
 		cfg.Fences = lease.NewGate(store)
 		blind := startAgent(t, cfg)
 		if out := order(t, blind, 9, actionUnload); out.Done || out.Code != wirepb.RefuseCode_REFUSE_BUSY {
@@ -223,13 +223,13 @@
 		e := newFakeEngine()
 		cfg := testConfig(e)
 		cfg.ChecksFencing = func() bool { return true }
-		store := standinplatform.NewMemory(standinplatform.Config{})
+		store := standinobjectapi.NewMemory(standinobjectapi.Config{})
 		cfg.Fences = lease.NewGate(store)
 		a := startAgent(t, cfg)
 		if out := order(t, a, 9, actionLoad); out.Done {
 			t.Fatalf("carried out under a lease that isn't on record: %v", out)
 		}
-		store.SetFaults(standinplatform.Faults{Down: true})
+		store.SetFaults(standinobjectapi.Faults{Down: true})
 		if out := order(t, a, 9, actionLoad); !out.Done || len(e.orders) != 1 || e.orders[0].Fence != 9 {
 			t.Fatalf("%v, engine got %+v", out, e.orders)
 		}
--- a/agent/order.go
+++ b/agent/order.go
@@ -7,7 +7,7 @@
 
 	"github.com/briarturn/briarturn/backend"
 	"github.com/briarturn/briarturn/lease"
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/wire/wirepb"
 )
 
@@ -87,7 +87,7 @@
 // leftToEngine tells whether only the store's outage speaks against an order
 // that the engine checks itself.
 func (a *Agent) leftToEngine(err error) bool {
-	return a.cfg.ChecksFencing != nil && a.cfg.ChecksFencing() && errors.Is(err, errNoGate) && errors.Is(err, platform.ErrUnavailable)
+	return a.cfg.ChecksFencing != nil && a.cfg.ChecksFencing() && errors.Is(err, errNoGate) && errors.Is(err, objectapi.ErrUnavailable)
 }
 
 // checkIdle refuses an order for what requests run on. An order left to the
--- a/agent/order_test.go
+++ b/agent/order_test.go
@@ -11,7 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/briarturn/briarturn/backend"
-	standinplatform "github.com/briarturn/briarturn/internal/standin/platform"
+	standinobjectapi "github.com/briarturn/briarturn/internal/standin/objectapi"
 	"github.com/briarturn/briarturn/lease"
 	"github.com/briarturn/briarturn/wire/wirepb"
 )
@@ -20,7 +20,7 @@
 
 // putLease writes the lease's object as a holder of a fence would; version is
 // that of the object before, 0 for none.
-func putLease(t *testing.T, store *standinplatform.Memory, version, fence uint64) {
+func putLease(t *testing.T, store *standinobjectapi.Memory, version, fence uint64) {
 	t.Helper()
 	data := json.RawMessage(`{"fence":` + strconv.FormatUint(fence, 10) + `}`)
 	var err error
@@ -50,7 +50,7 @@
 }
 
 func fencedAgent(t *testing.T, e *fakeEngine) *Agent {
-	store := standinplatform.NewMemory(standinplatform.Config{})
+	store := standinobjectapi.NewMemory(standinobjectapi.Config{})
 	putLease(t, store, 0, 0)
 	cfg := testConfig(e)
 	cfg.Fences = lease.NewGate(store)
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -13,8 +13,8 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/juju/errors"
 
-	standin "github.com/briarturn/briarturn/internal/standin/platform"
-	"github.com/briarturn/briarturn/platform"
+	standin "github.com/briarturn/briarturn/internal/standin/objectapi"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 const storeLatencyMS = 5
@@ -364,7 +364,7 @@
 // downAfterUpdate takes the store down once an update has taken effect.
 type downAfterUpdate struct{ *standin.Memory }
 
-func (s *downAfterUpdate) Update(ctx context.Context, kind, name string, data json.RawMessage, version uint64) (platform.Object, error) {
+func (s *downAfterUpdate) Update(ctx context.Context, kind, name string, data json.RawMessage, version uint64) (objectapi.Object, error) {
 	o, err := s.Memory.Update(ctx, kind, name, data, version)
 	s.Memory.SetFaults(standin.Faults{Down: true})
 	return o, err
@@ -536,7 +536,7 @@
 }
 
 // objects counts the claim objects: a shard, the layout and what is sealed.
-func objects(t *testing.T, store platform.Store) int {
+func objects(t *testing.T, store objectapi.Store) int {
 	t.Helper()
 	l, err := store.List(t.Context(), Kind, "")
 	if err != nil {
--- a/claim/claimer.go
+++ b/claim/claimer.go
@@ -13,7 +13,7 @@
 	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 // Defaults of a Config.
@@ -26,7 +26,7 @@
 	DefaultRetention     = time.Hour
 	DefaultRunLimit      = 15 * time.Minute
 	DefaultMaxAnswer     = 1 << 10
-	DefaultMaxShardBytes = platform.MaxValueBytes * 9 / 10
+	DefaultMaxShardBytes = objectapi.MaxValueBytes * 9 / 10
 	DefaultSealBytes     = 16 << 10
 	DefaultMaxGroup      = 2_000
 	DefaultMaxPending    = 10_000
@@ -40,7 +40,7 @@
 // Config of a Claimer. Shards must be equal in all entries that share a store;
 // with another number than the store has on record, every claim is refused.
 type Config struct {
-	Store platform.Store
+	Store objectapi.Store
 	Peers Peers  // nil if there are none
 	Entry string // this entry's name, without a slash
 
--- a/claim/codec.go
+++ b/claim/codec.go
@@ -9,7 +9,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 // packed is a shard's value as it is stored once it is over packAbove bytes:
@@ -25,7 +25,7 @@
 	packLevel = flate.DefaultCompression
 	// maxUnpacked bounds what one value may unpack to, so that a broken one
 	// can't fill the memory.
-	maxUnpacked = 4 * platform.MaxValueBytes
+	maxUnpacked = 4 * objectapi.MaxValueBytes
 )
 
 // packers are kept, for a new one takes a megabyte.
@@ -70,7 +70,7 @@
 		return nil, errors.Annotate(err, "step unpack claim shard")
 	}
 	if len(plain) > maxUnpacked {
-		return nil, errors.Annotate(platform.ErrTooLarge, "step unpack claim shard")
+		return nil, errors.Annotate(objectapi.ErrTooLarge, "step unpack claim shard")
 	}
 	return plain, nil
 }
--- a/claim/commit.go
+++ b/claim/commit.go
@@ -8,7 +8,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 const errTooManyConflicts = errors.ConstError("too many conflicts")
@@ -46,7 +46,7 @@
 			}
 			g.pause(ctx, n)
 			continue
-		case errors.Is(tryErr, platform.ErrOutcomeUnknown):
+		case errors.Is(tryErr, objectapi.ErrOutcomeUnknown):
 			g.c.m.answersLost.Inc(1)
 			ambiguous = true
 			markSent(batch)
@@ -148,16 +148,16 @@
 }
 
 func isConflict(err error) bool {
-	return errors.Is(err, platform.ErrConflict) ||
-		errors.Is(err, platform.ErrExists) ||
-		errors.Is(err, platform.ErrNotFound)
+	return errors.Is(err, objectapi.ErrConflict) ||
+		errors.Is(err, objectapi.ErrExists) ||
+		errors.Is(err, objectapi.ErrNotFound)
 }
 
 // read returns the shard and its version; zero if there is no object yet.
 func (g *group) read(ctx context.Context) (*shard, uint64, error) {
 	g.c.m.reads.Inc(1)
 	obj, err := g.c.cfg.Store.Get(ctx, Kind, g.name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectapi.ErrNotFound) {
 		s, err := decodeShard(nil)
 		return s, 0, err
 	}
--- a/claim/example_test.go
+++ b/claim/example_test.go
@@ -5,7 +5,7 @@
 	"fmt"
 
 	"github.com/briarturn/briarturn/claim"
-	standin "github.com/briarturn/briarturn/internal/standin/platform"
+	standin "github.com/briarturn/briarturn/internal/standin/objectapi"
 )
 
 func Example() {
--- a/claim/forward_test.go
+++ b/claim/forward_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/juju/errors"
 
-	standin "github.com/briarturn/briarturn/internal/standin/platform"
+	standin "github.com/briarturn/briarturn/internal/standin/objectapi"
 )
 
 // writerOf returns the preferred writer of a key's shard and another entry.
--- a/claim/layout.go
+++ b/claim/layout.go
@@ -7,7 +7,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 // ErrLayout: the number of shards set here is not the one on record.
@@ -19,7 +19,7 @@
 // layout guards the number of shards. Two entries that disagree would look for
 // one key in two shards, and a resend through the other would run again.
 type layout struct {
-	store  platform.Store
+	store  objectapi.Store
 	shards int
 	agreed atomic.Bool
 }
@@ -35,7 +35,7 @@
 		return nil
 	}
 	obj, err := l.store.Get(ctx, Kind, layoutName)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectapi.ErrNotFound) {
 		obj, err = l.create(ctx)
 	}
 	if err != nil {
@@ -54,14 +54,14 @@
 
 // create records the number and reads back what is on record, so that of two
 // entries that start together one wins, whatever becomes of the answers.
-func (l *layout) create(ctx context.Context) (platform.Object, error) {
+func (l *layout) create(ctx context.Context) (objectapi.Object, error) {
 	data, err := json.Marshal(layoutValue{Shards: l.shards})
 	if err != nil {
-		return platform.Object{}, errors.Trace(err)
+		return objectapi.Object{}, errors.Trace(err)
 	}
 	_, err = l.store.Create(ctx, Kind, layoutName, data)
-	if err != nil && !errors.Is(err, platform.ErrExists) && !errors.Is(err, platform.ErrOutcomeUnknown) {
-		return platform.Object{}, err
+	if err != nil && !errors.Is(err, objectapi.ErrExists) && !errors.Is(err, objectapi.ErrOutcomeUnknown) {
+		return objectapi.Object{}, err
 	}
 	return l.store.Get(ctx, Kind, layoutName)
 }
--- a/claim/measure_test.go
+++ b/claim/measure_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 var measureLong = flag.Bool("claim.measure", false, "run the measurements at their full length")
@@ -23,22 +23,22 @@
 
 // meteredStore counts the bytes that cross the wire to the store.
 type meteredStore struct {
-	platform.Store
+	objectapi.Store
 	read, written atomic.Int64
 }
 
-func (s *meteredStore) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+func (s *meteredStore) Get(ctx context.Context, kind, name string) (objectapi.Object, error) {
 	o, err := s.Store.Get(ctx, kind, name)
 	s.read.Add(int64(len(o.Data)))
 	return o, err
 }
 
-func (s *meteredStore) Create(ctx context.Context, kind, name string, d json.RawMessage) (platform.Object, error) {
+func (s *meteredStore) Create(ctx context.Context, kind, name string, d json.RawMessage) (objectapi.Object, error) {
 	s.written.Add(int64(len(d)))
 	return s.Store.Create(ctx, kind, name, d)
 }
 
-func (s *meteredStore) Update(ctx context.Context, kind, name string, d json.RawMessage, v uint64) (platform.Object, error) {
+func (s *meteredStore) Update(ctx context.Context, kind, name string, d json.RawMessage, v uint64) (objectapi.Object, error) {
 	s.written.Add(int64(len(d)))
 	return s.Store.Update(ctx, kind, name, d, v)
 }
--- a/claim/plan.go
+++ b/claim/plan.go
@@ -7,7 +7,7 @@
 	"github.com/juju/errors"
 
 	"github.com/briarturn/briarturn/invariant"
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 var grantStays = invariant.New("claim.grant_stays",
@@ -24,8 +24,8 @@
 	settled []*op
 	refused []*op // claims that the shard has no room for
 
-	orphan  platform.Object // sealed object that counts only if the write lands
-	expired []string        // sealed objects to delete once the write has landed
+	orphan  objectapi.Object // sealed object that counts only if the write lands
+	expired []string         // sealed objects to delete once the write has landed
 }
 
 func (g *group) plan(s *shard, view sealedView, batch []*op) *plan {
@@ -125,8 +125,8 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "step encode claim shard %s", g.name)
 	}
-	if len(data) > platform.MaxValueBytes {
-		return nil, errors.Annotatef(platform.ErrTooLarge, "step encode claim shard %s", g.name)
+	if len(data) > objectapi.MaxValueBytes {
+		return nil, errors.Annotatef(objectapi.ErrTooLarge, "step encode claim shard %s", g.name)
 	}
 	return pack(data)
 }
--- a/claim/random_test.go
+++ b/claim/random_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/juju/errors"
 
-	standin "github.com/briarturn/briarturn/internal/standin/platform"
+	standin "github.com/briarturn/briarturn/internal/standin/objectapi"
 )
 
 var randomSeeds = flag.Uint64("claim.seeds", 40, "seeds of the randomised run")
--- a/claim/sealed.go
+++ b/claim/sealed.go
@@ -11,7 +11,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 // sealedRef names an object that holds settled claims of a shard and never
@@ -98,7 +98,7 @@
 	if err != nil {
 		// Also when its answer was lost: nothing refers to it, so it is as
 		// good as never written, and the group is answered by the store's error.
-		return errors.Annotatef(platform.ErrUnavailable, "step write sealed claims %s: %v", name, err)
+		return errors.Annotatef(objectapi.ErrUnavailable, "step write sealed claims %s: %v", name, err)
 	}
 	g.c.m.sealed.Inc(1)
 	s.Sealed = append(s.Sealed, sealedRef{Name: name, Newest: settled.newest(), Folds: len(settled.Sealed) > 0})
--- a/claim/sealed_index.go
+++ b/claim/sealed_index.go
@@ -11,7 +11,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 // indexHash is the first half of a key's hash, for an hour of claims has to fit
@@ -161,8 +161,8 @@
 	}
 	c.m.reads.Inc(1)
 	s, err := readSealed(ctx, c.cfg.Store, name)
-	if errors.Is(err, platform.ErrNotFound) {
-		return nil, errors.Annotatef(platform.ErrConflict, "step read sealed claims %s", name)
+	if errors.Is(err, objectapi.ErrNotFound) {
+		return nil, errors.Annotatef(objectapi.ErrConflict, "step read sealed claims %s", name)
 	}
 	if err != nil {
 		return nil, err
@@ -191,7 +191,7 @@
 	})
 }
 
-func readSealed(ctx context.Context, store platform.Store, name string) (*shard, error) {
+func readSealed(ctx context.Context, store objectapi.Store, name string) (*shard, error) {
 	obj, err := store.Get(ctx, Kind, name)
 	if err != nil {
 		return nil, errors.Annotatef(err, "step read sealed claims %s", name)
--- a/declared/batch.go
+++ b/declared/batch.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 // Batch is what one process passes on to another that pulls.
@@ -17,7 +17,7 @@
 	// StoreConfirmed: the store itself told the giver that it is up to date,
 	// within Config.ConfirmWithin.
 	StoreConfirmed bool
-	Objects        []platform.Object
+	Objects        []objectapi.Object
 }
 
 // Scope narrows what is pulled. A puller keeps to one scope for good: its
@@ -57,7 +57,7 @@
 
 // pick returns what the batch says of one object. An object outside the scope
 // goes as a deletion: it may have been inside, and the puller would keep it.
-func (b *Batch) pick(kind string, r *record, sc Scope) (platform.Object, bool) {
+func (b *Batch) pick(kind string, r *record, sc Scope) (objectapi.Object, bool) {
 	o := r.object(kind)
 	outside := !sc.hasPool(r.pool)
 	if outside {
@@ -91,8 +91,8 @@
 	}
 }
 
-func ofKind(objects []platform.Object, kind string) []platform.Object {
-	var out []platform.Object
+func ofKind(objects []objectapi.Object, kind string) []objectapi.Object {
+	var out []objectapi.Object
 	for _, o := range objects {
 		if o.Kind == kind {
 			out = append(out, o)
--- a/declared/bench_test.go
+++ b/declared/bench_test.go
@@ -6,14 +6,14 @@
 	"runtime"
 	"testing"
 
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 // fleetObjects is policies for n workspaces and four service levels for each.
-func fleetObjects(n int) []platform.Object {
-	var out []platform.Object
+func fleetObjects(n int) []objectapi.Object {
+	var out []objectapi.Object
 	add := func(kind, name, data string) {
-		out = append(out, platform.Object{Kind: kind, Name: name, Version: uint64(len(out) + 1), Data: json.RawMessage(data)})
+		out = append(out, objectapi.Object{Kind: kind, Name: name, Version: uint64(len(out) + 1), Data: json.RawMessage(data)})
 	}
 	for i := range n {
 		add(KindWorkspacePolicy, fmt.Sprint("w-", i),
@@ -56,7 +56,7 @@
 }
 
 // perCount runs a benchmark on a catalog of each size, with what it holds.
-func perCount(b *testing.B, bench func(b *testing.B, c *Catalog, objects []platform.Object)) {
+func perCount(b *testing.B, bench func(b *testing.B, c *Catalog, objects []objectapi.Object)) {
 	for _, n := range workspaceCounts {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			objects := fleetObjects(n)
@@ -69,7 +69,7 @@
 }
 
 func BenchmarkRead(b *testing.B) {
-	perCount(b, func(b *testing.B, c *Catalog, _ []platform.Object) {
+	perCount(b, func(b *testing.B, c *Catalog, _ []objectapi.Object) {
 		for b.Loop() {
 			if p, _ := c.State().WorkspacePolicy("w-5"); p == nil {
 				b.Fatal("no policy")
@@ -79,18 +79,18 @@
 }
 
 func BenchmarkApplyOne(b *testing.B) {
-	perCount(b, func(b *testing.B, c *Catalog, objects []platform.Object) {
+	perCount(b, func(b *testing.B, c *Catalog, objects []objectapi.Object) {
 		o := objects[0]
 		o.Version = uint64(len(objects))
 		for b.Loop() {
 			o.Version++
-			c.Events(platform.Listing{Revision: o.Version, Objects: []platform.Object{o}})
+			c.Events(objectapi.Listing{Revision: o.Version, Objects: []objectapi.Object{o}})
 		}
 	})
 }
 
 func BenchmarkPullNothingNew(b *testing.B) {
-	perCount(b, func(b *testing.B, c *Catalog, objects []platform.Object) {
+	perCount(b, func(b *testing.B, c *Catalog, objects []objectapi.Object) {
 		for b.Loop() {
 			c.Since(uint64(len(objects)), Scope{})
 		}
--- a/declared/catalog.go
+++ b/declared/catalog.go
@@ -11,7 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/briarturn/briarturn/internal/quiet"
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 // Config sets up a Catalog. Zero values take the defaults.
@@ -35,7 +35,7 @@
 }
 
 // Catalog is the declared state that one process has in force. It is a
-// platform.Sink for the store's words and takes batches of peers. All methods
+// objectapi.Sink for the store's words and takes batches of peers. All methods
 // are safe for concurrent use; readers of State take no lock.
 type Catalog struct {
 	config Config
@@ -46,7 +46,7 @@
 	freshness freshness
 }
 
-var _ platform.Sink = (*Catalog)(nil)
+var _ objectapi.Sink = (*Catalog)(nil)
 
 // NewCatalog returns an empty catalog that is not ready.
 func NewCatalog(c Config) *Catalog {
@@ -83,14 +83,14 @@
 func (c *Catalog) Revision() uint64 { return c.State().Revision() }
 
 // Apply takes one object, as a write's answer or a peer gives it.
-func (c *Catalog) Apply(o platform.Object) Result {
+func (c *Catalog) Apply(o objectapi.Object) Result {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.change(func(e *edit) { e.apply(o) })
 }
 
 // Snapshot takes the store's complete list of a kind.
-func (c *Catalog) Snapshot(kind string, l platform.Listing) {
+func (c *Catalog) Snapshot(kind string, l objectapi.Listing) {
 	if !slices.Contains(c.config.Kinds, kind) {
 		return
 	}
@@ -102,8 +102,8 @@
 }
 
 // Events takes the store's changes that follow on what it said before; a
-// platform.Watcher sees to that.
-func (c *Catalog) Events(l platform.Listing) {
+// objectapi.Watcher sees to that.
+func (c *Catalog) Events(l objectapi.Listing) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.State().Complete() {
--- a/declared/catalog_test.go
+++ b/declared/catalog_test.go
@@ -9,16 +9,16 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/briarturn/briarturn/config"
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
-func policy(name string, version uint64, data string) platform.Object {
-	return platform.Object{Kind: KindWorkspacePolicy, Name: name, Version: version, Data: json.RawMessage(data)}
+func policy(name string, version uint64, data string) objectapi.Object {
+	return objectapi.Object{Kind: KindWorkspacePolicy, Name: name, Version: version, Data: json.RawMessage(data)}
 }
 
-func listAll(c *Catalog, revision uint64, objects ...platform.Object) {
+func listAll(c *Catalog, revision uint64, objects ...objectapi.Object) {
 	for _, kind := range Kinds() {
-		c.Snapshot(kind, platform.Listing{Revision: revision, Objects: ofKind(objects, kind)})
+		c.Snapshot(kind, objectapi.Listing{Revision: revision, Objects: ofKind(objects, kind)})
 	}
 }
 
@@ -54,8 +54,8 @@
 // Cause: a puller that is told only of what is in its scope never hears of
 // what left it.
 func TestSetThatLeavesTheScope(t *testing.T) {
-	set := func(version uint64, pool string) platform.Object {
-		return platform.Object{Kind: KindBackendServerSet, Name: "s", Version: version,
+	set := func(version uint64, pool string) objectapi.Object {
+		return objectapi.Object{Kind: KindBackendServerSet, Name: "s", Version: version,
 			Data: json.RawMessage(fmt.Sprintf(setFormat, pool))}
 	}
 	entry, agent := NewCatalog(Config{}), NewCatalog(Config{Kinds: agentScope.Kinds})
@@ -64,7 +64,7 @@
 	if s, _ := agent.State().BackendServerSet("s"); s == nil {
 		t.Fatal("the set is not in force")
 	}
-	entry.Events(platform.Listing{Revision: 2, Objects: []platform.Object{set(2, "b")}})
+	entry.Events(objectapi.Listing{Revision: 2, Objects: []objectapi.Object{set(2, "b")}})
 	if v := entry.State().PoolVersion("a"); v != 2 {
 		t.Fatalf("version %d concerns the old pool, want 2", v)
 	}
@@ -84,9 +84,9 @@
 	late := policy("gone-5", 11, `{}`)
 	for i := range uint64(100) {
 		o := policy(fmt.Sprint("gone-", i), 2*i+1, `{}`)
-		c.Events(platform.Listing{Revision: o.Version, Objects: []platform.Object{o}})
+		c.Events(objectapi.Listing{Revision: o.Version, Objects: []objectapi.Object{o}})
 		o.Version, o.Deleted, o.Data = 2*i+2, true, nil
-		c.Events(platform.Listing{Revision: o.Version, Objects: []platform.Object{o}})
+		c.Events(objectapi.Listing{Revision: o.Version, Objects: []objectapi.Object{o}})
 	}
 	if n := c.State().tombstones; n == 0 || n > bound {
 		t.Fatalf("%d tombstones held, want 1 to %d", n, bound)
@@ -111,8 +111,8 @@
 func TestVersionBetweenTwoDeletions(t *testing.T) {
 	c := NewCatalog(Config{})
 	listAll(c, 1, policy("w", 1, `{}`))
-	gone := platform.Object{Kind: KindWorkspacePolicy, Name: "w", Version: 2, Deleted: true}
-	c.Events(platform.Listing{Revision: 2, Objects: []platform.Object{gone}})
+	gone := objectapi.Object{Kind: KindWorkspacePolicy, Name: "w", Version: 2, Deleted: true}
+	c.Events(objectapi.Listing{Revision: 2, Objects: []objectapi.Object{gone}})
 	listAll(c, 10)
 	if r := c.Apply(policy("w", 5, `{}`)); r.Stale != 1 {
 		t.Fatalf("the old version was taken: %+v", r)
--- a/declared/edit.go
+++ b/declared/edit.go
@@ -7,7 +7,7 @@
 
 	"github.com/briarturn/briarturn/config"
 	"github.com/briarturn/briarturn/invariant"
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 // DefaultMaxTombstones holds the deletions of days at the rate of changes that
@@ -46,7 +46,7 @@
 }
 
 // apply takes one object if it is news.
-func (e *edit) apply(o platform.Object) {
+func (e *edit) apply(o objectapi.Object) {
 	if !slices.Contains(e.next.kinds, o.Kind) {
 		return
 	}
@@ -72,7 +72,7 @@
 // it would revive it from a peer that lags, as one notices by a workspace or a
 // server that comes back after its deletion. A tombstone that is held isn't
 // enough: the object may have come and gone again unheard.
-func (e *edit) isStale(known *record, o platform.Object) bool {
+func (e *edit) isStale(known *record, o objectapi.Object) bool {
 	if known != nil && o.Version <= known.seen {
 		return true
 	}
@@ -80,7 +80,7 @@
 	return complete && o.Version <= through
 }
 
-func (e *edit) newRecord(known *record, o platform.Object) *record {
+func (e *edit) newRecord(known *record, o objectapi.Object) *record {
 	r := &record{name: o.Name, seen: o.Version, deleted: o.Deleted}
 	if known != nil {
 		r.pool = known.pool
@@ -149,7 +149,7 @@
 // what isn't newer was deleted; the revision stands for the unknown version of
 // that deletion. A list no newer than what is complete here says nothing
 // of deletions.
-func (e *edit) replace(kind string, objects []platform.Object, revision uint64) {
+func (e *edit) replace(kind string, objects []objectapi.Object, revision uint64) {
 	listed := map[string]bool{}
 	for _, o := range objects {
 		listed[o.Name] = true
@@ -160,7 +160,7 @@
 	}
 	for name, r := range e.next.records[kind] {
 		if !listed[name] && !r.deleted && r.seen < revision {
-			e.put(kind, e.newRecord(r, platform.Object{Kind: kind, Name: name, Version: revision, Deleted: true}))
+			e.put(kind, e.newRecord(r, objectapi.Object{Kind: kind, Name: name, Version: revision, Deleted: true}))
 			e.result.Applied++
 		}
 	}
--- a/declared/example_test.go
+++ b/declared/example_test.go
@@ -5,19 +5,19 @@
 	"fmt"
 
 	"github.com/briarturn/briarturn/declared"
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
-// A process follows the store with a platform.Watcher, whose Sink the Catalog
+// A process follows the store with a objectapi.Watcher, whose Sink the Catalog
 // is, and gives its state to peers that pull.
 func ExampleCatalog() {
 	entry := declared.NewCatalog(declared.Config{})
-	policy := platform.Object{
+	policy := objectapi.Object{
 		Kind: declared.KindWorkspacePolicy, Name: "confirmations", Version: 7,
 		Data: json.RawMessage(`{"weight":6}`),
 	}
 	for _, kind := range declared.Kinds() {
-		l := platform.Listing{Revision: 7}
+		l := objectapi.Listing{Revision: 7}
 		if kind == policy.Kind {
 			l.Objects = append(l.Objects, policy)
 		}
--- a/declared/exchange_test.go
+++ b/declared/exchange_test.go
@@ -9,8 +9,8 @@
 	"github.com/juju/errors"
 	"pgregory.net/rapid"
 
-	standin "github.com/briarturn/briarturn/internal/standin/platform"
-	"github.com/briarturn/briarturn/platform"
+	standin "github.com/briarturn/briarturn/internal/standin/objectapi"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 const (
@@ -30,7 +30,7 @@
 
 // written is one write, with what a process should make of it.
 type written struct {
-	platform.Object
+	objectapi.Object
 	good bool
 	pool string
 }
@@ -79,7 +79,7 @@
 	ctx := context.Background()
 	o, err := f.store.Get(ctx, kind, name)
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objectapi.ErrNotFound):
 		o, err = f.store.Create(ctx, kind, name, json.RawMessage(value))
 	case rapid.Bool().Draw(rt, "delete"):
 		o, err = f.store.Delete(ctx, kind, name, o.Version)
@@ -96,7 +96,7 @@
 	f.history = append(f.history, w)
 }
 
-// follow lets an entry hear the store, as a platform.Watcher would.
+// follow lets an entry hear the store, as a objectapi.Watcher would.
 func (f *fleet) follow(rt *rapid.T, n *node) {
 	ctx := context.Background()
 	if n.listed {
--- a/declared/freshness.go
+++ b/declared/freshness.go
@@ -3,7 +3,7 @@
 import "time"
 
 // DefaultConfirmWithin covers one watch of the store that waits in full
-// (platform.DefaultWatchWait), the time limit of its call and the pause before
+// (objectapi.DefaultWatchWait), the time limit of its call and the pause before
 // it, 5.5 s together.
 const DefaultConfirmWithin = 8 * time.Second
 
--- a/declared/state.go
+++ b/declared/state.go
@@ -6,7 +6,7 @@
 	"maps"
 
 	"github.com/briarturn/briarturn/config"
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 type objectKey struct{ kind, name string }
@@ -24,8 +24,8 @@
 	pool    string // that the object concerns or last concerned; "" if none
 }
 
-func (r *record) object(kind string) platform.Object {
-	return platform.Object{Kind: kind, Name: r.name, Version: r.seen, Data: r.data, Deleted: r.deleted}
+func (r *record) object(kind string) objectapi.Object {
+	return objectapi.Object{Kind: kind, Name: r.name, Version: r.seen, Data: r.data, Deleted: r.deleted}
 }
 
 // State is the declared state at one moment. It does not change; a later one
--- a/declared/sync_test.go
+++ b/declared/sync_test.go
@@ -9,17 +9,17 @@
 	"testing/synctest"
 	"time"
 
-	standin "github.com/briarturn/briarturn/internal/standin/platform"
-	"github.com/briarturn/briarturn/platform"
+	standin "github.com/briarturn/briarturn/internal/standin/objectapi"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 // inForceWithin is the users' bound on the time from acceptance to in force.
 const inForceWithin = 9 * time.Second
 
 // follow runs a watcher of the store into a catalog.
-func follow(store platform.Store) (c *Catalog, stop func()) {
+func follow(store objectapi.Store) (c *Catalog, stop func()) {
 	c = NewCatalog(Config{})
-	w := platform.NewWatcher(platform.WatcherConfig{Store: store, Kinds: Kinds(), Sink: c})
+	w := objectapi.NewWatcher(objectapi.WatcherConfig{Store: store, Kinds: Kinds(), Sink: c})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -71,14 +71,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := standin.NewMemory(standin.Config{})
 		first, second := NewCatalog(Config{}), NewCatalog(Config{Kinds: []string{KindModelPool}})
-		w := platform.NewWatcher(platform.WatcherConfig{
-			Store: store, Kinds: append(Kinds(), platform.KindVM), Sink: platform.Sinks{first, second},
+		w := objectapi.NewWatcher(objectapi.WatcherConfig{
+			Store: store, Kinds: append(Kinds(), objectapi.KindVM), Sink: objectapi.Sinks{first, second},
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		go w.Run(ctx)
 		synctest.Wait()
-		store.SetVM(platform.VM{Name: "vm-1", State: platform.VMLeaving})
+		store.SetVM(objectapi.VM{Name: "vm-1", State: objectapi.VMLeaving})
 		if _, err := store.Create(ctx, KindWorkspacePolicy, "w", json.RawMessage(goodPolicy)); err != nil {
 			t.Fatal(err)
 		}
@@ -140,7 +140,7 @@
 		if v%3 == 0 {
 			o.Deleted, o.Data = true, nil
 		}
-		c.Events(platform.Listing{Revision: v, Objects: []platform.Object{o}})
+		c.Events(objectapi.Listing{Revision: v, Objects: []objectapi.Object{o}})
 	}
 	readers.Wait()
 }
--- a/entry/dispatch_test.go
+++ b/entry/dispatch_test.go
@@ -9,7 +9,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/briarturn/briarturn/internal/standin/platform"
+	standin "github.com/briarturn/briarturn/internal/standin/objectapi"
 	"github.com/briarturn/briarturn/quarantine"
 	"github.com/briarturn/briarturn/request"
 	"github.com/briarturn/briarturn/wire/wirepb"
@@ -318,7 +318,7 @@
 		if err := json.Unmarshal(w.Body.Bytes(), &issued); err != nil || issued.Key == "" {
 			t.Fatalf("got %s", w.Body)
 		}
-		b.store.SetFaults(platform.Faults{Down: true})
+		b.store.SetFaults(standin.Faults{Down: true})
 		own := chat(b, chatBodyText, headerNonIdempotent, "true", headerKey, "k1", headerTimeout, "10000")
 		if own.Code/100 != 5 || !strings.Contains(own.Body.String(), string(request.OutcomeUnknown)) || agent.runs() != 0 {
 			t.Fatalf("got %d %s, %d runs", own.Code, own.Body, agent.runs())
@@ -334,7 +334,7 @@
 		if agent.runs() != 1 {
 			t.Fatalf("ran %d times", agent.runs())
 		}
-		b.store.SetFaults(platform.Faults{})
+		b.store.SetFaults(standin.Faults{})
 		settled()
 		b.wantNothingHeld(t)
 	})
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -24,7 +24,7 @@
 	"github.com/briarturn/briarturn/backend"
 	"github.com/briarturn/briarturn/claim"
 	"github.com/briarturn/briarturn/internal/quiet"
-	"github.com/briarturn/briarturn/internal/standin/platform"
+	standin "github.com/briarturn/briarturn/internal/standin/objectapi"
 	"github.com/briarturn/briarturn/quarantine"
 	"github.com/briarturn/briarturn/request"
 	"github.com/briarturn/briarturn/routing"
@@ -377,7 +377,7 @@
 	*Entry
 	fleet     *fakeFleet
 	scheduler *workspace.Scheduler
-	store     *platform.Memory
+	store     *standin.Memory
 	book      *quarantine.Book
 }
 
@@ -385,7 +385,7 @@
 	t.Helper()
 	log := quiet.Logger()
 	b := &bench{fleet: f, scheduler: workspace.NewScheduler(workspace.Options{}), book: quarantine.NewBook(quarantine.DefaultOptions),
-		store: platform.NewMemory(platform.Config{})}
+		store: standin.NewMemory(standin.Config{})}
 	claims, err := claim.New(claim.Config{Store: b.store, Entry: "en1", Metrics: metrics.NewRegistry()})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/capacity/measure_control.go
+++ b/internal/capacity/measure_control.go
@@ -14,7 +14,7 @@
 	"github.com/briarturn/briarturn/backend"
 	"github.com/briarturn/briarturn/declared"
 	"github.com/briarturn/briarturn/membership"
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/wire"
 	"github.com/briarturn/briarturn/wire/wirepb"
 )
@@ -301,7 +301,7 @@
 
 func newPullCatalog(changed int) *declared.Catalog {
 	c := newCatalog(heldObjects)
-	changes := platform.Listing{Revision: heldObjects + uint64(changed)}
+	changes := objectapi.Listing{Revision: heldObjects + uint64(changed)}
 	for i := range changed {
 		changes.Objects = append(changes.Objects, policyObject(i, uint64(heldObjects+i+1)))
 	}
--- a/internal/capacity/measure_entry.go
+++ b/internal/capacity/measure_entry.go
@@ -19,7 +19,7 @@
 	"github.com/briarturn/briarturn/declared"
 	"github.com/briarturn/briarturn/internal/node"
 	"github.com/briarturn/briarturn/membership"
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/quarantine"
 	"github.com/briarturn/briarturn/request"
 	"github.com/briarturn/briarturn/routing"
@@ -349,36 +349,36 @@
 	}
 }
 
-func policyObject(i int, version uint64) platform.Object {
+func policyObject(i int, version uint64) objectapi.Object {
 	data, _ := json.Marshal(map[string]any{
 		"weight": 1, "tokens_per_second": 100_000 + i, "burst_tokens": 1_000_000, "concurrency": 200,
 		"retry_budget": 0.1, "default_timeout": "1m", "max_timeout": "10m",
 	})
-	return platform.Object{Kind: declared.KindWorkspacePolicy, Name: fmt.Sprintf("workspace-%d", i), Version: version, Data: data}
+	return objectapi.Object{Kind: declared.KindWorkspacePolicy, Name: fmt.Sprintf("workspace-%d", i), Version: version, Data: data}
 }
 
-func levelObject(i int, version uint64) platform.Object {
+func levelObject(i int, version uint64) objectapi.Object {
 	data, _ := json.Marshal(map[string]any{
 		"workspace": fmt.Sprintf("workspace-%d", i), "class": "1k-4k", "ttft": "1.7s", "inter_token": "56ms", "objective": 0.95,
 		"windows": []map[string]any{{"short": "5m", "long": "1h", "rate": 14.4}},
 	})
-	return platform.Object{Kind: declared.KindServiceLevel, Name: fmt.Sprintf("level-%d", i), Version: version, Data: data}
+	return objectapi.Object{Kind: declared.KindServiceLevel, Name: fmt.Sprintf("level-%d", i), Version: version, Data: data}
 }
 
 // newCatalog holds n objects, half policies and half service levels.
 func newCatalog(n int) *declared.Catalog {
 	c := declared.NewCatalog(declared.Config{})
-	var policies, levels []platform.Object
+	var policies, levels []objectapi.Object
 	for i := range n / 2 {
 		policies = append(policies, policyObject(i, uint64(i+1)))
 		levels = append(levels, levelObject(i, uint64(i+1)))
 	}
-	byKind := map[string][]platform.Object{
+	byKind := map[string][]objectapi.Object{
 		declared.KindWorkspacePolicy: policies,
 		declared.KindServiceLevel:    levels,
 	}
 	for _, kind := range declared.Kinds() {
-		c.Snapshot(kind, platform.Listing{Revision: uint64(n), Objects: byKind[kind]})
+		c.Snapshot(kind, objectapi.Listing{Revision: uint64(n), Objects: byKind[kind]})
 	}
 	return c
 }
@@ -410,7 +410,7 @@
 	ns := threadCPU(nil, func() {
 		for i := range changes {
 			revision++
-			c.Events(platform.Listing{Revision: revision, Objects: []platform.Object{policyObject(i, revision)}})
+			c.Events(objectapi.Listing{Revision: revision, Objects: []objectapi.Object{policyObject(i, revision)}})
 		}
 	})
 	if c.Revision() != revision {
--- a/internal/capacity/measure_node.go
+++ b/internal/capacity/measure_node.go
@@ -12,7 +12,7 @@
 
 	"github.com/briarturn/briarturn/backend"
 	"github.com/briarturn/briarturn/internal/node"
-	standinplatform "github.com/briarturn/briarturn/internal/standin/platform"
+	standinobjectapi "github.com/briarturn/briarturn/internal/standin/objectapi"
 	standinservice "github.com/briarturn/briarturn/internal/standin/service"
 )
 
@@ -30,7 +30,7 @@
 
 // nodes are entries and agents that run in this process.
 type nodes struct {
-	store   *standinplatform.Memory
+	store   *standinobjectapi.Memory
 	entries []*node.Entry
 	agents  []*node.Agent
 	service *standinservice.Server
@@ -43,7 +43,7 @@
 }
 
 func newNodes() *nodes {
-	return &nodes{store: standinplatform.NewMemory(standinplatform.Config{})}
+	return &nodes{store: standinobjectapi.NewMemory(standinobjectapi.Config{})}
 }
 
 func (n *nodes) startEntries(ctx context.Context, count int) error {
@@ -152,15 +152,15 @@
 }
 
 // startCounts starts entries and returns the store's tally soon after.
-func startCounts(ctx context.Context, count int) (standinplatform.Counts, error) {
+func startCounts(ctx context.Context, count int) (standinobjectapi.Counts, error) {
 	n := newNodes()
 	defer n.close()
 	if err := n.startEntries(ctx, count); err != nil {
-		return standinplatform.Counts{}, err
+		return standinobjectapi.Counts{}, err
 	}
 	time.Sleep(200 * time.Millisecond)
 	return n.store.Counts(), nil
 }
 
-func startReadsOf(c standinplatform.Counts) float64  { return float64(c.Get + c.List) }
-func startWritesOf(c standinplatform.Counts) float64 { return float64(c.Writes()) }
+func startReadsOf(c standinobjectapi.Counts) float64  { return float64(c.Get + c.List) }
+func startWritesOf(c standinobjectapi.Counts) float64 { return float64(c.Writes()) }
--- a/internal/capacity/measure_store.go
+++ b/internal/capacity/measure_store.go
@@ -14,18 +14,18 @@
 
 	"github.com/briarturn/briarturn/claim"
 	"github.com/briarturn/briarturn/declared"
-	standinplatform "github.com/briarturn/briarturn/internal/standin/platform"
+	standinobjectapi "github.com/briarturn/briarturn/internal/standin/objectapi"
 	"github.com/briarturn/briarturn/lease"
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 func storeMeasurements() []measurement {
 	claims := shared(claimCalls)
 	rates := []int{25, 50, 100, 250}
 	all := []measurement{
-		{name: lineWatchIdle, x: "watchers", y: "reads a second", source: "platform.Watcher, nothing changes", sizes: []int{50, 100, 200}, sample: sampleIdleWatch},
-		{name: lineWatchBusy, x: "watchers", y: "reads a second", source: "platform.Watcher, 20 changes a second", sizes: []int{50, 100, 200}, sample: sampleBusyWatch},
-		{name: lineWatchBytes, x: "changes in an answer", y: "bytes", source: "platform.Client.Watch over a kept connection, both ways, with TCP headers", sizes: []int{1, 8, 16}, sample: sampleWatchBytes},
+		{name: lineWatchIdle, x: "watchers", y: "reads a second", source: "objects.Watcher, nothing changes", sizes: []int{50, 100, 200}, sample: sampleIdleWatch},
+		{name: lineWatchBusy, x: "watchers", y: "reads a second", source: "objects.Watcher, 20 changes a second", sizes: []int{50, 100, 200}, sample: sampleBusyWatch},
+		{name: lineWatchBytes, x: "changes in an answer", y: "bytes", source: "objects.Client.Watch over a kept connection, both ways, with TCP headers", sizes: []int{1, 8, 16}, sample: sampleWatchBytes},
 		{name: lineLeaseWrites, x: "leases", y: "writes a renewal period", source: "lease.Manager, renewals", sizes: []int{4, 14, 28}, sample: sampleLeases},
 		{name: lineClaimWrites, x: "confirmations a second", y: "writes a second", source: claimSource, sizes: rates, sample: part(claims, writesOf)},
 		{name: lineClaimReads, x: "confirmations a second", y: "reads a second", source: claimSource, sizes: rates, sample: part(claims, readsOf)},
@@ -44,12 +44,12 @@
 
 type ignore struct{}
 
-func (ignore) Snapshot(string, platform.Listing) {}
-func (ignore) Events(platform.Listing)           {}
+func (ignore) Snapshot(string, objectapi.Listing) {}
+func (ignore) Events(objectapi.Listing)           {}
 
 // watchReads counts what n watchers cost the store, less their first lists.
 func watchReads(ctx context.Context, n int, changes time.Duration) (float64, error) {
-	store := standinplatform.NewMemory(standinplatform.Config{})
+	store := standinobjectapi.NewMemory(standinobjectapi.Config{})
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var running sync.WaitGroup
@@ -57,20 +57,20 @@
 	defer cancel()
 	kinds := []string{declared.KindWorkspacePolicy}
 	for range n {
-		w := platform.NewWatcher(platform.WatcherConfig{Store: store, Kinds: kinds, Sink: ignore{}})
+		w := objectapi.NewWatcher(objectapi.WatcherConfig{Store: store, Kinds: kinds, Sink: ignore{}})
 		running.Go(func() { w.Run(ctx) })
 	}
 	if changes > 0 {
 		running.Go(func() { changeOften(ctx, store, changes) })
 	}
-	time.Sleep(platform.DefaultWatchInterval + 100*time.Millisecond)
+	time.Sleep(objectapi.DefaultWatchInterval + 100*time.Millisecond)
 	before := store.Counts()
 	time.Sleep(watchTime)
 	after := store.Counts()
 	return float64(after.Reads()-before.Reads()) / watchTime.Seconds(), nil
 }
 
-func changeOften(ctx context.Context, store platform.Store, every time.Duration) {
+func changeOften(ctx context.Context, store objectapi.Store, every time.Duration) {
 	for i := 0; ctx.Err() == nil; i++ {
 		o := policyObject(i, 0)
 		_, _ = store.Create(ctx, o.Kind, o.Name, o.Data)
@@ -86,7 +86,7 @@
 
 // sampleWatchBytes returns the bytes of a watch that answers n changes.
 func sampleWatchBytes(ctx context.Context, n int) (float64, error) {
-	store := standinplatform.NewMemory(standinplatform.Config{})
+	store := standinobjectapi.NewMemory(standinobjectapi.Config{})
 	for i := range n {
 		o := policyObject(i, 0)
 		if _, err := store.Create(ctx, o.Kind, o.Name, o.Data); err != nil {
@@ -98,10 +98,10 @@
 		return 0, errors.Trace(err)
 	}
 	metered := &meteredListener{Listener: lis}
-	server := &http.Server{Handler: standinplatform.Handler(store)}
+	server := &http.Server{Handler: standinobjectapi.Handler(store)}
 	go func() { _ = server.Serve(metered) }()
 	defer server.Close()
-	client, err := platform.NewClient(platform.ClientConfig{BaseURL: "http://" + lis.Addr().String()})
+	client, err := objectapi.NewClient(objectapi.ClientConfig{BaseURL: "http://" + lis.Addr().String()})
 	if err != nil {
 		return 0, errors.Trace(err)
 	}
@@ -127,7 +127,7 @@
 // several fit.
 func sampleLeases(ctx context.Context, n int) (float64, error) {
 	const term, renew, periods = 600 * time.Millisecond, 200 * time.Millisecond, 6
-	store := standinplatform.NewMemory(standinplatform.Config{})
+	store := standinobjectapi.NewMemory(standinobjectapi.Config{})
 	m := lease.NewManager(lease.Config{Store: store, Holder: "measure", Term: term, Renew: renew})
 	held := make([]*lease.Lease, n)
 	errs := make([]error, n)
@@ -172,8 +172,8 @@
 // claimCalls offers confirmations at a rate and returns what they cost the
 // store.
 func claimCalls(ctx context.Context, rate int) (calls, error) {
-	store := standinplatform.NewMemory(standinplatform.Config{})
-	store.SetFaults(standinplatform.Faults{LatencyMS: 2})
+	store := standinobjectapi.NewMemory(standinobjectapi.Config{})
+	store.SetFaults(standinobjectapi.Faults{LatencyMS: 2})
 	regions := make([]claimRegion, claimRegions)
 	var claimers []*claim.Claimer
 	for i := range claimEntries {
@@ -235,7 +235,7 @@
 
 // sampleClaimBytes returns what n settled claims take in the store.
 func sampleClaimBytes(ctx context.Context, n int) (float64, error) {
-	store := standinplatform.NewMemory(standinplatform.Config{})
+	store := standinobjectapi.NewMemory(standinobjectapi.Config{})
 	c, err := claim.New(claim.Config{Store: store, Entry: "entry-1", Metrics: metrics.NewRegistry()})
 	if err != nil {
 		return 0, errors.Trace(err)
--- a/internal/chaos/faults.go
+++ b/internal/chaos/faults.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/briarturn/briarturn/internal/dev"
-	standinplatform "github.com/briarturn/briarturn/internal/standin/platform"
+	standinobjectapi "github.com/briarturn/briarturn/internal/standin/objectapi"
 	standinservice "github.com/briarturn/briarturn/internal/standin/service"
 )
 
@@ -42,11 +42,11 @@
 	"service-lose":     onService(standinservice.Faults{LoseAnswer: 0.5}),
 	"service-error":    onService(standinservice.Faults{Error: 0.3}),
 	"service-slow":     onService(standinservice.Faults{SlowMs: 700}),
-	"store-down":       onStore(func(f *standinplatform.Faults) { f.Down = true }),
-	"store-slow":       onStore(func(f *standinplatform.Faults) { f.LatencyMS += 300 }),
-	"store-lose":       onStore(func(f *standinplatform.Faults) { f.LoseProbability = 0.5 }),
-	"store-gap":        onStore(func(f *standinplatform.Faults) { f.GapNext += 3 }),
-	"vm-list-frozen":   onStore(func(f *standinplatform.Faults) { f.VMListFrozen = true }),
+	"store-down":       onStore(func(f *standinobjectapi.Faults) { f.Down = true }),
+	"store-slow":       onStore(func(f *standinobjectapi.Faults) { f.LatencyMS += 300 }),
+	"store-lose":       onStore(func(f *standinobjectapi.Faults) { f.LoseProbability = 0.5 }),
+	"store-gap":        onStore(func(f *standinobjectapi.Faults) { f.GapNext += 3 }),
+	"vm-list-frozen":   onStore(func(f *standinobjectapi.Faults) { f.VMListFrozen = true }),
 	"datagram-lose":    loseDatagrams,
 	"datagram-double":  doubleDatagrams,
 	"datagram-delay":   delayDatagrams,
@@ -199,7 +199,7 @@
 	}
 }
 
-func onStore(change func(*standinplatform.Faults)) fault {
+func onStore(change func(*standinobjectapi.Faults)) fault {
 	return func(b *bench, _ *rand.Rand) func() { return b.store.begin(change) }
 }
 
--- a/internal/chaos/judge.go
+++ b/internal/chaos/judge.go
@@ -8,7 +8,7 @@
 
 	"github.com/juju/errors"
 
-	standinplatform "github.com/briarturn/briarturn/internal/standin/platform"
+	standinobjectapi "github.com/briarturn/briarturn/internal/standin/objectapi"
 	standinservice "github.com/briarturn/briarturn/internal/standin/service"
 
 	"github.com/briarturn/briarturn/declared"
@@ -33,7 +33,7 @@
 	b.net.lose.Store(0)
 	b.net.double.Store(0)
 	b.net.delayMS.Store(0)
-	b.fleet.Store.SetFaults(standinplatform.Faults{})
+	b.fleet.Store.SetFaults(standinobjectapi.Faults{})
 	for _, one := range b.fleet.Backends {
 		if one.Engine != nil {
 			one.Engine.Recover()
--- a/internal/chaos/store.go
+++ b/internal/chaos/store.go
@@ -10,20 +10,20 @@
 	"github.com/juju/errors"
 
 	"github.com/briarturn/briarturn/declared"
-	standinplatform "github.com/briarturn/briarturn/internal/standin/platform"
-	"github.com/briarturn/briarturn/platform"
+	standinobjectapi "github.com/briarturn/briarturn/internal/standin/objectapi"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 // storeFaults combines the faults of the store that are in force together. mu
 // guards on.
 type storeFaults struct {
-	memory *standinplatform.Memory
+	memory *standinobjectapi.Memory
 	mu     sync.Mutex
-	on     []*func(*standinplatform.Faults)
+	on     []*func(*standinobjectapi.Faults)
 }
 
 // begin adds a fault; the function that it returns takes it away.
-func (s *storeFaults) begin(change func(*standinplatform.Faults)) (end func()) {
+func (s *storeFaults) begin(change func(*standinobjectapi.Faults)) (end func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.on = append(s.on, &change)
@@ -42,7 +42,7 @@
 }
 
 func (s *storeFaults) apply() {
-	var f standinplatform.Faults
+	var f standinobjectapi.Faults
 	for _, change := range s.on {
 		(*change)(&f)
 	}
@@ -61,7 +61,7 @@
 // so that the final value tells whether an accepted edit was lost. mu guards the
 // counts.
 type contest struct {
-	store   platform.Store
+	store   objectapi.Store
 	mu      sync.Mutex
 	sure    int // accepted
 	unknown int // answer lost: accepted or not
@@ -91,7 +91,7 @@
 	switch {
 	case err == nil:
 		c.sure++
-	case errors.Is(err, platform.ErrOutcomeUnknown), errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+	case errors.Is(err, objectapi.ErrOutcomeUnknown), errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
 		c.unknown++
 	}
 }
@@ -111,7 +111,7 @@
 	return err
 }
 
-func (c *contest) read(ctx context.Context) (platform.Object, declared.WorkspacePolicy, error) {
+func (c *contest) read(ctx context.Context) (objectapi.Object, declared.WorkspacePolicy, error) {
 	var policy declared.WorkspacePolicy
 	o, err := c.store.Get(ctx, declared.KindWorkspacePolicy, contested)
 	if err != nil {
--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -10,7 +10,7 @@
 	"github.com/juju/errors"
 
 	"github.com/briarturn/briarturn/declared"
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 // Back-off of apply, against an object API that is throttled or out, and
@@ -73,23 +73,23 @@
 // applyRetrying goes on until the object is what the file says or ctx ends. On
 // a conflict it reads again: the condition of the next write is then the other
 // operator's version, and the changes printed are against that.
-func applyRetrying(ctx context.Context, s platform.Store, m *declared.Decoded, dry bool) (applied, error) {
+func applyRetrying(ctx context.Context, s objectapi.Store, m *declared.Decoded, dry bool) (applied, error) {
 	wait := backoff.NewExponentialBackOff()
 	wait.InitialInterval = applyBackoffInitial
 	wait.MaxInterval = applyBackoffMax
 	return backoff.Retry(ctx, func() (applied, error) {
 		one, err := applyOnce(ctx, s, m, dry)
-		if err != nil && !isAny(err, platform.ErrConflict, platform.ErrExists, platform.ErrNotFound) && !platform.IsTransient(err) {
+		if err != nil && !isAny(err, objectapi.ErrConflict, objectapi.ErrExists, objectapi.ErrNotFound) && !objectapi.IsTransient(err) {
 			err = backoff.Permanent(err)
 		}
 		return one, err
 	}, backoff.WithBackOff(wait), backoff.WithMaxElapsedTime(0))
 }
 
-func applyOnce(ctx context.Context, s platform.Store, m *declared.Decoded, dry bool) (applied, error) {
+func applyOnce(ctx context.Context, s objectapi.Store, m *declared.Decoded, dry bool) (applied, error) {
 	out := applied{Kind: m.Kind, Name: m.Name, Action: actionChanged}
 	now, err := s.Get(ctx, m.Kind, m.Name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectapi.ErrNotFound) {
 		out.Action = actionCreated
 	} else if err != nil {
 		return out, errors.Trace(err)
@@ -105,10 +105,10 @@
 	if dry || out.Action == actionUnchanged {
 		return out, nil
 	}
-	write := platform.Write{Kind: m.Kind, Name: m.Name, Data: m.Data, Version: now.Version}
+	write := objectapi.Write{Kind: m.Kind, Name: m.Name, Data: m.Data, Version: now.Version}
 	// Any object with the value of the file is as good as ours, whoever wrote
 	// it: the value itself is the mark.
-	o, err := platform.SettleWrite(ctx, s, write, func(o platform.Object) bool {
+	o, err := objectapi.SettleWrite(ctx, s, write, func(o objectapi.Object) bool {
 		left, err := difference(o.Data, m.Data)
 		return err == nil && len(left) == 0
 	})
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -16,8 +16,8 @@
 	"github.com/juju/errors"
 
 	"github.com/briarturn/briarturn/internal/admin"
-	standin "github.com/briarturn/briarturn/internal/standin/platform"
-	"github.com/briarturn/briarturn/platform"
+	standin "github.com/briarturn/briarturn/internal/standin/objectapi"
+	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/request"
 	"github.com/briarturn/briarturn/slo"
 )
@@ -29,7 +29,7 @@
 	out, errors string
 }
 
-func runTool(store platform.Store, stdin string, argv ...string) result {
+func runTool(store objectapi.Store, stdin string, argv ...string) result {
 	var out, errs bytes.Buffer
 	code := Main(context.Background(), argv, Env{
 		Stdin:  strings.NewReader(stdin),
@@ -98,16 +98,16 @@
 
 // racingStore lets another operator write just before the first update.
 type racingStore struct {
-	platform.Store
+	objectapi.Store
 	raced bool
 	other json.RawMessage
 }
 
-func (s *racingStore) Update(ctx context.Context, kind, name string, data json.RawMessage, version uint64) (platform.Object, error) {
+func (s *racingStore) Update(ctx context.Context, kind, name string, data json.RawMessage, version uint64) (objectapi.Object, error) {
 	if !s.raced {
 		s.raced = true
 		if _, err := s.Store.Update(ctx, kind, name, s.other, version); err != nil {
-			return platform.Object{}, err
+			return objectapi.Object{}, err
 		}
 	}
 	return s.Store.Update(ctx, kind, name, data, version)
@@ -202,13 +202,13 @@
 func TestWatchPrintsWhatAGapHid(t *testing.T) {
 	var out bytes.Buffer
 	w := &printer{tool: &tool{args: &arguments{}, env: Env{Stdout: &out}}}
-	object := func(name string, version uint64) platform.Object {
-		return platform.Object{Kind: "K", Name: name, Version: version, Data: json.RawMessage("{}")}
+	object := func(name string, version uint64) objectapi.Object {
+		return objectapi.Object{Kind: "K", Name: name, Version: version, Data: json.RawMessage("{}")}
 	}
-	w.Snapshot("K", platform.Listing{Revision: 2, Objects: []platform.Object{object("p", 1), object("r", 2)}})
-	w.Events(platform.Listing{Revision: 3, Objects: []platform.Object{object("q", 3)}})
+	w.Snapshot("K", objectapi.Listing{Revision: 2, Objects: []objectapi.Object{object("p", 1), object("r", 2)}})
+	w.Events(objectapi.Listing{Revision: 3, Objects: []objectapi.Object{object("q", 3)}})
 	out.Reset()
-	w.Snapshot("K", platform.Listing{Revision: 9, Objects: []platform.Object{object("q", 8), object("r", 2)}})
+	w.Snapshot("K", objectapi.Listing{Revision: 9, Objects: []objectapi.Object{object("q", 8), object("r", 2)}})
 	if got, want := out.String(), "8 K/q {}\n9 K/p deleted\n"; got != want {
 		t.Errorf("got %q, want %q", got, want)
 	}
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -8,7 +8,7 @@
 	"github.com/briarturn/briarturn/declared"
 	"github.com/briarturn/briarturn/internal/admin"
 	"github.com/briarturn/briarturn/internal/load"
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/slo"
 )
 
@@ -31,9 +31,9 @@
 	switch {
 	case err == nil:
 		return ExitOK
-	case isAny(err, errUsage, ErrManifest, declared.ErrUnknownKind, load.ErrMix, load.ErrOptions, slo.ErrLevel, platform.ErrTooLarge):
+	case isAny(err, errUsage, ErrManifest, declared.ErrUnknownKind, load.ErrMix, load.ErrOptions, slo.ErrLevel, objectapi.ErrTooLarge):
 		return ExitUsage
-	case isAny(err, platform.ErrUnavailable, platform.ErrThrottled, platform.ErrOutcomeUnknown,
+	case isAny(err, objectapi.ErrUnavailable, objectapi.ErrThrottled, objectapi.ErrOutcomeUnknown,
 		admin.ErrUnavailable, context.DeadlineExceeded, context.Canceled):
 		return ExitUnavailable
 	}
--- a/internal/ctl/levels.go
+++ b/internal/ctl/levels.go
@@ -9,7 +9,7 @@
 	"github.com/juju/errors"
 
 	"github.com/briarturn/briarturn/declared"
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/request"
 	"github.com/briarturn/briarturn/slo"
 )
@@ -52,7 +52,7 @@
 }
 
 // levelsOf returns one level for each measure that an object sets a target for.
-func levelsOf(o platform.Object) ([]slo.Level, error) {
+func levelsOf(o objectapi.Object) ([]slo.Level, error) {
 	spec, err := declared.Decode(o.Kind, o.Data)
 	if err != nil {
 		return nil, errors.Annotatef(err, "step decode %s/%s", o.Kind, o.Name)
--- a/internal/ctl/objects.go
+++ b/internal/ctl/objects.go
@@ -10,7 +10,7 @@
 	"github.com/juju/errors"
 
 	"github.com/briarturn/briarturn/internal/table"
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 // maxCell bounds a value in a line of text, in bytes.
@@ -36,7 +36,7 @@
 	return t.print(l, func(w io.Writer) error { return writeListing(w, l) })
 }
 
-func writeObject(w io.Writer, o platform.Object) error {
+func writeObject(w io.Writer, o objectapi.Object) error {
 	var indented bytes.Buffer
 	if err := json.Indent(&indented, o.Data, "", "  "); err != nil {
 		return errors.Annotate(err, "step print object")
@@ -45,7 +45,7 @@
 	return errors.Trace(err)
 }
 
-func writeListing(w io.Writer, l platform.Listing) error {
+func writeListing(w io.Writer, l objectapi.Listing) error {
 	var rows [][]string
 	for _, o := range l.Objects {
 		rows = append(rows, []string{o.Name, fmt.Sprint(o.Version), oneLine(o.Data)})
--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -13,7 +13,7 @@
 	"github.com/juju/errors"
 
 	"github.com/briarturn/briarturn/internal/admin"
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 // The tool's own limits on the object API; a person waits for it.
@@ -30,7 +30,7 @@
 	Terminal bool // Stderr is a terminal: progress lines are welcome
 	Now      func() time.Time
 	// Store, if set, is used in place of the object API at --platform.
-	Store platform.Store
+	Store objectapi.Store
 }
 
 // Main runs one command line, without the program's name, and returns the exit
@@ -121,7 +121,7 @@
 }
 
 // store returns the object API.
-func (t *tool) store() (platform.Store, error) {
+func (t *tool) store() (objectapi.Store, error) {
 	if t.env.Store != nil {
 		return t.env.Store, nil
 	}
@@ -132,7 +132,7 @@
 	if !strings.Contains(base, "://") {
 		base = "http://" + base
 	}
-	c, err := platform.NewClient(platform.ClientConfig{
+	c, err := objectapi.NewClient(objectapi.ClientConfig{
 		BaseURL:         base,
 		ReadsPerSecond:  readsPerSecond,
 		WritesPerSecond: writesPerSecond,
--- a/internal/ctl/watch.go
+++ b/internal/ctl/watch.go
@@ -8,7 +8,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 // watch prints the objects of a kind, then each change, until it is
@@ -24,7 +24,7 @@
 	log := logrus.New()
 	log.SetOutput(t.env.Stderr)
 	sink := &printer{tool: t, failed: cancel}
-	platform.NewWatcher(platform.WatcherConfig{
+	objectapi.NewWatcher(objectapi.WatcherConfig{
 		Store: store,
 		Kinds: []string{t.args.Watch.Kind},
 		Sink:  sink,
@@ -39,13 +39,13 @@
 	tool   *tool
 	failed func()
 	err    error
-	known  map[string]platform.Object // live, by name
+	known  map[string]objectapi.Object // live, by name
 }
 
-// Snapshot implements platform.Sink.
-func (p *printer) Snapshot(kind string, l platform.Listing) {
+// Snapshot implements objectapi.Sink.
+func (p *printer) Snapshot(kind string, l objectapi.Listing) {
 	before := p.known
-	p.known = make(map[string]platform.Object, len(l.Objects))
+	p.known = make(map[string]objectapi.Object, len(l.Objects))
 	for _, o := range l.Objects {
 		p.known[o.Name] = o
 		if before[o.Name].Version != o.Version {
@@ -56,13 +56,13 @@
 		if _, ok := p.known[name]; !ok {
 			// The version of the deletion fell into the gap; the revision of
 			// the listing is at least that.
-			p.print(platform.Object{Kind: kind, Name: name, Version: l.Revision, Deleted: true})
+			p.print(objectapi.Object{Kind: kind, Name: name, Version: l.Revision, Deleted: true})
 		}
 	}
 }
 
-// Events implements platform.Sink.
-func (p *printer) Events(l platform.Listing) {
+// Events implements objectapi.Sink.
+func (p *printer) Events(l objectapi.Listing) {
 	for _, o := range l.Objects {
 		if o.Deleted {
 			delete(p.known, o.Name)
@@ -74,7 +74,7 @@
 }
 
 // print writes one line. Where standard output is gone the watch ends.
-func (p *printer) print(o platform.Object) {
+func (p *printer) print(o objectapi.Object) {
 	if p.err != nil {
 		return
 	}
@@ -88,7 +88,7 @@
 	}
 }
 
-func (t *tool) eventLine(o platform.Object) (string, error) {
+func (t *tool) eventLine(o objectapi.Object) (string, error) {
 	if t.args.JSON {
 		data, err := json.Marshal(o)
 		return string(data), errors.Annotate(err, "step print object")
--- a/internal/daemon/main_test.go
+++ b/internal/daemon/main_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	standinplatform "github.com/briarturn/briarturn/internal/standin/platform"
+	standinobjectapi "github.com/briarturn/briarturn/internal/standin/objectapi"
 )
 
 // output is what one command line gave.
@@ -83,9 +83,9 @@
 // TestRunDrainsWhenTold starts an entry from a settings file against an object
 // API over HTTP and ends it as SIGTERM does.
 func TestRunDrainsWhenTold(t *testing.T) {
-	store := standinplatform.NewMemory(standinplatform.Config{})
+	store := standinobjectapi.NewMemory(standinobjectapi.Config{})
 	announced := make(chan struct{}, 1)
-	api := standinplatform.Handler(store)
+	api := standinobjectapi.Handler(store)
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		api.ServeHTTP(w, r)
 		if _, err := store.Get(r.Context(), "Entry", "entry-1"); err == nil {
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -14,7 +14,7 @@
 	"github.com/briarturn/briarturn/entry"
 	"github.com/briarturn/briarturn/internal/node"
 	"github.com/briarturn/briarturn/invariant"
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/settings"
 )
 
@@ -79,7 +79,7 @@
 // start starts the role of the settings and returns it with its drain limit.
 func start(s *settings.Settings, log logrus.FieldLogger) (runner, time.Duration, error) {
 	registry := metrics.NewRegistry()
-	store, err := platform.NewClient(storeConfig(s, registry))
+	store, err := objectapi.NewClient(storeConfig(s, registry))
 	if err != nil {
 		return nil, 0, errors.Annotatef(err, "step start, peer %s", s.Platform.Address)
 	}
@@ -91,8 +91,8 @@
 	return r, drainLimit(s), err
 }
 
-func storeConfig(s *settings.Settings, r metrics.Registry) platform.ClientConfig {
-	return platform.ClientConfig{
+func storeConfig(s *settings.Settings, r metrics.Registry) objectapi.ClientConfig {
+	return objectapi.ClientConfig{
 		BaseURL:         s.Platform.Address,
 		CallTimeout:     time.Duration(s.Platform.CallTimeout),
 		ReadsPerSecond:  s.Platform.ReadsPerSecond,
@@ -109,7 +109,7 @@
 	return time.Duration(s.Agent.Drain)
 }
 
-func entryConfig(s *settings.Settings, store platform.Store, log logrus.FieldLogger, r metrics.Registry) node.EntryConfig {
+func entryConfig(s *settings.Settings, store objectapi.Store, log logrus.FieldLogger, r metrics.Registry) node.EntryConfig {
 	limits, timeouts := s.Entry.Limits, s.Entry.Timeouts
 	return node.EntryConfig{
 		Name:             s.Name,
@@ -145,7 +145,7 @@
 	}
 }
 
-func agentConfig(s *settings.Settings, store platform.Store, log logrus.FieldLogger, r metrics.Registry) node.AgentConfig {
+func agentConfig(s *settings.Settings, store objectapi.Store, log logrus.FieldLogger, r metrics.Registry) node.AgentConfig {
 	a := s.Agent
 	return node.AgentConfig{
 		Descriptor: backend.Descriptor{
--- a/internal/daemon/standin.go
+++ b/internal/daemon/standin.go
@@ -10,7 +10,7 @@
 	"github.com/juju/errors"
 
 	standinengine "github.com/briarturn/briarturn/internal/standin/engine"
-	standinplatform "github.com/briarturn/briarturn/internal/standin/platform"
+	standinobjectapi "github.com/briarturn/briarturn/internal/standin/objectapi"
 	standinservice "github.com/briarturn/briarturn/internal/standin/service"
 )
 
@@ -83,8 +83,8 @@
 	if err != nil {
 		return "", nil, err
 	}
-	store := standinplatform.NewMemory(standinplatform.Config{})
-	srv := &http.Server{Handler: standinplatform.Handler(store), ReadHeaderTimeout: standinHeaderTimeout}
+	store := standinobjectapi.NewMemory(standinobjectapi.Config{})
+	srv := &http.Server{Handler: standinobjectapi.Handler(store), ReadHeaderTimeout: standinHeaderTimeout}
 	go func() { _ = srv.Serve(lis) }()
 	return lis.Addr().String(), func() { _ = srv.Close() }, nil
 }
--- a/internal/dev/config_bench_test.go
+++ b/internal/dev/config_bench_test.go
@@ -16,7 +16,7 @@
 	"github.com/briarturn/briarturn/backend"
 	"github.com/briarturn/briarturn/declared"
 	"github.com/briarturn/briarturn/internal/node"
-	standinplatform "github.com/briarturn/briarturn/internal/standin/platform"
+	standinobjectapi "github.com/briarturn/briarturn/internal/standin/objectapi"
 	standinservice "github.com/briarturn/briarturn/internal/standin/service"
 )
 
@@ -32,7 +32,7 @@
 // configFleet is entries and agents on loopback sockets over one store. The
 // agents share one plain service, which they only probe.
 type configFleet struct {
-	store   *standinplatform.Memory
+	store   *standinobjectapi.Memory
 	service *standinservice.Server
 	entries []*node.Entry
 	agents  []*node.Agent
@@ -41,7 +41,7 @@
 func startConfigFleet(tb testing.TB, entries, agents int) *configFleet {
 	tb.Helper()
 	listen := ownLoopback()
-	f := &configFleet{store: standinplatform.NewMemory(standinplatform.Config{})}
+	f := &configFleet{store: standinobjectapi.NewMemory(standinobjectapi.Config{})}
 	service, address, err := standinservice.Start()
 	if err != nil {
 		tb.Fatal(err)
--- a/internal/dev/config_test.go
+++ b/internal/dev/config_test.go
@@ -11,7 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/briarturn/briarturn/declared"
-	standinplatform "github.com/briarturn/briarturn/internal/standin/platform"
+	standinobjectapi "github.com/briarturn/briarturn/internal/standin/objectapi"
 	"github.com/briarturn/briarturn/invariant"
 )
 
@@ -48,9 +48,9 @@
 	versions := map[int]uint64{}
 	for range steps {
 		if rnd.IntN(3) == 0 {
-			f.store.SetFaults(standinplatform.Faults{Down: true})
+			f.store.SetFaults(standinobjectapi.Faults{Down: true})
 			time.Sleep(time.Duration(rnd.IntN(800)) * time.Millisecond)
-			f.store.SetFaults(standinplatform.Faults{GapNext: rnd.IntN(2)})
+			f.store.SetFaults(standinobjectapi.Faults{GapNext: rnd.IntN(2)})
 		}
 		pool := rnd.IntN(configPools)
 		versions[pool] = f.apply(t, pool, rnd.IntN(2) == 0)
--- a/internal/dev/drain_test.go
+++ b/internal/dev/drain_test.go
@@ -9,7 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/briarturn/briarturn/internal/load"
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 // Bounds of the promise: after leaveLimit no new work comes, watched for
@@ -37,7 +37,7 @@
 			}
 		},
 		"VM list": func(_ *testing.T, f *Fleet, b *Backend) {
-			f.Store.SetVM(platform.VM{Name: b.Name, State: platform.VMLeaving})
+			f.Store.SetVM(objectapi.VM{Name: b.Name, State: objectapi.VMLeaving})
 		},
 	}
 	for name, sign := range signs {
--- a/internal/dev/faults.go
+++ b/internal/dev/faults.go
@@ -9,14 +9,14 @@
 	"github.com/juju/errors"
 
 	"github.com/briarturn/briarturn/internal/node"
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 // cutStore is one process's way to the object API. A process that was killed
 // writes nothing more, but its goroutines live on here; cut makes their later
 // calls fail.
 type cutStore struct {
-	platform.Store
+	objectapi.Store
 	cut atomic.Bool
 }
 
@@ -30,34 +30,34 @@
 	return nil
 }
 
-// Get implements platform.Store.
-func (s *cutStore) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+// Get implements objectapi.Store.
+func (s *cutStore) Get(ctx context.Context, kind, name string) (objectapi.Object, error) {
 	if err := s.check(); err != nil {
-		return platform.Object{}, err
+		return objectapi.Object{}, err
 	}
 	return s.Store.Get(ctx, kind, name)
 }
 
-// Create implements platform.Store.
-func (s *cutStore) Create(ctx context.Context, kind, name string, data json.RawMessage) (platform.Object, error) {
+// Create implements objectapi.Store.
+func (s *cutStore) Create(ctx context.Context, kind, name string, data json.RawMessage) (objectapi.Object, error) {
 	if err := s.check(); err != nil {
-		return platform.Object{}, err
+		return objectapi.Object{}, err
 	}
 	return s.Store.Create(ctx, kind, name, data)
 }
 
-// Update implements platform.Store.
-func (s *cutStore) Update(ctx context.Context, kind, name string, data json.RawMessage, version uint64) (platform.Object, error) {
+// Update implements objectapi.Store.
+func (s *cutStore) Update(ctx context.Context, kind, name string, data json.RawMessage, version uint64) (objectapi.Object, error) {
 	if err := s.check(); err != nil {
-		return platform.Object{}, err
+		return objectapi.Object{}, err
 	}
 	return s.Store.Update(ctx, kind, name, data, version)
 }
 
-// Delete implements platform.Store.
-func (s *cutStore) Delete(ctx context.Context, kind, name string, version uint64) (platform.Object, error) {
+// Delete implements objectapi.Store.
+func (s *cutStore) Delete(ctx context.Context, kind, name string, version uint64) (objectapi.Object, error) {
 	if err := s.check(); err != nil {
-		return platform.Object{}, err
+		return objectapi.Object{}, err
 	}
 	return s.Store.Delete(ctx, kind, name, version)
 }
--- a/internal/dev/fleet.go
+++ b/internal/dev/fleet.go
@@ -24,7 +24,7 @@
 	"github.com/briarturn/briarturn/internal/load"
 	"github.com/briarturn/briarturn/internal/node"
 	standinengine "github.com/briarturn/briarturn/internal/standin/engine"
-	standinplatform "github.com/briarturn/briarturn/internal/standin/platform"
+	standinobjectapi "github.com/briarturn/briarturn/internal/standin/objectapi"
 	standinservice "github.com/briarturn/briarturn/internal/standin/service"
 	"github.com/briarturn/briarturn/wire"
 )
@@ -74,7 +74,7 @@
 type Fleet struct {
 	cfg      Config
 	loopback string // to listen on, with a free port
-	Store    *standinplatform.Memory
+	Store    *standinobjectapi.Memory
 	Entries  []*node.Entry
 	Metrics  []metrics.Registry // of the entries
 	Backends []*Backend
@@ -98,7 +98,7 @@
 		quiet.SetOutput(io.Discard)
 		cfg.Log = quiet
 	}
-	f := &Fleet{cfg: cfg, loopback: ownLoopback(), Store: standinplatform.NewMemory(standinplatform.Config{}), down: map[int]bool{}}
+	f := &Fleet{cfg: cfg, loopback: ownLoopback(), Store: standinobjectapi.NewMemory(standinobjectapi.Config{}), down: map[int]bool{}}
 	for _, step := range []func(context.Context) error{f.apply, f.startEntries, f.startBackends, f.await} {
 		if err := step(ctx); err != nil {
 			f.Close()
--- a/internal/dev/outage_test.go
+++ b/internal/dev/outage_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/juju/errors"
 
-	standinplatform "github.com/briarturn/briarturn/internal/standin/platform"
+	standinobjectapi "github.com/briarturn/briarturn/internal/standin/objectapi"
 )
 
 // outageFor is longer in runs for figures than in CI.
@@ -85,7 +85,7 @@
 func TestConfirmationsInAStoreOutage(t *testing.T) {
 	f := startSmall(t, func(c *Config) { c.Entries = 3 })
 	targets := f.Targets()
-	f.Store.SetFaults(standinplatform.Faults{Down: true})
+	f.Store.SetFaults(standinobjectapi.Faults{Down: true})
 	byIssue, byOwn := &tally{statuses: map[int]int{}}, &tally{statuses: map[int]int{}}
 	outage, end := context.WithTimeout(t.Context(), *outageFor)
 	defer end()
@@ -114,7 +114,7 @@
 		time.Sleep(outageCallEvery)
 	}
 	calls.Wait()
-	f.Store.SetFaults(standinplatform.Faults{})
+	f.Store.SetFaults(standinobjectapi.Faults{})
 	again := &tally{statuses: map[int]int{}}
 	for i, key := range append(byIssue.failed, byOwn.failed...) {
 		eventually(t, "a confirmation after the outage", func() bool {
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -19,7 +19,7 @@
 	"github.com/briarturn/briarturn/invariant"
 	"github.com/briarturn/briarturn/lease"
 	"github.com/briarturn/briarturn/membership"
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/quarantine"
 	"github.com/briarturn/briarturn/wire"
 	"github.com/briarturn/briarturn/wire/wirepb"
@@ -46,7 +46,7 @@
 	DatagramListen string
 	AdminListen    string   // empty: no admin interface
 	Seeds          []string // drpc addresses of entries
-	Store          platform.Store
+	Store          objectapi.Store
 	Limits         agent.Limits
 	Log            logrus.FieldLogger
 	Metrics        metrics.Registry
--- a/internal/node/announce_test.go
+++ b/internal/node/announce_test.go
@@ -9,7 +9,7 @@
 	"github.com/briarturn/briarturn/backend"
 	"github.com/briarturn/briarturn/declared"
 	"github.com/briarturn/briarturn/membership"
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/wire"
 	"github.com/briarturn/briarturn/wire/wirepb"
 )
@@ -21,13 +21,13 @@
 // Cause: they compare the revision up to which they are complete.
 func TestQuietWatchIsNoNews(t *testing.T) {
 	catalog := declared.NewCatalog(declared.Config{})
-	policy := platform.Object{
+	policy := objectapi.Object{
 		Kind: declared.KindWorkspacePolicy, Name: "fixtures", Version: 7, Data: json.RawMessage(`{"weight":1}`),
 	}
 	for _, kind := range declared.Kinds() {
-		listing := platform.Listing{Revision: 10}
+		listing := objectapi.Listing{Revision: 10}
 		if kind == policy.Kind {
-			listing.Objects = []platform.Object{policy}
+			listing.Objects = []objectapi.Object{policy}
 		}
 		catalog.Snapshot(kind, listing)
 	}
@@ -35,7 +35,7 @@
 	if newest != 7 {
 		t.Fatalf("newest object has version %d, want 7", newest)
 	}
-	catalog.Events(platform.Listing{Revision: 90})
+	catalog.Events(objectapi.Listing{Revision: 90})
 	if catalog.Revision() != 90 {
 		t.Fatalf("complete through %d, want 90", catalog.Revision())
 	}
@@ -43,7 +43,7 @@
 		t.Errorf("newest object has version %d after a quiet watch, want %d", got, newest)
 	}
 	policy.Version = 91
-	catalog.Events(platform.Listing{Revision: 91, Objects: []platform.Object{policy}})
+	catalog.Events(objectapi.Listing{Revision: 91, Objects: []objectapi.Object{policy}})
 	if got := newestObject(catalog.Since(newest, declared.Scope{}), newest); got != 91 {
 		t.Errorf("newest object has version %d after a change, want 91", got)
 	}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -8,7 +8,7 @@
 	"github.com/juju/errors"
 
 	"github.com/briarturn/briarturn/declared"
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/wire"
 	"github.com/briarturn/briarturn/wire/wirepb"
 )
@@ -44,7 +44,7 @@
 		b.Since = 0
 	}
 	for _, o := range r.GetObjects() {
-		b.Objects = append(b.Objects, platform.Object{
+		b.Objects = append(b.Objects, objectapi.Object{
 			Kind:    o.GetKind(),
 			Name:    o.GetName(),
 			Version: o.GetVersion(),
--- a/internal/node/effect_test.go
+++ b/internal/node/effect_test.go
@@ -10,8 +10,8 @@
 	"github.com/briarturn/briarturn/declared"
 	"github.com/briarturn/briarturn/entry"
 	"github.com/briarturn/briarturn/internal/quiet"
-	"github.com/briarturn/briarturn/internal/standin/platform"
-	objects "github.com/briarturn/briarturn/platform"
+	standin "github.com/briarturn/briarturn/internal/standin/objectapi"
+	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/routing"
 	"github.com/briarturn/briarturn/workspace"
 )
@@ -19,7 +19,7 @@
 func fencingSet(checks string) declared.Batch {
 	data := `{"pool":"p","checks_fencing":` + checks + `,"zones":["z"],
 		"servers":[{"name":"briar-1","zone":"z","address":"10.0.0.1:1"}]}`
-	return declared.Batch{Complete: true, Revision: 1, StoreConfirmed: true, Objects: []objects.Object{{
+	return declared.Batch{Complete: true, Revision: 1, StoreConfirmed: true, Objects: []objectapi.Object{{
 		Kind: declared.KindBackendServerSet, Name: "set", Version: 1, Data: json.RawMessage(data),
 	}}}
 }
@@ -53,7 +53,7 @@
 		n, err := StartEntry(EntryConfig{
 			Name: "entry-1", Zone: "z", Region: "r", RetryRatio: RetryRatio(budget),
 			HTTPListen: "127.0.0.1:0", RPCListen: "127.0.0.1:0", DatagramListen: "127.0.0.1:0",
-			Store: platform.NewMemory(platform.Config{}), Log: quiet.Logger(),
+			Store: standin.NewMemory(standin.Config{}), Log: quiet.Logger(),
 		})
 		if err != nil {
 			t.Fatal(err)
@@ -74,7 +74,7 @@
 		"engine":{"prefill_rate":1,"decode_rate":1,"memory_tokens":1},
 		"routing_policy":"` + policy + `","long_prefill_share":` + share + `}`
 	catalog := declared.NewCatalog(declared.Config{})
-	catalog.ApplyBatch("entry", declared.Batch{Complete: true, Revision: 1, Objects: []objects.Object{{
+	catalog.ApplyBatch("entry", declared.Batch{Complete: true, Revision: 1, Objects: []objectapi.Object{{
 		Kind: declared.KindModelPool, Name: "p", Version: 1, Data: json.RawMessage(data),
 	}}})
 	return catalog
@@ -112,7 +112,7 @@
 	data := `{"default_timeout":"5s","max_timeout":"1m",
 		"service_classes":[{"name":"batch","priority":50,"timeout":"30s"}]}`
 	catalog := declared.NewCatalog(declared.Config{})
-	catalog.ApplyBatch("entry", declared.Batch{Complete: true, Revision: 1, Objects: []objects.Object{{
+	catalog.ApplyBatch("entry", declared.Batch{Complete: true, Revision: 1, Objects: []objectapi.Object{{
 		Kind: declared.KindWorkspacePolicy, Name: "w", Version: 1, Data: json.RawMessage(data),
 	}}})
 	v := catalogView{catalog: catalog}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -17,7 +17,7 @@
 	"github.com/briarturn/briarturn/entry"
 	"github.com/briarturn/briarturn/invariant"
 	"github.com/briarturn/briarturn/membership"
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/quarantine"
 	"github.com/briarturn/briarturn/routing"
 	"github.com/briarturn/briarturn/slo"
@@ -44,7 +44,7 @@
 	// RetryRatio holds for workspaces without a policy: retries per request;
 	// see workspace.Policy.
 	RetryRatio    float64
-	Store         platform.Store
+	Store         objectapi.Store
 	Limits        entry.Limits
 	Log           logrus.FieldLogger
 	Metrics       metrics.Registry
--- a/internal/node/entry_upkeep.go
+++ b/internal/node/entry_upkeep.go
@@ -7,7 +7,7 @@
 	"github.com/juju/errors"
 
 	"github.com/briarturn/briarturn/declared"
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/request"
 	"github.com/briarturn/briarturn/wire/wirepb"
 )
@@ -31,7 +31,7 @@
 
 // startUpkeep starts what keeps soft state in step with the rest of the system.
 func (n *Entry) startUpkeep() {
-	watcher := platform.NewWatcher(platform.WatcherConfig{
+	watcher := objectapi.NewWatcher(objectapi.WatcherConfig{
 		Store:   n.cfg.Store,
 		Kinds:   watchedKinds(),
 		Sink:    newStoreSink(n),
--- a/internal/node/find.go
+++ b/internal/node/find.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/briarturn/briarturn/membership"
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/wire/wirepb"
 )
 
@@ -47,7 +47,7 @@
 
 // announced lists the entries that announced themselves. Dead ones may be among
 // them.
-func announced(ctx context.Context, store platform.Store) ([]*wirepb.Peer, error) {
+func announced(ctx context.Context, store objectapi.Store) ([]*wirepb.Peer, error) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	listing, err := store.List(ctx, KindEntry, "")
--- a/internal/node/presence.go
+++ b/internal/node/presence.go
@@ -7,7 +7,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/wire/wirepb"
 )
 
@@ -31,7 +31,7 @@
 // announce writes the entry's presence, once, and tries until it is written.
 // The value is a function of the incarnation, so writing it again after a lost
 // answer does no harm.
-func announce(ctx context.Context, store platform.Store, self *wirepb.Peer) error {
+func announce(ctx context.Context, store objectapi.Store, self *wirepb.Peer) error {
 	data, err := json.Marshal(presence{
 		RPCAddress:      self.GetRpcAddress(),
 		DatagramAddress: self.GetDatagramAddress(),
@@ -55,9 +55,9 @@
 	}
 }
 
-func put(ctx context.Context, store platform.Store, name string, data []byte) error {
+func put(ctx context.Context, store objectapi.Store, name string, data []byte) error {
 	old, err := store.Get(ctx, KindEntry, name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectapi.ErrNotFound) {
 		_, err = store.Create(ctx, KindEntry, name, data)
 		return err
 	}
@@ -69,7 +69,7 @@
 }
 
 // withdraw deletes the entry's presence if it is still its own.
-func withdraw(ctx context.Context, store platform.Store, self *wirepb.Peer) error {
+func withdraw(ctx context.Context, store objectapi.Store, self *wirepb.Peer) error {
 	o, err := store.Get(ctx, KindEntry, self.GetName())
 	if err != nil {
 		return errors.Annotatef(err, "step withdraw, entry %s", self.GetName())
@@ -84,7 +84,7 @@
 
 // peerOf returns the entry that an object announces, or nil if it can't be read:
 // one entry's fault must not hide the rest.
-func peerOf(o platform.Object) *wirepb.Peer {
+func peerOf(o objectapi.Object) *wirepb.Peer {
 	var p presence
 	if err := json.Unmarshal(o.Data, &p); err != nil {
 		return nil
--- a/internal/node/presence_cleanup_test.go
+++ b/internal/node/presence_cleanup_test.go
@@ -7,12 +7,12 @@
 	"github.com/juju/errors"
 
 	"github.com/briarturn/briarturn/internal/quiet"
-	"github.com/briarturn/briarturn/internal/standin/platform"
-	api "github.com/briarturn/briarturn/platform"
+	standin "github.com/briarturn/briarturn/internal/standin/objectapi"
+	api "github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/wire/wirepb"
 )
 
-func startEntryOn(t *testing.T, store *platform.Memory, name string) *Entry {
+func startEntryOn(t *testing.T, store *standin.Memory, name string) *Entry {
 	t.Helper()
 	n, err := StartEntry(EntryConfig{
 		Name:           name,
@@ -33,7 +33,7 @@
 
 // awaitPresence waits until an entry's presence is there with another version
 // than before, or is gone.
-func awaitPresence(t *testing.T, store *platform.Memory, name string, before uint64, there bool) api.Object {
+func awaitPresence(t *testing.T, store *standin.Memory, name string, before uint64, there bool) api.Object {
 	t.Helper()
 	for {
 		o, err := store.Get(t.Context(), KindEntry, name)
@@ -52,7 +52,7 @@
 // dead and deletes its presence; the cut ends.
 // Cause: presence is written once, at the start.
 func TestDeletedPresenceIsWrittenAgain(t *testing.T) {
-	store := platform.NewMemory(platform.Config{})
+	store := standin.NewMemory(standin.Config{})
 	startEntryOn(t, store, "entry-1")
 	o := awaitPresence(t, store, "entry-1", 0, true)
 	if _, err := store.Delete(t.Context(), KindEntry, "entry-1", o.Version); err != nil {
@@ -65,7 +65,7 @@
 // Sequence: VMs with entries fail and are replaced under other names.
 // Cause: only an entry that drains withdraws its presence.
 func TestPresenceOfALostEntryIsDeleted(t *testing.T) {
-	store := platform.NewMemory(platform.Config{})
+	store := standin.NewMemory(standin.Config{})
 	n := startEntryOn(t, store, "entry-1")
 	lost := &wirepb.Peer{
 		Name: "entry-2", Zone: "hobart", Region: "tas", Incarnation: 7,
--- a/internal/node/start_test.go
+++ b/internal/node/start_test.go
@@ -11,7 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/briarturn/briarturn/internal/quiet"
-	"github.com/briarturn/briarturn/internal/standin/platform"
+	standin "github.com/briarturn/briarturn/internal/standin/objectapi"
 	"github.com/briarturn/briarturn/wire"
 )
 
@@ -38,7 +38,7 @@
 		HTTPListen:     "127.0.0.1:0",
 		RPCListen:      address,
 		DatagramListen: "127.0.0.1:0",
-		Store:          platform.NewMemory(platform.Config{}),
+		Store:          standin.NewMemory(standin.Config{}),
 		Log:            log,
 	})
 }
--- a/internal/node/store_sink.go
+++ b/internal/node/store_sink.go
@@ -7,7 +7,7 @@
 
 	"github.com/briarturn/briarturn/declared"
 	"github.com/briarturn/briarturn/membership"
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/wire/wirepb"
 )
 
@@ -28,8 +28,8 @@
 
 func newStoreSink(n *Entry) *storeSink { return &storeSink{node: n, peers: map[string]*wirepb.Peer{}} }
 
-// Snapshot implements platform.Sink.
-func (s *storeSink) Snapshot(kind string, l platform.Listing) {
+// Snapshot implements objectapi.Sink.
+func (s *storeSink) Snapshot(kind string, l objectapi.Listing) {
 	switch kind {
 	case KindEntry:
 		clear(s.peers)
@@ -47,21 +47,21 @@
 	}
 }
 
-// Events implements platform.Sink.
-func (s *storeSink) Events(l platform.Listing) {
+// Events implements objectapi.Sink.
+func (s *storeSink) Events(l objectapi.Listing) {
 	s.takePeers(ofKind(l.Objects, KindEntry))
 	s.takeVMs(ofKind(l.Objects, KindVM))
-	own := slices.DeleteFunc(slices.Clone(l.Objects), func(o platform.Object) bool {
+	own := slices.DeleteFunc(slices.Clone(l.Objects), func(o objectapi.Object) bool {
 		return o.Kind == KindEntry || o.Kind == KindVM
 	})
-	s.node.catalog.Events(platform.Listing{Revision: l.Revision, Objects: own})
+	s.node.catalog.Events(objectapi.Listing{Revision: l.Revision, Objects: own})
 }
 
-func ofKind(objects []platform.Object, kind string) []platform.Object {
-	return slices.DeleteFunc(slices.Clone(objects), func(o platform.Object) bool { return o.Kind != kind })
+func ofKind(objects []objectapi.Object, kind string) []objectapi.Object {
+	return slices.DeleteFunc(slices.Clone(objects), func(o objectapi.Object) bool { return o.Kind != kind })
 }
 
-func (s *storeSink) takePeers(objects []platform.Object) {
+func (s *storeSink) takePeers(objects []objectapi.Object) {
 	if len(objects) == 0 {
 		return
 	}
@@ -86,14 +86,14 @@
 
 // takeVMs marks what the list says is leaving. Absence from the list says
 // nothing: it lags, and a new VM isn't in it yet.
-func (s *storeSink) takeVMs(objects []platform.Object) {
+func (s *storeSink) takeVMs(objects []objectapi.Object) {
 	var leaving []string
 	for _, o := range objects {
-		var vm platform.VM
+		var vm objectapi.VM
 		if o.Deleted || json.Unmarshal(o.Data, &vm) != nil {
 			continue
 		}
-		if vm.State == platform.VMLeaving {
+		if vm.State == objectapi.VMLeaving {
 			leaving = append(leaving, o.Name)
 		}
 	}
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/objectapi/faults.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/briarturn/briarturn/internal/sleep"
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 // Faults says what goes wrong at present. The zero value is a healthy store.
@@ -21,10 +21,10 @@
 	LoseNext int `json:"lose_next,omitempty"`
 	// LoseProbability loses the answer of a write that took effect, 0 to 1.
 	LoseProbability float64 `json:"lose_probability,omitempty"`
-	// GapNext answers the next N watches with platform.ErrGap.
+	// GapNext answers the next N watches with objectapi.ErrGap.
 	GapNext int `json:"gap_next,omitempty"`
 	// ReadsPerSecond and WritesPerSecond refuse what exceeds them with
-	// platform.ErrThrottled; 0 is no limit. One second's worth may come at once.
+	// objectapi.ErrThrottled; 0 is no limit. One second's worth may come at once.
 	ReadsPerSecond  float64 `json:"reads_per_second,omitempty"`
 	WritesPerSecond float64 `json:"writes_per_second,omitempty"`
 	// VMListFrozen holds back changes of the VM list until it is false again.
@@ -108,7 +108,7 @@
 		return err
 	}
 	if !sleep.For(ctx, latency) {
-		return errors.WithType(ctx.Err(), platform.ErrUnavailable)
+		return errors.WithType(ctx.Err(), objectapi.ErrUnavailable)
 	}
 	return nil
 }
@@ -128,7 +128,7 @@
 	defer m.mu.Unlock()
 	m.countLocked(c)
 	if m.faults.Down {
-		return 0, platform.ErrUnavailable
+		return 0, objectapi.ErrUnavailable
 	}
 	limit := m.limits.reads
 	if c == callCreate || c == callUpdate || c == callDelete {
@@ -136,7 +136,7 @@
 	}
 	if limit != nil && !limit.Allow() {
 		m.counts.Throttled++
-		return 0, platform.ErrThrottled
+		return 0, objectapi.ErrThrottled
 	}
 	return time.Duration(m.faults.LatencyMS) * time.Millisecond, nil
 }
--- a/internal/standin/platform/handler.go
+++ b/internal/standin/objectapi/handler.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 import (
 	"encoding/json"
@@ -10,7 +10,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 // maxWatchWait bounds how long one watch may wait.
@@ -20,7 +20,7 @@
 
 // Handler serves a Memory as the object API over HTTP, and beside it the
 // stand-in's own controls: POST /standin/fault takes Faults (replacing those in
-// force), POST /standin/vm a platform.VM, DELETE /standin/vm/NAME removes one,
+// force), POST /standin/vm a objectapi.VM, DELETE /standin/vm/NAME removes one,
 // GET /standin/counts answers Counts.
 func Handler(m *Memory) http.Handler {
 	h := &handler{store: m}
@@ -105,7 +105,7 @@
 }
 
 func (h *handler) setVM(w http.ResponseWriter, r *http.Request) {
-	var vm platform.VM
+	var vm objectapi.VM
 	if readStrict(w, r, &vm) {
 		h.store.SetVM(vm)
 		reply(w, http.StatusOK, vm, nil)
@@ -131,9 +131,9 @@
 }
 
 func readValue(w http.ResponseWriter, r *http.Request) (json.RawMessage, bool) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValueBytes))
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, objectapi.MaxValueBytes))
 	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
-		reply(w, 0, nil, platform.ErrTooLarge)
+		reply(w, 0, nil, objectapi.ErrTooLarge)
 		return nil, false
 	}
 	if err != nil || !json.Valid(data) {
@@ -144,7 +144,7 @@
 }
 
 func readStrict(w http.ResponseWriter, r *http.Request, into any) bool {
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, platform.MaxValueBytes))
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, objectapi.MaxValueBytes))
 	d.DisallowUnknownFields()
 	if err := d.Decode(into); err != nil {
 		badRequest(w, err.Error())
@@ -160,15 +160,15 @@
 		writeJSON(w, status, body)
 		return
 	}
-	status, code, ok := platform.ErrorStatus(err)
+	status, code, ok := objectapi.ErrorStatus(err)
 	if !ok {
 		panic(http.ErrAbortHandler)
 	}
-	writeJSON(w, status, platform.ErrorBody{Code: code, Message: err.Error()})
+	writeJSON(w, status, objectapi.ErrorBody{Code: code, Message: err.Error()})
 }
 
 func badRequest(w http.ResponseWriter, message string) {
-	writeJSON(w, http.StatusBadRequest, platform.ErrorBody{Code: platform.CodeBadRequest, Message: message})
+	writeJSON(w, http.StatusBadRequest, objectapi.ErrorBody{Code: objectapi.CodeBadRequest, Message: message})
 }
 
 func writeJSON(w http.ResponseWriter, status int, body any) {
--- a/internal/standin/platform/memory.go
+++ b/internal/standin/objectapi/memory.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 // DefaultHistory is how many events a Memory keeps for watches.
@@ -24,16 +24,16 @@
 
 type objectKey struct{ kind, name string }
 
-// Memory is an in-memory platform.Store. Make it with NewMemory.
+// Memory is an in-memory objectapi.Store. Make it with NewMemory.
 type Memory struct {
 	keep int
 
 	mu       sync.Mutex // guards everything below
 	revision uint64
-	live     map[objectKey]platform.Object
-	history  []platform.Object // oldest first, deletions as tombstones
-	floor    uint64            // revision of the newest event that was dropped
-	changed  chan struct{}     // closed and replaced at a write or a change of faults
+	live     map[objectKey]objectapi.Object
+	history  []objectapi.Object // oldest first, deletions as tombstones
+	floor    uint64             // revision of the newest event that was dropped
+	changed  chan struct{}      // closed and replaced at a write or a change of faults
 	rnd      *rand.Rand
 	faults   Faults
 	limits   limits
@@ -41,7 +41,7 @@
 	heldVMs  []vmChange // changes of the VM list that wait for it to thaw
 }
 
-var _ platform.Store = (*Memory)(nil)
+var _ objectapi.Store = (*Memory)(nil)
 
 // NewMemory returns an empty store without faults, at revision 0.
 func NewMemory(c Config) *Memory {
@@ -50,7 +50,7 @@
 	}
 	return &Memory{
 		keep:    c.History,
-		live:    map[objectKey]platform.Object{},
+		live:    map[objectKey]objectapi.Object{},
 		changed: make(chan struct{}),
 		rnd:     rand.New(rand.NewPCG(c.Seed, c.Seed)),
 	}
@@ -63,28 +63,28 @@
 	return m.revision
 }
 
-// Get implements platform.Store.
-func (m *Memory) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+// Get implements objectapi.Store.
+func (m *Memory) Get(ctx context.Context, kind, name string) (objectapi.Object, error) {
 	if err := m.beginRead(ctx, callGet); err != nil {
-		return platform.Object{}, errors.Annotatef(err, "step get %s/%s", kind, name)
+		return objectapi.Object{}, errors.Annotatef(err, "step get %s/%s", kind, name)
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	o, ok := m.live[objectKey{kind, name}]
 	if !ok {
-		return platform.Object{}, errors.Annotatef(platform.ErrNotFound, "step get %s/%s", kind, name)
+		return objectapi.Object{}, errors.Annotatef(objectapi.ErrNotFound, "step get %s/%s", kind, name)
 	}
 	return o, nil
 }
 
-// List implements platform.Store. Objects come by name.
-func (m *Memory) List(ctx context.Context, kind, prefix string) (platform.Listing, error) {
+// List implements objectapi.Store. Objects come by name.
+func (m *Memory) List(ctx context.Context, kind, prefix string) (objectapi.Listing, error) {
 	if err := m.beginRead(ctx, callList); err != nil {
-		return platform.Listing{}, errors.Annotatef(err, "step list %s", kind)
+		return objectapi.Listing{}, errors.Annotatef(err, "step list %s", kind)
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := platform.Listing{Revision: m.revision}
+	out := objectapi.Listing{Revision: m.revision}
 	for k, o := range m.live {
 		if k.kind == kind && strings.HasPrefix(k.name, prefix) {
 			out.Objects = append(out.Objects, o)
@@ -94,25 +94,25 @@
 	return out, nil
 }
 
-// Create implements platform.Store.
-func (m *Memory) Create(ctx context.Context, kind, name string, data json.RawMessage) (platform.Object, error) {
+// Create implements objectapi.Store.
+func (m *Memory) Create(ctx context.Context, kind, name string, data json.RawMessage) (objectapi.Object, error) {
 	key := objectKey{kind, name}
 	return m.write(ctx, callCreate, key, data, func() error {
 		if _, ok := m.live[key]; ok {
-			return platform.ErrExists
+			return objectapi.ErrExists
 		}
 		return nil
 	})
 }
 
-// Update implements platform.Store.
-func (m *Memory) Update(ctx context.Context, kind, name string, data json.RawMessage, version uint64) (platform.Object, error) {
+// Update implements objectapi.Store.
+func (m *Memory) Update(ctx context.Context, kind, name string, data json.RawMessage, version uint64) (objectapi.Object, error) {
 	key := objectKey{kind, name}
 	return m.write(ctx, callUpdate, key, data, func() error { return m.matchLocked(key, version) })
 }
 
-// Delete implements platform.Store. It returns the tombstone.
-func (m *Memory) Delete(ctx context.Context, kind, name string, version uint64) (platform.Object, error) {
+// Delete implements objectapi.Store. It returns the tombstone.
+func (m *Memory) Delete(ctx context.Context, kind, name string, version uint64) (objectapi.Object, error) {
 	key := objectKey{kind, name}
 	return m.write(ctx, callDelete, key, nil, func() error { return m.matchLocked(key, version) })
 }
@@ -121,9 +121,9 @@
 	o, ok := m.live[key]
 	switch {
 	case !ok:
-		return platform.ErrNotFound
+		return objectapi.ErrNotFound
 	case o.Version != version:
-		return platform.ErrConflict
+		return objectapi.ErrConflict
 	}
 	return nil
 }
@@ -131,35 +131,35 @@
 // write runs one conditional write under the faults in force. A caller whose
 // time ends during the latency can't know whether the write took effect, so
 // either happens here, by the seeded coin.
-func (m *Memory) write(ctx context.Context, c call, key objectKey, data json.RawMessage, condition func() error) (platform.Object, error) {
-	if len(data) > platform.MaxValueBytes {
-		return platform.Object{}, errors.Annotatef(platform.ErrTooLarge, "step %s %s/%s", c, key.kind, key.name)
+func (m *Memory) write(ctx context.Context, c call, key objectKey, data json.RawMessage, condition func() error) (objectapi.Object, error) {
+	if len(data) > objectapi.MaxValueBytes {
+		return objectapi.Object{}, errors.Annotatef(objectapi.ErrTooLarge, "step %s %s/%s", c, key.kind, key.name)
 	}
 	late, err := m.beginWrite(ctx, c)
 	if err != nil {
-		return platform.Object{}, errors.Annotatef(err, "step %s %s/%s", c, key.kind, key.name)
+		return objectapi.Object{}, errors.Annotatef(err, "step %s %s/%s", c, key.kind, key.name)
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if late && m.rnd.IntN(2) == 0 {
-		return platform.Object{}, errors.Annotatef(platform.ErrOutcomeUnknown, "step %s %s/%s", c, key.kind, key.name)
+		return objectapi.Object{}, errors.Annotatef(objectapi.ErrOutcomeUnknown, "step %s %s/%s", c, key.kind, key.name)
 	}
 	if err := condition(); err != nil && !late {
-		return platform.Object{}, errors.Annotatef(err, "step %s %s/%s", c, key.kind, key.name)
+		return objectapi.Object{}, errors.Annotatef(err, "step %s %s/%s", c, key.kind, key.name)
 	} else if err != nil {
-		return platform.Object{}, errors.Annotatef(platform.ErrOutcomeUnknown, "step %s %s/%s", c, key.kind, key.name)
+		return objectapi.Object{}, errors.Annotatef(objectapi.ErrOutcomeUnknown, "step %s %s/%s", c, key.kind, key.name)
 	}
 	o := m.commitLocked(key, data, c == callDelete)
 	if late || m.loseAnswerLocked() {
-		return platform.Object{}, errors.Annotatef(platform.ErrOutcomeUnknown, "step %s %s/%s", c, key.kind, key.name)
+		return objectapi.Object{}, errors.Annotatef(objectapi.ErrOutcomeUnknown, "step %s %s/%s", c, key.kind, key.name)
 	}
 	return o, nil
 }
 
 // commitLocked gives the change the next revision and wakes the watches.
-func (m *Memory) commitLocked(key objectKey, data json.RawMessage, deleted bool) platform.Object {
+func (m *Memory) commitLocked(key objectKey, data json.RawMessage, deleted bool) objectapi.Object {
 	m.revision++
-	o := platform.Object{Kind: key.kind, Name: key.name, Version: m.revision, Deleted: deleted}
+	o := objectapi.Object{Kind: key.kind, Name: key.name, Version: m.revision, Deleted: deleted}
 	if deleted {
 		delete(m.live, key)
 	} else {
--- a/internal/standin/platform/memory_test.go
+++ b/internal/standin/objectapi/memory_test.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/juju/errors"
 
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 var one = json.RawMessage(`1`)
@@ -31,22 +31,22 @@
 	a, err := m.Create(ctx, "K", "a", one)
 	wantErr(t, err, nil)
 	_, err = m.Create(ctx, "K", "a", one)
-	wantErr(t, err, platform.ErrExists)
+	wantErr(t, err, objectapi.ErrExists)
 	b, err := m.Update(ctx, "K", "a", one, a.Version)
 	wantErr(t, err, nil)
 	_, err = m.Update(ctx, "K", "a", one, a.Version)
-	wantErr(t, err, platform.ErrConflict)
+	wantErr(t, err, objectapi.ErrConflict)
 	_, err = m.Delete(ctx, "K", "a", a.Version)
-	wantErr(t, err, platform.ErrConflict)
+	wantErr(t, err, objectapi.ErrConflict)
 	gone, err := m.Delete(ctx, "K", "a", b.Version)
 	wantErr(t, err, nil)
 	if !gone.Deleted || gone.Version <= b.Version {
 		t.Fatalf("tombstone %+v after version %d", gone, b.Version)
 	}
 	_, err = m.Get(ctx, "K", "a")
-	wantErr(t, err, platform.ErrNotFound)
-	_, err = m.Create(ctx, "K", "big", json.RawMessage(strings.Repeat("1", platform.MaxValueBytes+1)))
-	wantErr(t, err, platform.ErrTooLarge)
+	wantErr(t, err, objectapi.ErrNotFound)
+	_, err = m.Create(ctx, "K", "big", json.RawMessage(strings.Repeat("1", objectapi.MaxValueBytes+1)))
+	wantErr(t, err, objectapi.ErrTooLarge)
 }
 
 // Symptom: a watcher misses events and never learns of it.
@@ -60,22 +60,22 @@
 		wantErr(t, err, nil)
 	}
 	_, err := m.Watch(ctx, []string{"K"}, 0, 0)
-	wantErr(t, err, platform.ErrGap)
+	wantErr(t, err, objectapi.ErrGap)
 	l, err := m.Watch(ctx, []string{"K"}, 1, 0)
 	wantErr(t, err, nil)
 	if l.Revision != 3 || len(l.Objects) != 2 || l.Objects[0].Name != "b" {
 		t.Fatalf("events %+v", l)
 	}
 	_, err = m.Watch(ctx, []string{"K"}, 4, 0)
-	wantErr(t, err, platform.ErrGap)
+	wantErr(t, err, objectapi.ErrGap)
 }
 
 func TestWaitingWatchIsChargedAndWoken(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx := context.Background()
 		m := NewMemory(Config{})
-		time.AfterFunc(3500*time.Millisecond, func() { m.SetVM(platform.VM{Name: "vm-1", State: platform.VMLive}) })
-		l, err := m.Watch(ctx, []string{platform.KindVM}, 0, time.Minute)
+		time.AfterFunc(3500*time.Millisecond, func() { m.SetVM(objectapi.VM{Name: "vm-1", State: objectapi.VMLive}) })
+		l, err := m.Watch(ctx, []string{objectapi.KindVM}, 0, time.Minute)
 		wantErr(t, err, nil)
 		if len(l.Objects) != 1 {
 			t.Fatalf("events %+v", l)
@@ -86,7 +86,7 @@
 		}
 		m.SetFaults(Faults{Down: true})
 		_, err = m.Watch(ctx, []string{"K"}, 1, time.Minute)
-		wantErr(t, err, platform.ErrUnavailable)
+		wantErr(t, err, objectapi.ErrUnavailable)
 	})
 }
 
@@ -98,7 +98,7 @@
 	m := NewMemory(Config{})
 	m.SetFaults(Faults{LoseNext: 1})
 	_, err := m.Create(ctx, "K", "a", one)
-	wantErr(t, err, platform.ErrOutcomeUnknown)
+	wantErr(t, err, objectapi.ErrOutcomeUnknown)
 	_, err = m.Get(ctx, "K", "a")
 	wantErr(t, err, nil)
 	_, err = m.Create(ctx, "K", "b", one)
@@ -116,7 +116,7 @@
 			time.Sleep(time.Millisecond)
 		}
 		_, err := m.Create(ctx, "K", "third", one)
-		wantErr(t, err, platform.ErrThrottled)
+		wantErr(t, err, objectapi.ErrThrottled)
 		time.Sleep(time.Second)
 		_, err = m.Create(ctx, "K", "third", one)
 		wantErr(t, err, nil)
@@ -126,14 +126,14 @@
 func TestFrozenVMList(t *testing.T) {
 	ctx := context.Background()
 	m := NewMemory(Config{})
-	m.SetVM(platform.VM{Name: "vm-1", State: platform.VMLive})
+	m.SetVM(objectapi.VM{Name: "vm-1", State: objectapi.VMLive})
 	m.SetFaults(Faults{VMListFrozen: true})
 	m.RemoveVM("vm-1")
-	_, err := m.Get(ctx, platform.KindVM, "vm-1")
+	_, err := m.Get(ctx, objectapi.KindVM, "vm-1")
 	wantErr(t, err, nil)
 	m.SetFaults(Faults{})
-	_, err = m.Get(ctx, platform.KindVM, "vm-1")
-	wantErr(t, err, platform.ErrNotFound)
+	_, err = m.Get(ctx, objectapi.KindVM, "vm-1")
+	wantErr(t, err, objectapi.ErrNotFound)
 }
 
 func TestHandlerSetsFaults(t *testing.T) {
--- a/internal/standin/platform/vms.go
+++ b/internal/standin/objectapi/vms.go
@@ -1,23 +1,23 @@
-package platform
+package objectapi
 
 import (
 	"encoding/json"
 
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 type vmChange struct {
-	vm      platform.VM
+	vm      objectapi.VM
 	removed bool
 }
 
 // SetVM adds or replaces an entry of the VM list, as the platform would. It
 // is held back while the list is frozen. Faults of calls don't touch it.
-func (m *Memory) SetVM(vm platform.VM) { m.changeVM(vmChange{vm: vm}) }
+func (m *Memory) SetVM(vm objectapi.VM) { m.changeVM(vmChange{vm: vm}) }
 
 // RemoveVM takes an entry off the VM list.
 func (m *Memory) RemoveVM(name string) {
-	m.changeVM(vmChange{vm: platform.VM{Name: name}, removed: true})
+	m.changeVM(vmChange{vm: objectapi.VM{Name: name}, removed: true})
 }
 
 func (m *Memory) changeVM(c vmChange) {
@@ -37,7 +37,7 @@
 }
 
 func (m *Memory) applyVMLocked(c vmChange) {
-	key := objectKey{platform.KindVM, c.vm.Name}
+	key := objectKey{objectapi.KindVM, c.vm.Name}
 	if c.removed {
 		if _, ok := m.live[key]; ok {
 			m.commitLocked(key, nil, true)
--- a/internal/standin/platform/watch.go
+++ b/internal/standin/objectapi/watch.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 import (
 	"context"
@@ -7,17 +7,17 @@
 
 	"github.com/juju/errors"
 
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 // watchCharge is how often a waiting watch is charged one read.
 const watchCharge = time.Second
 
-// Watch implements platform.Store. An empty answer carries the present
+// Watch implements objectapi.Store. An empty answer carries the present
 // revision, so that a watch of quiet kinds doesn't fall behind the history.
-func (m *Memory) Watch(ctx context.Context, kinds []string, after uint64, wait time.Duration) (platform.Listing, error) {
+func (m *Memory) Watch(ctx context.Context, kinds []string, after uint64, wait time.Duration) (objectapi.Listing, error) {
 	if err := m.beginRead(ctx, callWatch); err != nil {
-		return platform.Listing{}, errors.Annotate(err, "step watch")
+		return objectapi.Listing{}, errors.Annotate(err, "step watch")
 	}
 	end := time.NewTimer(wait)
 	defer end.Stop()
@@ -35,26 +35,26 @@
 		case <-end.C:
 			return out, nil
 		case <-ctx.Done():
-			return platform.Listing{}, errors.Annotate(errors.WithType(ctx.Err(), platform.ErrUnavailable), "step watch")
+			return objectapi.Listing{}, errors.Annotate(errors.WithType(ctx.Err(), objectapi.ErrUnavailable), "step watch")
 		}
 	}
 }
 
-func (m *Memory) eventsAfter(kinds []string, after uint64) (platform.Listing, <-chan struct{}, error) {
+func (m *Memory) eventsAfter(kinds []string, after uint64) (objectapi.Listing, <-chan struct{}, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.faults.Down {
-		return platform.Listing{}, nil, platform.ErrUnavailable
+		return objectapi.Listing{}, nil, objectapi.ErrUnavailable
 	}
 	if m.faults.GapNext > 0 {
 		m.faults.GapNext--
-		return platform.Listing{}, nil, platform.ErrGap
+		return objectapi.Listing{}, nil, objectapi.ErrGap
 	}
 	if after < m.floor || after > m.revision {
-		return platform.Listing{}, nil, platform.ErrGap
+		return objectapi.Listing{}, nil, objectapi.ErrGap
 	}
-	out := platform.Listing{Revision: m.revision}
-	first, _ := slices.BinarySearchFunc(m.history, after+1, func(o platform.Object, v uint64) int {
+	out := objectapi.Listing{Revision: m.revision}
+	first, _ := slices.BinarySearchFunc(m.history, after+1, func(o objectapi.Object, v uint64) int {
 		return int(int64(o.Version) - int64(v))
 	})
 	for _, o := range m.history[first:] {
@@ -66,7 +66,7 @@
 }
 
 // chargeWatch takes a read from the limit if one is left. At the limit the
-// watches so crowd out other reads, as on the platform.
+// watches so crowd out other reads, as on the objects.
 func (m *Memory) chargeWatch() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/lease/example_test.go
+++ b/lease/example_test.go
@@ -6,13 +6,13 @@
 	"time"
 
 	"github.com/briarturn/briarturn/lease"
-	"github.com/briarturn/briarturn/platform/platformtest"
+	"github.com/briarturn/briarturn/objectapi/objectapitest"
 )
 
 func Example() {
 	ctx := context.Background()
 	m := lease.NewManager(lease.Config{
-		Store:  platformtest.NewStore(),
+		Store:  objectapitest.NewStore(),
 		Holder: "entry-1",
 		Term:   100 * time.Millisecond,
 	})
--- a/lease/gate.go
+++ b/lease/gate.go
@@ -7,7 +7,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 // ErrStaleFence means that an order came under an older term than the newest known.
@@ -16,14 +16,14 @@
 // Gate keeps the highest fencing number of each lease for a backend server that
 // does not check them itself. It is safe for concurrent use.
 type Gate struct {
-	store platform.Store
+	store objectapi.Store
 
 	mu      sync.Mutex // guards highest
 	highest map[string]uint64
 }
 
 // NewGate returns a gate that learns its floors from store.
-func NewGate(store platform.Store) *Gate {
+func NewGate(store objectapi.Store) *Gate {
 	return &Gate{store: store, highest: map[string]uint64{}}
 }
 
--- a/lease/gate_test.go
+++ b/lease/gate_test.go
@@ -6,8 +6,8 @@
 	"github.com/juju/errors"
 
 	"github.com/briarturn/briarturn/internal/quiet"
-	standin "github.com/briarturn/briarturn/internal/standin/platform"
-	"github.com/briarturn/briarturn/platform"
+	standin "github.com/briarturn/briarturn/internal/standin/objectapi"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 // Symptom: an engine that doesn't check fences carries out an order of a leader
@@ -38,7 +38,7 @@
 	store := standin.NewMemory(standin.Config{})
 	store.SetFaults(standin.Faults{Down: true})
 	err := NewGate(store).Admit(t.Context(), testName, 7)
-	if !errors.Is(err, platform.ErrUnavailable) {
+	if !errors.Is(err, objectapi.ErrUnavailable) {
 		t.Errorf("got %v, want ErrUnavailable", err)
 	}
 }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -8,7 +8,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 // Lease is one held term, kept up by renewal until it lapses, is lost or is
@@ -69,7 +69,7 @@
 	value := l.m.value(l.fence)
 	value.Released = true
 	_, err := l.m.update(ctx, l.name, value, version)
-	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectapi.ErrConflict) || errors.Is(err, objectapi.ErrNotFound) {
 		return nil
 	}
 	return errors.Annotatef(err, "step release, lease %s", l.name)
@@ -94,12 +94,12 @@
 	switch {
 	case err == nil:
 		return l.extend(obj.Version, value.Mark)
-	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrOutcomeUnknown):
+	case errors.Is(err, objectapi.ErrConflict), errors.Is(err, objectapi.ErrOutcomeUnknown):
 		return l.readBack(ctx)
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objectapi.ErrNotFound):
 		l.end()
 		return errors.Annotatef(ErrNotHeld, "step renew, lease %s: object deleted", l.name)
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrThrottled):
+	case errors.Is(err, objectapi.ErrUnavailable), errors.Is(err, objectapi.ErrThrottled):
 		l.forget(value.Mark)
 	}
 	return errors.Annotatef(err, "step renew, lease %s", l.name)
@@ -110,7 +110,7 @@
 // object tells whose write it was.
 func (l *Lease) readBack(ctx context.Context) error {
 	obj, err := l.m.cfg.Store.Get(ctx, Kind, l.name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectapi.ErrNotFound) {
 		l.end()
 		return errors.Annotatef(ErrNotHeld, "step read back, lease %s: object deleted", l.name)
 	}
@@ -131,7 +131,7 @@
 	if unchanged {
 		// Not taken effect yet, or a stale read: the next renewal is
 		// conditional on the same version, so only one of the two can land.
-		return errors.Annotatef(platform.ErrOutcomeUnknown, "step read back, lease %s", l.name)
+		return errors.Annotatef(objectapi.ErrOutcomeUnknown, "step read back, lease %s", l.name)
 	}
 	l.end()
 	return errors.Annotatef(ErrNotHeld, "step read back, lease %s: taken by %s", l.name, value.Holder)
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -9,7 +9,7 @@
 	"github.com/juju/errors"
 
 	"github.com/briarturn/briarturn/internal/quiet"
-	standin "github.com/briarturn/briarturn/internal/standin/platform"
+	standin "github.com/briarturn/briarturn/internal/standin/objectapi"
 )
 
 func manager(store *standin.Memory, holder string) *Manager {
--- a/lease/manager.go
+++ b/lease/manager.go
@@ -14,7 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/briarturn/briarturn/invariant"
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 // Kind is the object kind of leases in the object API.
@@ -44,7 +44,7 @@
 
 // Config of a Manager.
 type Config struct {
-	Store   platform.Store
+	Store   objectapi.Store
 	Holder  string        // name in the object, for people; need not be unique
 	Term    time.Duration // DefaultTerm if zero
 	Renew   time.Duration // between renewals; a third of Term if zero
@@ -146,7 +146,7 @@
 
 func (m *Manager) try(ctx context.Context, name string) (*Lease, error) {
 	obj, err := m.cfg.Store.Get(ctx, Kind, name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectapi.ErrNotFound) {
 		return nil, m.create(ctx, name)
 	}
 	if err != nil {
@@ -172,7 +172,7 @@
 		return errors.Trace(err)
 	}
 	_, err = m.cfg.Store.Create(ctx, Kind, name, data)
-	if err == nil || errors.Is(err, platform.ErrExists) {
+	if err == nil || errors.Is(err, objectapi.ErrExists) {
 		return errors.Annotatef(ErrHeldByOther, "step create, lease %s", name)
 	}
 	return errors.Annotatef(err, "step create, lease %s", name)
@@ -202,10 +202,10 @@
 	value := m.value(version + 1)
 	start := m.now()
 	obj, err := m.update(ctx, name, value, version)
-	if errors.Is(err, platform.ErrOutcomeUnknown) {
+	if errors.Is(err, objectapi.ErrOutcomeUnknown) {
 		obj, err = m.settle(ctx, name, value.Mark)
 	}
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, objectapi.ErrConflict) {
 		return nil, errors.Annotatef(ErrHeldByOther, "step acquire, lease %s", name)
 	}
 	if err != nil {
@@ -232,7 +232,7 @@
 }
 
 // settle reads back whether a write whose answer was lost took effect.
-func (m *Manager) settle(ctx context.Context, name, mark string) (platform.Object, error) {
+func (m *Manager) settle(ctx context.Context, name, mark string) (objectapi.Object, error) {
 	obj, err := m.cfg.Store.Get(ctx, Kind, name)
 	if err != nil {
 		return obj, errors.Trace(err)
@@ -242,7 +242,7 @@
 		return obj, errors.Trace(err)
 	}
 	if value.Mark != mark {
-		return obj, platform.ErrConflict
+		return obj, objectapi.ErrConflict
 	}
 	return obj, nil
 }
@@ -257,10 +257,10 @@
 	fenceRises.Check(fence > before, "lease %s: fence %d after %d", name, fence, before)
 }
 
-func (m *Manager) update(ctx context.Context, name string, value record, version uint64) (platform.Object, error) {
+func (m *Manager) update(ctx context.Context, name string, value record, version uint64) (objectapi.Object, error) {
 	data, err := json.Marshal(value)
 	if err != nil {
-		return platform.Object{}, errors.Trace(err)
+		return objectapi.Object{}, errors.Trace(err)
 	}
 	return m.cfg.Store.Update(ctx, Kind, name, data, version)
 }
--- a/lease/world_test.go
+++ b/lease/world_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/briarturn/briarturn/internal/quiet"
 	"github.com/briarturn/briarturn/internal/seedtest"
-	standin "github.com/briarturn/briarturn/internal/standin/platform"
-	"github.com/briarturn/briarturn/platform"
+	standin "github.com/briarturn/briarturn/internal/standin/objectapi"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 const (
@@ -30,25 +30,25 @@
 // hookedStore runs a function before and after each call takes effect, where a
 // network would delay the call or its answer.
 type hookedStore struct {
-	platform.Store
+	objectapi.Store
 	hook func()
 }
 
-func (s *hookedStore) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+func (s *hookedStore) Get(ctx context.Context, kind, name string) (objectapi.Object, error) {
 	s.hook()
 	o, err := s.Store.Get(ctx, kind, name)
 	s.hook()
 	return o, err
 }
 
-func (s *hookedStore) Create(ctx context.Context, kind, name string, d json.RawMessage) (platform.Object, error) {
+func (s *hookedStore) Create(ctx context.Context, kind, name string, d json.RawMessage) (objectapi.Object, error) {
 	s.hook()
 	o, err := s.Store.Create(ctx, kind, name, d)
 	s.hook()
 	return o, err
 }
 
-func (s *hookedStore) Update(ctx context.Context, kind, name string, d json.RawMessage, v uint64) (platform.Object, error) {
+func (s *hookedStore) Update(ctx context.Context, kind, name string, d json.RawMessage, v uint64) (objectapi.Object, error) {
 	s.hook()
 	o, err := s.Store.Update(ctx, kind, name, d, v)
 	s.hook()
--- a/platform/client_test.go
+++ b/objectapi/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objectapi_test
 
 import (
 	"context"
@@ -13,8 +13,8 @@
 	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
 
-	standin "github.com/briarturn/briarturn/internal/standin/platform"
-	"github.com/briarturn/briarturn/platform"
+	standin "github.com/briarturn/briarturn/internal/standin/objectapi"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 var value = json.RawMessage(`{"n":1}`)
@@ -26,16 +26,16 @@
 	}
 }
 
-func newClient(t *testing.T, config platform.ClientConfig) *platform.Client {
+func newClient(t *testing.T, config objectapi.ClientConfig) *objectapi.Client {
 	t.Helper()
-	c, err := platform.NewClient(config)
+	c, err := objectapi.NewClient(config)
 	wantErr(t, err, nil)
 	t.Cleanup(c.Close)
 	return c
 }
 
 // serve returns a store and a client of it, which config sets up but for its URL.
-func serve(t *testing.T, config platform.ClientConfig) (*standin.Memory, *platform.Client) {
+func serve(t *testing.T, config objectapi.ClientConfig) (*standin.Memory, *objectapi.Client) {
 	t.Helper()
 	m := standin.NewMemory(standin.Config{})
 	s := httptest.NewServer(standin.Handler(m))
@@ -46,7 +46,7 @@
 
 func TestClientSpeaksTheObjectAPI(t *testing.T) {
 	ctx := context.Background()
-	_, c := serve(t, platform.ClientConfig{})
+	_, c := serve(t, objectapi.ClientConfig{})
 	a, err := c.Create(ctx, "K", "a b/c?", value)
 	wantErr(t, err, nil)
 	got, err := c.Get(ctx, "K", "a b/c?")
@@ -55,29 +55,29 @@
 		t.Fatal(d)
 	}
 	_, err = c.Create(ctx, "K", "a b/c?", value)
-	wantErr(t, err, platform.ErrExists)
+	wantErr(t, err, objectapi.ErrExists)
 	b, err := c.Update(ctx, "K", "a b/c?", value, a.Version)
 	wantErr(t, err, nil)
 	_, err = c.Update(ctx, "K", "a b/c?", value, a.Version)
-	wantErr(t, err, platform.ErrConflict)
+	wantErr(t, err, objectapi.ErrConflict)
 	l, err := c.List(ctx, "K", "a")
 	wantErr(t, err, nil)
-	if d := cmp.Diff(platform.Listing{Revision: b.Version, Objects: []platform.Object{b}}, l); d != "" {
+	if d := cmp.Diff(objectapi.Listing{Revision: b.Version, Objects: []objectapi.Object{b}}, l); d != "" {
 		t.Fatal(d)
 	}
 	gone, err := c.Delete(ctx, "K", "a b/c?", b.Version)
 	wantErr(t, err, nil)
 	l, err = c.Watch(ctx, []string{"K"}, b.Version, 0)
 	wantErr(t, err, nil)
-	if d := cmp.Diff([]platform.Object{gone}, l.Objects); d != "" {
+	if d := cmp.Diff([]objectapi.Object{gone}, l.Objects); d != "" {
 		t.Fatal(d)
 	}
 	_, err = c.Get(ctx, "K", "a b/c?")
-	wantErr(t, err, platform.ErrNotFound)
+	wantErr(t, err, objectapi.ErrNotFound)
 	_, err = c.Watch(ctx, []string{"K"}, 99, 0)
-	wantErr(t, err, platform.ErrGap)
-	_, err = c.Create(ctx, "K", "big", make(json.RawMessage, platform.MaxValueBytes+1))
-	wantErr(t, err, platform.ErrTooLarge)
+	wantErr(t, err, objectapi.ErrGap)
+	_, err = c.Create(ctx, "K", "big", make(json.RawMessage, objectapi.MaxValueBytes+1))
+	wantErr(t, err, objectapi.ErrTooLarge)
 }
 
 // Symptom: a write that took effect is reported as refused, or the reverse.
@@ -86,19 +86,19 @@
 // Cause: only some of these tell whether the write ran.
 func TestClientTellsRefusedFromUnknown(t *testing.T) {
 	ctx := context.Background()
-	m, c := serve(t, platform.ClientConfig{})
-	create := func(c *platform.Client, name string) error {
+	m, c := serve(t, objectapi.ClientConfig{})
+	create := func(c *objectapi.Client, name string) error {
 		_, err := c.Create(ctx, "K", name, value)
 		return err
 	}
 
 	m.SetFaults(standin.Faults{Down: true})
-	wantErr(t, create(c, "a"), platform.ErrUnavailable)
+	wantErr(t, create(c, "a"), objectapi.ErrUnavailable)
 	m.SetFaults(standin.Faults{WritesPerSecond: 1e-9})
 	wantErr(t, create(c, "burst"), nil)
-	wantErr(t, create(c, "a"), platform.ErrThrottled)
+	wantErr(t, create(c, "a"), objectapi.ErrThrottled)
 	m.SetFaults(standin.Faults{LoseNext: 1})
-	wantErr(t, create(c, "lost"), platform.ErrOutcomeUnknown)
+	wantErr(t, create(c, "lost"), objectapi.ErrOutcomeUnknown)
 	_, err := c.Get(ctx, "K", "lost")
 	wantErr(t, err, nil)
 
@@ -106,36 +106,36 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}))
 	defer between.Close()
-	wantErr(t, create(newClient(t, platform.ClientConfig{BaseURL: between.URL}), "a"), platform.ErrOutcomeUnknown)
+	wantErr(t, create(newClient(t, objectapi.ClientConfig{BaseURL: between.URL}), "a"), objectapi.ErrOutcomeUnknown)
 
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	wantErr(t, err, nil)
 	wantErr(t, l.Close(), nil)
-	wantErr(t, create(newClient(t, platform.ClientConfig{BaseURL: "http://" + l.Addr().String()}), "a"), platform.ErrUnavailable)
+	wantErr(t, create(newClient(t, objectapi.ClientConfig{BaseURL: "http://" + l.Addr().String()}), "a"), objectapi.ErrUnavailable)
 }
 
 // Symptom: a caller waits for ever on a store that answers slowly.
 // Sequence: the store takes longer than the time limit of a call.
 // Cause: no answer within the limit; a write's outcome is then unknown.
 func TestClientTimeLimit(t *testing.T) {
-	m, c := serve(t, platform.ClientConfig{CallTimeout: 20 * time.Millisecond})
+	m, c := serve(t, objectapi.ClientConfig{CallTimeout: 20 * time.Millisecond})
 	m.SetFaults(standin.Faults{LatencyMS: time.Hour.Milliseconds()})
 	_, err := c.Create(context.Background(), "K", "a", value)
-	wantErr(t, err, platform.ErrOutcomeUnknown)
+	wantErr(t, err, objectapi.ErrOutcomeUnknown)
 	_, err = c.Get(context.Background(), "K", "a")
-	wantErr(t, err, platform.ErrUnavailable)
-	if n := m.Counts().Get; n != platform.DefaultReadTries {
-		t.Fatalf("%d tries of a read, want %d", n, platform.DefaultReadTries)
+	wantErr(t, err, objectapi.ErrUnavailable)
+	if n := m.Counts().Get; n != objectapi.DefaultReadTries {
+		t.Fatalf("%d tries of a read, want %d", n, objectapi.DefaultReadTries)
 	}
 }
 
 func TestClientOwnLimit(t *testing.T) {
 	r := metrics.NewRegistry()
-	m, c := serve(t, platform.ClientConfig{WritesPerSecond: 1e-9, Metrics: r})
+	m, c := serve(t, objectapi.ClientConfig{WritesPerSecond: 1e-9, Metrics: r})
 	_, err := c.Create(context.Background(), "K", "a", value)
 	wantErr(t, err, nil)
 	_, err = c.Create(context.Background(), "K", "b", value)
-	wantErr(t, err, platform.ErrThrottled)
+	wantErr(t, err, objectapi.ErrThrottled)
 	if n := m.Counts().Create; n != 1 {
 		t.Fatalf("%d creates reached the store, want 1", n)
 	}
--- a/platform/main_test.go
+++ b/objectapi/main_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objectapi_test
 
 import (
 	"testing"
--- a/platform/settle_test.go
+++ b/objectapi/settle_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objectapi_test
 
 import (
 	"bytes"
@@ -10,12 +10,12 @@
 
 	"pgregory.net/rapid"
 
-	standin "github.com/briarturn/briarturn/internal/standin/platform"
-	"github.com/briarturn/briarturn/platform"
+	standin "github.com/briarturn/briarturn/internal/standin/objectapi"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
-func carries(mark json.RawMessage) func(platform.Object) bool {
-	return func(o platform.Object) bool { return bytes.Equal(o.Data, mark) }
+func carries(mark json.RawMessage) func(objectapi.Object) bool {
+	return func(o objectapi.Object) bool { return bytes.Equal(o.Data, mark) }
 }
 
 // Symptom: a writer gives up what it holds, or two writers both believe that
@@ -30,7 +30,7 @@
 func settleOnceUnderFaults(rt *rapid.T) {
 	m := standin.NewMemory(standin.Config{Seed: rapid.Uint64().Draw(rt, "seed")})
 	background := context.Background()
-	w := platform.Write{Kind: "K", Name: "a", Data: json.RawMessage(`"mine"`)}
+	w := objectapi.Write{Kind: "K", Name: "a", Data: json.RawMessage(`"mine"`)}
 	if rapid.Bool().Draw(rt, "update") {
 		o, err := m.Create(background, "K", "a", json.RawMessage(`"first"`))
 		if err != nil {
@@ -48,14 +48,14 @@
 	ctx, cancel := context.WithTimeout(background, 2*time.Second)
 	defer cancel()
 
-	o, err := platform.SettleWrite(ctx, m, w, carries(w.Data))
+	o, err := objectapi.SettleWrite(ctx, m, w, carries(w.Data))
 	took := inHistory(rt, m, w.Data)
 	switch {
 	case err == nil && took == 0:
 		rt.Fatalf("told that %+v is in force, and it never was", o)
 	case took > 1:
 		rt.Fatalf("the write took effect %d times", took)
-	case platform.IsTransient(err) && took > 0:
+	case objectapi.IsTransient(err) && took > 0:
 		rt.Fatalf("told %v, and the write took effect", err)
 	}
 }
@@ -97,20 +97,20 @@
 	}{
 		{"answer lost", standin.Faults{LoseNext: 1}, false, nil},
 		{"answers lost twice", standin.Faults{LoseNext: 2}, false, nil},
-		{"refused", standin.Faults{Down: true}, false, platform.ErrUnavailable},
-		{"overwritten", standin.Faults{LoseNext: 1}, true, platform.ErrExists},
+		{"refused", standin.Faults{Down: true}, false, objectapi.ErrUnavailable},
+		{"overwritten", standin.Faults{LoseNext: 1}, true, objectapi.ErrExists},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			m := standin.NewMemory(standin.Config{})
 			m.SetFaults(c.faults)
-			var s platform.Store = m
+			var s objectapi.Store = m
 			if c.rival {
 				s = afterCreate{m, func() { overwrite(m) }}
 			}
 			mark := json.RawMessage(fmt.Sprintf("%q", c.name))
-			_, err := platform.SettleWrite(context.Background(), s,
-				platform.Write{Kind: "K", Name: "a", Data: mark}, carries(mark))
+			_, err := objectapi.SettleWrite(context.Background(), s,
+				objectapi.Write{Kind: "K", Name: "a", Data: mark}, carries(mark))
 			wantErr(t, err, c.want)
 		})
 	}
@@ -118,11 +118,11 @@
 
 // afterCreate calls then once a create has returned.
 type afterCreate struct {
-	platform.Store
+	objectapi.Store
 	then func()
 }
 
-func (s afterCreate) Create(ctx context.Context, kind, name string, data json.RawMessage) (platform.Object, error) {
+func (s afterCreate) Create(ctx context.Context, kind, name string, data json.RawMessage) (objectapi.Object, error) {
 	o, err := s.Store.Create(ctx, kind, name, data)
 	s.then()
 	return o, err
@@ -135,8 +135,8 @@
 func TestSettleWriteMeetsItsOwnLateCopy(t *testing.T) {
 	s := &hangingCreate{Memory: standin.NewMemory(standin.Config{})}
 	mark := json.RawMessage(`"mine"`)
-	_, err := platform.SettleWrite(context.Background(), s,
-		platform.Write{Kind: "K", Name: "a", Data: mark}, carries(mark))
+	_, err := objectapi.SettleWrite(context.Background(), s,
+		objectapi.Write{Kind: "K", Name: "a", Data: mark}, carries(mark))
 	wantErr(t, err, nil)
 	if n := s.Revision(); n != 1 {
 		t.Fatalf("%d writes took effect, want 1", n)
@@ -150,16 +150,16 @@
 	once bool
 }
 
-func (s *hangingCreate) Create(ctx context.Context, kind, name string, data json.RawMessage) (platform.Object, error) {
+func (s *hangingCreate) Create(ctx context.Context, kind, name string, data json.RawMessage) (objectapi.Object, error) {
 	if s.once {
 		return s.Memory.Create(ctx, kind, name, data)
 	}
 	s.once = true
 	s.held = data
-	return platform.Object{}, platform.ErrOutcomeUnknown
+	return objectapi.Object{}, objectapi.ErrOutcomeUnknown
 }
 
-func (s *hangingCreate) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+func (s *hangingCreate) Get(ctx context.Context, kind, name string) (objectapi.Object, error) {
 	o, err := s.Memory.Get(ctx, kind, name)
 	if s.held != nil {
 		_, _ = s.Memory.Create(ctx, kind, name, s.held)
--- a/platform/sinks.go
+++ b/objectapi/sinks.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 // Sinks is a Sink that passes everything on to each of several, in order, so
 // that one watch serves all that a process follows. Each is told of all kinds
--- a/platform/store.go
+++ b/objectapi/store.go
@@ -1,6 +1,6 @@
-// Package platform is the client of the platform's object API: versioned
+// Package objectapi is the client of the platform's object API: versioned
 // objects with conditional writes and long-poll watches.
-package platform
+package objectapi
 
 import (
 	"context"
--- a/platform/tally.go
+++ b/objectapi/tally.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 import (
 	"github.com/juju/errors"
--- a/platform/vm.go
+++ b/objectapi/vm.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 // KindVM is the object kind of the platform's VM list. The platform writes
 // it; it lags behind reality.
--- a/platform/watcher_test.go
+++ b/objectapi/watcher_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objectapi_test
 
 import (
 	"context"
@@ -13,23 +13,23 @@
 	"github.com/juju/errors"
 	"pgregory.net/rapid"
 
-	standin "github.com/briarturn/briarturn/internal/standin/platform"
-	"github.com/briarturn/briarturn/platform"
+	standin "github.com/briarturn/briarturn/internal/standin/objectapi"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 // mirror applies what a Watcher brings and notes events that are out of order.
 type mirror struct {
 	mu      sync.Mutex // guards all below
 	state   map[string]map[string]uint64
-	newest  map[string]uint64 // per kind
-	unsound []platform.Object // events that were not newer than what came before
+	newest  map[string]uint64  // per kind
+	unsound []objectapi.Object // events that were not newer than what came before
 }
 
 func newMirror() *mirror {
 	return &mirror{state: map[string]map[string]uint64{}, newest: map[string]uint64{}}
 }
 
-func (s *mirror) Snapshot(kind string, l platform.Listing) {
+func (s *mirror) Snapshot(kind string, l objectapi.Listing) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.newest[kind] = l.Revision
@@ -39,7 +39,7 @@
 	}
 }
 
-func (s *mirror) Events(l platform.Listing) {
+func (s *mirror) Events(l objectapi.Listing) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, o := range l.Objects {
@@ -70,10 +70,10 @@
 
 var watchedKinds = []string{"A", "B"}
 
-func follow(m platform.Store, s *mirror) (stop func()) {
+func follow(m objectapi.Store, s *mirror) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	w := platform.NewWatcher(platform.WatcherConfig{Store: m, Kinds: watchedKinds, Sink: s})
+	w := objectapi.NewWatcher(objectapi.WatcherConfig{Store: m, Kinds: watchedKinds, Sink: s})
 	go func() {
 		defer close(done)
 		w.Run(ctx)
@@ -128,7 +128,7 @@
 	name := strconv.Itoa(rapid.IntRange(0, 3).Draw(rt, "name"))
 	o, err := m.Get(ctx, kind, name)
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objectapi.ErrNotFound):
 		_, err = m.Create(ctx, kind, name, json.RawMessage(`1`))
 	case rapid.Bool().Draw(rt, "delete"):
 		_, err = m.Delete(ctx, kind, name, o.Version)
@@ -172,7 +172,7 @@
 			wantErr(t, err, nil)
 			time.Sleep(20 * time.Millisecond)
 		}
-		time.Sleep(platform.DefaultWatchInterval)
+		time.Sleep(objectapi.DefaultWatchInterval)
 		if n := m.Counts().Watch - before; n > 4 {
 			t.Fatalf("%d watches for a burst of one second", n)
 		}
--- a/rollout/reconciler.go
+++ b/rollout/reconciler.go
@@ -11,7 +11,7 @@
 
 	"github.com/briarturn/briarturn/declared"
 	"github.com/briarturn/briarturn/lease"
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/wire/wirepb"
 )
 
@@ -82,7 +82,7 @@
 	// the replicas of the rest would be placed anew.
 	Replicas func() (list []Replica, complete bool)
 	Orderer  Orderer
-	Store    platform.Store // for the status
+	Store    objectapi.Store // for the status
 	Options  Options
 	Log      logrus.FieldLogger
 	Metrics  metrics.Registry
--- a/rollout/reconciler_test.go
+++ b/rollout/reconciler_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/briarturn/briarturn/declared"
-	standin "github.com/briarturn/briarturn/internal/standin/platform"
+	standin "github.com/briarturn/briarturn/internal/standin/objectapi"
 )
 
 // inWorld runs f in virtual time and ends all processes after it.
--- a/rollout/status.go
+++ b/rollout/status.go
@@ -11,7 +11,7 @@
 	"github.com/juju/errors"
 
 	"github.com/briarturn/briarturn/declared"
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 // KindStatus is the object kind of what the system says of declared objects.
@@ -108,7 +108,7 @@
 
 // statusWriter keeps a pool's status object. One goroutine uses it.
 type statusWriter struct {
-	store platform.Store
+	store objectapi.Store
 	name  string
 	fence uint64
 
@@ -139,7 +139,7 @@
 
 func (w *statusWriter) read(ctx context.Context) error {
 	o, err := w.store.Get(ctx, KindStatus, w.name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectapi.ErrNotFound) {
 		w.known, w.version, w.written = true, 0, Status{}
 		return nil
 	}
@@ -158,7 +158,7 @@
 	if err != nil {
 		return err
 	}
-	var o platform.Object
+	var o objectapi.Object
 	if w.version == 0 {
 		o, err = w.store.Create(ctx, KindStatus, w.name, data)
 	} else {
--- a/rollout/world_test.go
+++ b/rollout/world_test.go
@@ -15,9 +15,9 @@
 
 	"github.com/briarturn/briarturn/backend"
 	"github.com/briarturn/briarturn/declared"
-	standin "github.com/briarturn/briarturn/internal/standin/platform"
+	standin "github.com/briarturn/briarturn/internal/standin/objectapi"
 	"github.com/briarturn/briarturn/lease"
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/wire/wirepb"
 )
 
@@ -180,7 +180,7 @@
 func (w *world) start(ctx context.Context, name string, pools ...string) *process {
 	p := &process{world: w, catalog: declared.NewCatalog(declared.Config{Log: silent()})}
 	p.leases = lease.NewManager(lease.Config{Store: frozenStore{w.store, p}, Holder: name, Logger: silent()})
-	watcher := platform.NewWatcher(platform.WatcherConfig{Store: w.store, Kinds: declared.Kinds(), Sink: p.catalog, Log: silent()})
+	watcher := objectapi.NewWatcher(objectapi.WatcherConfig{Store: w.store, Kinds: declared.Kinds(), Sink: p.catalog, Log: silent()})
 	go watcher.Run(ctx)
 	for _, pool := range pools {
 		go p.work(ctx, pool)
@@ -245,16 +245,16 @@
 
 // frozenStore is the store as a process that may be frozen reaches it.
 type frozenStore struct {
-	platform.Store
+	objectapi.Store
 	p *process
 }
 
-func (s frozenStore) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+func (s frozenStore) Get(ctx context.Context, kind, name string) (objectapi.Object, error) {
 	s.p.wait(false)
 	return s.Store.Get(ctx, kind, name)
 }
 
-func (s frozenStore) Update(ctx context.Context, kind, name string, data json.RawMessage, version uint64) (platform.Object, error) {
+func (s frozenStore) Update(ctx context.Context, kind, name string, data json.RawMessage, version uint64) (objectapi.Object, error) {
 	s.p.wait(false)
 	return s.Store.Update(ctx, kind, name, data, version)
 }
@@ -269,7 +269,7 @@
 	ctx := context.Background()
 	for {
 		old, err := w.store.Get(ctx, kind, name)
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, objectapi.ErrNotFound) {
 			_, err = w.store.Create(ctx, kind, name, json.RawMessage(spec))
 		} else if err == nil {
 			_, err = w.store.Update(ctx, kind, name, json.RawMessage(spec), old.Version)
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -5,16 +5,16 @@
 
 	"github.com/briarturn/briarturn/backend"
 	"github.com/briarturn/briarturn/config"
-	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 // Defaults of all roles.
 const (
 	DefaultLogLevel        = "info"
 	DefaultLogFormat       = "json"
-	DefaultCallTimeout     = platform.DefaultCallTimeout
-	DefaultReadsPerSecond  = platform.DefaultReadsPerSecond
-	DefaultWritesPerSecond = platform.DefaultWritesPerSecond
+	DefaultCallTimeout     = objectapi.DefaultCallTimeout
+	DefaultReadsPerSecond  = objectapi.DefaultReadsPerSecond
+	DefaultWritesPerSecond = objectapi.DefaultWritesPerSecond
 )
 
 // Defaults of an entry.
