Speak the users' store protocol; watch one kind a call

Cause: the product's store client and stand-in spoke a protocol of our own; the users' store gives pages, events of one kind a call, and conflicts by status. Change: the HTTP client moves to platform/ and decodes their objects once into objectapi's types; its stand-in handler moves beside it. Store.Watch takes one kind; Watcher runs one loop a kind and tells a Sink which kind it speaks of, with the time the call began. Catalog keeps a complete-through revision per kind already, so Events now advances one kind.

--- a/declared/catalog.go
+++ b/declared/catalog.go
@@ -101,24 +101,26 @@
 	c.storeSaid(behind, kind)
 }
 
-// Events takes the store's changes that follow on what it said before; a
-// objectapi.Watcher sees to that.
-func (c *Catalog) Events(l objectapi.Listing) {
+// Events takes the store's changes of a kind that follow on what it said before;
+// a objectapi.Watcher sees to that.
+func (c *Catalog) Events(kind string, l objectapi.Listing) {
+	if !slices.Contains(c.config.Kinds, kind) {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.State().Complete() {
+	through, listed := c.State().through[kind]
+	if !listed {
 		return // no list yet that the events could follow on
 	}
-	behind := l.Revision < c.State().Revision()
+	behind := l.Revision < through
 	c.change(func(e *edit) {
 		for _, o := range l.Objects {
 			e.apply(o)
 		}
-		for _, kind := range e.next.kinds {
-			e.advance(kind, l.Revision)
-		}
+		e.advance(kind, l.Revision)
 	})
-	c.storeSaid(behind, c.config.Kinds...)
+	c.storeSaid(behind, kind)
 }
 
 // storeSaid notes the store's word, unless the store answers from before what
--- a/internal/capacity/compute.go
+++ b/internal/capacity/compute.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"github.com/briarturn/briarturn/claim"
+	"github.com/briarturn/briarturn/declared"
 	"github.com/briarturn/briarturn/lease"
 	"github.com/briarturn/briarturn/membership"
 	"github.com/briarturn/briarturn/objectapi"
@@ -142,7 +143,7 @@
 	t.add(Figure{"reports in", m.reports, "a second", 0, "", "agents × 1.25 / period", "membership.Reporter"})
 	t.add(Figure{"bytes of digests", digests, "B/s", 0, "", "2 × control.digest.bytes(entries of a region)", "membership.Observer.Tick"})
 	t.add(Figure{"bytes of reports and acknowledgements", reports, "B/s", 0, "", "reports × (report + ack / 4)", "membership.Observer.Handle"})
-	t.add(Figure{"bytes of the watch", watch, "B/s", 0, "", "store.watch.bytes: one quiet answer in a wait and 0.5 s, one for each change", "objects.Watcher"})
+	t.add(Figure{"bytes of the watch", watch, "B/s", 0, "", "store.watch.bytes: one quiet answer in a wait and 0.5 s, one for each change", "objectapi.Watcher"})
 	t.add(Figure{"bytes, agents' pulls left out", base, "B/s", limitBytes, "", "sum of the above", "membership, budget of 3,000 B/s"})
 	t.add(Figure{"bytes of announcements and pulls", told, "B/s", 0, "", "agents / entries × changes × (2 × models + 1) / objects / (models + 1) × (config.pull.bytes(1) + homes × (ack + report)); changes spread over all objects", "membership.Observer.SetConfig, declared.State.PoolVersion"})
 	t.add(Figure{"bytes, all", base + told, "B/s", limitBytes, "", "sum", "membership, declared"})
@@ -251,23 +252,28 @@
 	return t
 }
 
+// listedKinds is how many kinds an entry watches beside the declared ones: the
+// entries and the VM list.
+const listedKinds = 2
+
 func (m *model) storeReads() Table {
 	t := Table{Title: "Platform's object API: reads"}
 	entries := float64(m.Entries)
-	idle := m.slope(lineWatchIdle) * entries
-	busy := m.slope(lineWatchBusy) * entries
+	kinds := float64(len(declared.Kinds()) + listedKinds)
+	idle := kinds * entries / (objectapi.DefaultWatchWait + objectapi.DefaultWatchInterval).Seconds()
+	busy := m.slope(lineWatchBusy)*entries + idle*(kinds-1)/kinds
 	churn := m.RestartsPerDay + m.FailuresPerDay
 	wakes := entries * (m.changes + 3*churn/secondsADay)
 	starts := m.slope(lineStartReads) * churn / secondsADay * entries / (entries + float64(m.Backends))
 	claims := m.claims(lineClaimReads, m.KeyedShare)
-	t.add(Figure{"waiting watches", idle, "a second", 0, "", "store.watch.idle.reads × entries: one a second each, whatever the wait", "objects.Watcher"})
-	t.add(Figure{"watches woken", min(wakes, busy-idle), "a second", 0, "", "entries × (declared changes + 3 changes of the VM and entry lists for each failure or restart)", "objects.Watcher"})
+	t.add(Figure{"waiting watches", idle, "a second", 0, "", "entries × kinds watched ÷ (wait + interval): a waiting watch is one call of one kind", "objectapi.Watcher"})
+	t.add(Figure{"watches woken", min(wakes, busy-idle), "a second", 0, "", "entries × (declared changes + 3 changes of the VM and entry lists for each failure or restart)", "objectapi.Watcher"})
 	t.add(Figure{"starts of entries", starts, "a second", 0, "", "store.start.reads × entries' share of failures and restarts", "node.StartEntry"})
 	t.add(Figure{"claims", claims, "a second", 0, "", "store.claim.reads at the keyed share of requests; measured with 5 regions, so high for one", "claim.Claimer"})
 	sealed := m.sealedReads()
 	t.add(Figure{"sealed claims", sealed, "a second", 0, "", "keyed requests × store.claim.bytes / 16 KiB × 2 keepers × regions × 2: read when sealed and when folded; from the code, not measured", "claim.Claimer"})
 	t.add(Figure{"reads, mean", idle + min(wakes, busy-idle) + starts + claims + sealed, "a second", limitReads, "", "sum", "all of the above"})
-	t.add(Figure{"reads in a burst of changes", busy + starts + claims + sealed, "a second", limitReads, "", "store.watch.busy.reads × entries in place of the watches", "objects.DefaultWatchInterval"})
+	t.add(Figure{"reads in a burst of changes", busy + starts + claims + sealed, "a second", limitReads, "", "store.watch.busy.reads × entries for the kind that changes, the other kinds wait", "objectapi.DefaultWatchInterval"})
 	t.add(Figure{"reads by agents", 0, "a second", limitReads, "", "agents pull from entries; the store isn't asked", "node.Agent, declared"})
 	return t
 }
@@ -320,14 +326,14 @@
 	sum := watch + told + callsOfPull
 	dead := objectapi.DefaultWatchWait.Seconds() + objectapi.DefaultCallTimeout.Seconds() + watchBackoff
 	report := m.slowest * periodJitter
-	t.add(Figure{"entry's watch", watch, "s", 0, "", "least time between two watches; a waiting one answers at once", "objects.Watcher"})
+	t.add(Figure{"entry's watch", watch, "s", 0, "", "least time between two watches; a waiting one answers at once", "objectapi.Watcher"})
 	t.add(Figure{"entry's announcement to an agent", told, "s", 0, "", "spread of 1 s, and a tick of 0.1 s", "membership.Observer.SetConfig"})
 	t.add(Figure{"agent's pull", callsOfPull, "s", 0, "", "allowance for a datagram and a call", "membership, declared"})
 	t.add(Figure{"worst sum, nothing lost", sum, "s", limit, "", "sum", "all of the above"})
 	t.add(Figure{"worst sum, an announcement from each home lost", sum + announceRepeat, "s", limit, "", "1.5 s more, the pause before it is repeated", "membership.Observer"})
 	t.add(Figure{"worst sum, an announcement from each home and a pull lost", sum + announceRepeat + pullEvery, "s", limit, "", "2 s more, the least time between two pulls", "membership.Reporter"})
-	t.add(Figure{"worst sum, watches of all homes dead without a sign", sum + dead, "s", limit, "", "the watch's wait, the call's timeout and a pause more; peers' digests shorten it", "objects.Watcher"})
-	t.add(Figure{"the same, an announcement from each home lost as well", sum + dead + announceRepeat, "s", limit, "", "1.5 s more", "objects.Watcher, membership.Observer"})
+	t.add(Figure{"worst sum, watches of all homes dead without a sign", sum + dead, "s", limit, "", "the watch's wait, the call's timeout and a pause more; peers' digests shorten it", "objectapi.Watcher"})
+	t.add(Figure{"the same, an announcement from each home lost as well", sum + dead + announceRepeat, "s", limit, "", "1.5 s more", "objectapi.Watcher, membership.Observer"})
 	t.add(Figure{"worst sum, announcements past their budget", watch + report + callsOfPull, "s", limit, "", "report period at the fullest entry × 1.1 in place of the announcement", "membership.Reporter"})
 	return t
 }
--- a/internal/capacity/measure_control.go
+++ b/internal/capacity/measure_control.go
@@ -305,7 +305,7 @@
 	for i := range changed {
 		changes.Objects = append(changes.Objects, policyObject(i, uint64(heldObjects+i+1)))
 	}
-	c.Events(changes)
+	hearPolicies(c, changes)
 	return c
 }
 
@@ -452,3 +452,15 @@
 	})
 	return bytes, failed
 }
+
+// hearPolicies tells a catalog of changed policies as the watches of all kinds
+// would: the other kinds are confirmed to be as they were.
+func hearPolicies(c *declared.Catalog, changes objectapi.Listing) {
+	for _, kind := range declared.Kinds() {
+		if kind == declared.KindWorkspacePolicy {
+			c.Events(kind, changes)
+			continue
+		}
+		c.Events(kind, objectapi.Listing{Revision: changes.Revision})
+	}
+}
--- a/internal/capacity/measure_entry.go
+++ b/internal/capacity/measure_entry.go
@@ -410,7 +410,7 @@
 	ns := threadCPU(nil, func() {
 		for i := range changes {
 			revision++
-			c.Events(objectapi.Listing{Revision: revision, Objects: []objectapi.Object{policyObject(i, revision)}})
+			hearPolicies(c, objectapi.Listing{Revision: revision, Objects: []objectapi.Object{policyObject(i, revision)}})
 		}
 	})
 	if c.Revision() != revision {
--- a/internal/capacity/measure_store.go
+++ b/internal/capacity/measure_store.go
@@ -17,15 +17,17 @@
 	standinobjectapi "github.com/briarturn/briarturn/internal/standin/objectapi"
 	"github.com/briarturn/briarturn/lease"
 	"github.com/briarturn/briarturn/objectapi"
+	"github.com/briarturn/briarturn/platform"
+	platformstandin "github.com/briarturn/briarturn/platform/standin"
 )
 
 func storeMeasurements() []measurement {
 	claims := shared(claimCalls)
 	rates := []int{25, 50, 100, 250}
 	all := []measurement{
-		{name: lineWatchIdle, x: "watchers", y: "reads a second", source: "objects.Watcher, nothing changes", sizes: []int{50, 100, 200}, sample: sampleIdleWatch},
-		{name: lineWatchBusy, x: "watchers", y: "reads a second", source: "objects.Watcher, 20 changes a second", sizes: []int{50, 100, 200}, sample: sampleBusyWatch},
-		{name: lineWatchBytes, x: "changes in an answer", y: "bytes", source: "objects.Client.Watch over a kept connection, both ways, with TCP headers", sizes: []int{1, 8, 16}, sample: sampleWatchBytes},
+		{name: lineWatchIdle, x: "watchers", y: "reads a second", source: "objectapi.Watcher, nothing changes", sizes: []int{50, 100, 200}, sample: sampleIdleWatch},
+		{name: lineWatchBusy, x: "watchers", y: "reads a second", source: "objectapi.Watcher, 20 changes a second", sizes: []int{50, 100, 200}, sample: sampleBusyWatch},
+		{name: lineWatchBytes, x: "changes in an answer", y: "bytes", source: "platform.StoreClient.Watch over a kept connection, both ways, with TCP headers", sizes: []int{1, 8, 16}, sample: sampleWatchBytes},
 		{name: lineLeaseWrites, x: "leases", y: "writes a renewal period", source: "lease.Manager, renewals", sizes: []int{4, 14, 28}, sample: sampleLeases},
 		{name: lineClaimWrites, x: "confirmations a second", y: "writes a second", source: claimSource, sizes: rates, sample: part(claims, writesOf)},
 		{name: lineClaimReads, x: "confirmations a second", y: "reads a second", source: claimSource, sizes: rates, sample: part(claims, readsOf)},
@@ -45,7 +47,7 @@
 type ignore struct{}
 
 func (ignore) Snapshot(string, objectapi.Listing) {}
-func (ignore) Events(objectapi.Listing)           {}
+func (ignore) Events(string, objectapi.Listing)   {}
 
 // watchReads counts what n watchers cost the store, less their first lists.
 func watchReads(ctx context.Context, n int, changes time.Duration) (float64, error) {
@@ -98,10 +100,10 @@
 		return 0, errors.Trace(err)
 	}
 	metered := &meteredListener{Listener: lis}
-	server := &http.Server{Handler: standinobjectapi.Handler(store)}
+	server := &http.Server{Handler: platformstandin.Handler(store)}
 	go func() { _ = server.Serve(metered) }()
 	defer server.Close()
-	client, err := objectapi.NewClient(objectapi.ClientConfig{BaseURL: "http://" + lis.Addr().String()})
+	client, err := platform.NewStoreClient(platform.StoreConfig{BaseURL: "http://" + lis.Addr().String()})
 	if err != nil {
 		return 0, errors.Trace(err)
 	}
@@ -112,7 +114,7 @@
 		if i == 1 {
 			before = metered.bytes.Load()
 		}
-		l, err := client.Watch(ctx, declared.Kinds(), 0, time.Second)
+		l, err := client.Watch(ctx, declared.KindWorkspacePolicy, 0, time.Second)
 		if err != nil {
 			return 0, errors.Trace(err)
 		}
--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -14,6 +14,7 @@
 
 	"github.com/briarturn/briarturn/internal/admin"
 	"github.com/briarturn/briarturn/objectapi"
+	"github.com/briarturn/briarturn/platform"
 )
 
 // The tool's own limits on the object API; a person waits for it.
@@ -132,7 +133,7 @@
 	if !strings.Contains(base, "://") {
 		base = "http://" + base
 	}
-	c, err := objectapi.NewClient(objectapi.ClientConfig{
+	c, err := platform.NewStoreClient(platform.StoreConfig{
 		BaseURL:         base,
 		ReadsPerSecond:  readsPerSecond,
 		WritesPerSecond: writesPerSecond,
--- a/internal/ctl/watch.go
+++ b/internal/ctl/watch.go
@@ -62,7 +62,7 @@
 }
 
 // Events implements objectapi.Sink.
-func (p *printer) Events(l objectapi.Listing) {
+func (p *printer) Events(_ string, l objectapi.Listing) {
 	for _, o := range l.Objects {
 		if o.Deleted {
 			delete(p.known, o.Name)
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -15,6 +15,7 @@
 	"github.com/briarturn/briarturn/internal/node"
 	"github.com/briarturn/briarturn/invariant"
 	"github.com/briarturn/briarturn/objectapi"
+	"github.com/briarturn/briarturn/platform"
 	"github.com/briarturn/briarturn/settings"
 )
 
@@ -79,7 +80,7 @@
 // start starts the role of the settings and returns it with its drain limit.
 func start(s *settings.Settings, log logrus.FieldLogger) (runner, time.Duration, error) {
 	registry := metrics.NewRegistry()
-	store, err := objectapi.NewClient(storeConfig(s, registry))
+	store, err := platform.NewStoreClient(storeConfig(s, registry))
 	if err != nil {
 		return nil, 0, errors.Annotatef(err, "step start, peer %s", s.Platform.Address)
 	}
@@ -91,8 +92,8 @@
 	return r, drainLimit(s), err
 }
 
-func storeConfig(s *settings.Settings, r metrics.Registry) objectapi.ClientConfig {
-	return objectapi.ClientConfig{
+func storeConfig(s *settings.Settings, r metrics.Registry) platform.StoreConfig {
+	return platform.StoreConfig{
 		BaseURL:         s.Platform.Address,
 		CallTimeout:     time.Duration(s.Platform.CallTimeout),
 		ReadsPerSecond:  s.Platform.ReadsPerSecond,
--- a/internal/daemon/standin.go
+++ b/internal/daemon/standin.go
@@ -12,6 +12,7 @@
 	standinengine "github.com/briarturn/briarturn/internal/standin/engine"
 	standinobjectapi "github.com/briarturn/briarturn/internal/standin/objectapi"
 	standinservice "github.com/briarturn/briarturn/internal/standin/service"
+	platformstandin "github.com/briarturn/briarturn/platform/standin"
 )
 
 // standinHeaderTimeout bounds how long a stand-in waits for request headers.
@@ -84,7 +85,7 @@
 		return "", nil, err
 	}
 	store := standinobjectapi.NewMemory(standinobjectapi.Config{})
-	srv := &http.Server{Handler: standinobjectapi.Handler(store), ReadHeaderTimeout: standinHeaderTimeout}
+	srv := &http.Server{Handler: platformstandin.Handler(store), ReadHeaderTimeout: standinHeaderTimeout}
 	go func() { _ = srv.Serve(lis) }()
 	return lis.Addr().String(), func() { _ = srv.Close() }, nil
 }
--- a/internal/node/entry_admin.go
+++ b/internal/node/entry_admin.go
@@ -27,12 +27,14 @@
 // those in progress have ended or ctx ends.
 func (n *Entry) DrainAndWait(ctx context.Context) error {
 	n.runner.With(func(o *membership.Observer) { o.SetDraining() })
+	// Before the withdrawal: an entry that hears of its own deletion while it does
+	// not drain announces itself again, and stays on record when it is gone.
+	n.drainOnce.Do(func() { close(n.draining) })
 	if err := withdraw(ctx, n.cfg.Store, n.self); err != nil {
-		n.tasks.log.WithError(err).Debug("presence not withdrawn")
+		n.tasks.log.WithError(err).Warn("presence not withdrawn")
 	}
 	noticed := time.NewTimer(drainNotice)
 	defer noticed.Stop()
-	n.drainOnce.Do(func() { close(n.draining) })
 	if err := n.entry.Drain(ctx); err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/node/store_sink.go
+++ b/internal/node/store_sink.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"slices"
 	"time"
 
 	"github.com/briarturn/briarturn/declared"
@@ -15,12 +14,12 @@
 // the backend server or entry on it.
 const KindVM = "VM"
 
-// watchedKinds is what an entry follows with its one watch: every further watch
-// would count as one more read a second for each entry.
+// watchedKinds is what an entry follows. The object API watches one kind a call,
+// and each waiting watch counts as a read a second.
 func watchedKinds() []string { return append(declared.Kinds(), KindEntry, KindVM) }
 
 // storeSink deals what the watch brings to the catalog and to membership. The
-// watcher calls it from one goroutine.
+// watcher makes one call at a time.
 type storeSink struct {
 	node  *Entry
 	peers map[string]*wirepb.Peer // by name, as announced
@@ -48,17 +47,15 @@
 }
 
 // Events implements objectapi.Sink.
-func (s *storeSink) Events(l objectapi.Listing) {
-	s.takePeers(ofKind(l.Objects, KindEntry))
-	s.takeVMs(ofKind(l.Objects, KindVM))
-	own := slices.DeleteFunc(slices.Clone(l.Objects), func(o objectapi.Object) bool {
-		return o.Kind == KindEntry || o.Kind == KindVM
-	})
-	s.node.catalog.Events(objectapi.Listing{Revision: l.Revision, Objects: own})
-}
-
-func ofKind(objects []objectapi.Object, kind string) []objectapi.Object {
-	return slices.DeleteFunc(slices.Clone(objects), func(o objectapi.Object) bool { return o.Kind != kind })
+func (s *storeSink) Events(kind string, l objectapi.Listing) {
+	switch kind {
+	case KindEntry:
+		s.takePeers(l.Objects)
+	case KindVM:
+		s.takeVMs(l.Objects)
+	default:
+		s.node.catalog.Events(kind, l)
+	}
 }
 
 func (s *storeSink) takePeers(objects []objectapi.Object) {
--- a/internal/standin/objectapi/watch.go
+++ b/internal/standin/objectapi/watch.go
@@ -15,7 +15,7 @@
 
 // Watch implements objectapi.Store. An empty answer carries the present
 // revision, so that a watch of quiet kinds doesn't fall behind the history.
-func (m *Memory) Watch(ctx context.Context, kinds []string, after uint64, wait time.Duration) (objectapi.Listing, error) {
+func (m *Memory) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (objectapi.Listing, error) {
 	if err := m.beginRead(ctx, callWatch); err != nil {
 		return objectapi.Listing{}, errors.Annotate(err, "step watch")
 	}
@@ -24,7 +24,7 @@
 	charge := time.NewTicker(watchCharge)
 	defer charge.Stop()
 	for {
-		out, changed, err := m.eventsAfter(kinds, after)
+		out, changed, err := m.eventsAfter(kind, after)
 		if err != nil || len(out.Objects) > 0 {
 			return out, errors.Annotatef(err, "step watch after %d", after)
 		}
@@ -40,7 +40,7 @@
 	}
 }
 
-func (m *Memory) eventsAfter(kinds []string, after uint64) (objectapi.Listing, <-chan struct{}, error) {
+func (m *Memory) eventsAfter(kind string, after uint64) (objectapi.Listing, <-chan struct{}, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.faults.Down {
@@ -58,7 +58,7 @@
 		return int(int64(o.Version) - int64(v))
 	})
 	for _, o := range m.history[first:] {
-		if slices.Contains(kinds, o.Kind) {
+		if o.Kind == kind {
 			out.Objects = append(out.Objects, o)
 		}
 	}
--- a/objectapi/sinks.go
+++ b/objectapi/sinks.go
@@ -15,8 +15,8 @@
 }
 
 // Events implements Sink.
-func (s Sinks) Events(l Listing) {
+func (s Sinks) Events(kind string, l Listing) {
 	for _, sink := range s {
-		sink.Events(l)
+		sink.Events(kind, l)
 	}
 }
--- a/objectapi/store.go
+++ b/objectapi/store.go
@@ -1,5 +1,6 @@
-// Package objectapi is the client of the platform's object API: versioned
-// objects with conditional writes and long-poll watches.
+// Package objectapi is the object API as the system sees it: versioned objects
+// with conditional writes and long-poll watches. Package platform has the client
+// of the store that serves it.
 package objectapi
 
 import (
@@ -8,6 +9,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/briarturn/briarturn/internal/boottime"
 )
 
 // Errors of a Store. Test with errors.Is.
@@ -51,6 +54,9 @@
 type Listing struct {
 	Revision uint64   `json:"revision"`
 	Objects  []Object `json:"objects"`
+	// Asked is when the call that brought it began; a Watcher sets it. What the
+	// listing says was current then or later.
+	Asked boottime.Instant `json:"-"`
 }
 
 // Store is the object API as the rest of the system sees it. All methods are
@@ -65,8 +71,14 @@
 	Update(ctx context.Context, kind, name string, data json.RawMessage, version uint64) (Object, error)
 	// Delete removes the object if the current version is version.
 	Delete(ctx context.Context, kind, name string, version uint64) (Object, error)
-	// Watch waits up to wait for changes of the kinds after a revision
-	// (deletions come as tombstones) and returns them in order with the
-	// revision to go on from. An empty list after wait is no error.
-	Watch(ctx context.Context, kinds []string, after uint64, wait time.Duration) (Listing, error)
+	// Watch waits up to wait for changes of a kind after a revision (deletions
+	// come as tombstones) and returns them in order with the revision to go on
+	// from. An empty list after wait is no error.
+	Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (Listing, error)
+}
+
+// IsTransient reports whether asking again later may help: the store was out
+// of reach or over its rate. It is false for a write of unknown outcome.
+func IsTransient(err error) bool {
+	return errors.Is(err, ErrUnavailable) || errors.Is(err, ErrThrottled)
 }
--- a/objectapi/watcher.go
+++ b/objectapi/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -10,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/briarturn/briarturn/internal/boottime"
 	"github.com/briarturn/briarturn/internal/quiet"
 	"github.com/briarturn/briarturn/internal/sleep"
 )
@@ -25,23 +27,22 @@
 	// of changes each watch would else answer after one event; at two a second
 	// 430 watchers stay under half of two thousand reads a second.
 	DefaultWatchInterval = 500 * time.Millisecond
-)
-
-const (
-	watchBackoffInitial = 100 * time.Millisecond
-	// watchBackoffMax, with its jitter of half, bounds how long a watcher
+	// DefaultWatchBackoffMax, with its jitter of half, bounds how long a watcher
 	// sleeps on after an outage has ended.
-	watchBackoffMax = 3 * time.Second
+	DefaultWatchBackoffMax = 3 * time.Second
 )
 
-// Sink takes what a Watcher brings, in order and from one goroutine. It must
-// not block for long: the watch waits.
+// watchBackoffInitial is the first wait after a failure.
+const watchBackoffInitial = 100 * time.Millisecond
+
+// Sink takes what a Watcher brings, of each kind in order and never two calls at
+// a time. It must not block for long: the watches wait.
 type Sink interface {
 	// Snapshot is the whole state of a kind at l.Revision.
 	Snapshot(kind string, l Listing)
-	// Events are the changes up to l.Revision, oldest first. An empty list
-	// confirms that nothing changed up to then.
-	Events(l Listing)
+	// Events are the changes of a kind up to l.Revision, oldest first. An empty
+	// list confirms that nothing of the kind changed up to then.
+	Events(kind string, l Listing)
 }
 
 // WatcherConfig sets up a Watcher. Zero values take the defaults.
@@ -51,25 +52,30 @@
 	Sink     Sink
 	Wait     time.Duration
 	Interval time.Duration
-	Metrics  metrics.Registry
-	Log      logrus.FieldLogger
+	// BackoffMax bounds the wait between two tries while the store is away.
+	BackoffMax time.Duration
+	Clock      boottime.Clock // boottime.Now by default
+	Metrics    metrics.Registry
+	Log        logrus.FieldLogger
 }
 
-// Watcher follows some kinds of the object API: it lists them, then watches
+// Watcher follows some kinds of the object API: it lists each, then watches it
 // from there, resumes after errors, and lists again after a gap.
 type Watcher struct {
-	config  WatcherConfig
-	listed  map[string]uint64 // per kind, the revision of its last snapshot
-	after   uint64
-	lists   metrics.Counter
-	gaps    metrics.Counter
-	failing bool
+	config WatcherConfig
+	lists  metrics.Counter
+	gaps   metrics.Counter
+	mu     sync.Mutex // held for each call of the sink
 }
 
 // NewWatcher returns a Watcher; Run makes it work.
 func NewWatcher(c WatcherConfig) *Watcher {
 	c.Wait = cmp.Or(max(c.Wait, 0), DefaultWatchWait)
 	c.Interval = cmp.Or(max(c.Interval, 0), DefaultWatchInterval)
+	c.BackoffMax = cmp.Or(max(c.BackoffMax, 0), DefaultWatchBackoffMax)
+	if c.Clock == nil {
+		c.Clock = boottime.Now
+	}
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewRegistry()
 	}
@@ -78,87 +84,90 @@
 	}
 	return &Watcher{
 		config: c,
-		listed: map[string]uint64{},
 		lists:  metrics.GetOrRegisterCounter("platform.watcher.lists", c.Metrics),
 		gaps:   metrics.GetOrRegisterCounter("platform.watcher.gaps", c.Metrics),
 	}
 }
 
-// Run follows the kinds until ctx ends. Call it once.
+// Run follows the kinds until ctx ends, each in a goroutine of its own: the
+// object API watches one kind a call. Call it once.
 func (w *Watcher) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	for _, kind := range w.config.Kinds {
+		group.Go(func() { w.follow(ctx, &kindWatch{Watcher: w, kind: kind}) })
+	}
+	group.Wait()
+}
+
+// kindWatch is how far the watch of one kind has come. One goroutine owns it.
+type kindWatch struct {
+	*Watcher
+	kind    string
+	after   uint64
+	failing bool
+}
+
+func (w *Watcher) follow(ctx context.Context, k *kindWatch) {
 	wait := backoff.NewExponentialBackOff()
 	wait.InitialInterval = watchBackoffInitial
-	wait.MaxInterval = watchBackoffMax
-	step := w.listAll
+	wait.MaxInterval = w.config.BackoffMax
+	step := k.list
 	for ctx.Err() == nil {
 		err := step(ctx)
 		switch {
 		case err == nil:
-			w.noteState(nil)
+			k.noteState(nil)
 			wait.Reset()
-			step = w.watchOnce
+			step = k.watch
 			sleep.For(ctx, w.config.Interval)
 		case errors.Is(err, ErrGap):
 			w.gaps.Inc(1)
-			step = w.listAll
+			step = k.list
 			sleep.For(ctx, wait.NextBackOff())
 		case ctx.Err() == nil:
-			w.noteState(err)
+			k.noteState(err)
 			sleep.For(ctx, wait.NextBackOff())
 		}
 	}
 }
 
-// listAll lists each kind and goes on from the oldest of the listings.
-func (w *Watcher) listAll(ctx context.Context) error {
-	var oldest uint64
-	for i, kind := range w.config.Kinds {
-		l, err := w.config.Store.List(ctx, kind, "")
-		if err != nil {
-			return errors.Trace(err)
-		}
-		w.lists.Inc(1)
-		w.listed[kind] = l.Revision
-		if i == 0 || l.Revision < oldest {
-			oldest = l.Revision
-		}
-		w.config.Sink.Snapshot(kind, l)
+func (k *kindWatch) list(ctx context.Context) error {
+	asked := k.config.Clock()
+	l, err := k.config.Store.List(ctx, k.kind, "")
+	if err != nil {
+		return errors.Trace(err)
 	}
-	w.after = oldest
+	k.lists.Inc(1)
+	l.Asked = asked
+	k.after = l.Revision
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.config.Sink.Snapshot(k.kind, l)
 	return nil
 }
 
-func (w *Watcher) watchOnce(ctx context.Context) error {
-	l, err := w.config.Store.Watch(ctx, w.config.Kinds, w.after, w.config.Wait)
+func (k *kindWatch) watch(ctx context.Context) error {
+	asked := k.config.Clock()
+	l, err := k.config.Store.Watch(ctx, k.kind, k.after, k.config.Wait)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	l.Objects = w.news(l.Objects)
-	w.after = l.Revision
-	w.config.Sink.Events(l)
+	l.Asked = asked
+	k.after = l.Revision
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.config.Sink.Events(k.kind, l)
 	return nil
 }
 
-// news drops events that a kind's snapshot already holds: the kinds were
-// listed one after the other and the watch began at the oldest listing. Given
-// on, an old event would seem to undo what the snapshot said.
-func (w *Watcher) news(events []Object) []Object {
-	kept := events[:0]
-	for _, o := range events {
-		if o.Version > w.listed[o.Kind] {
-			kept = append(kept, o)
-		}
-	}
-	return kept
-}
-
 // noteState logs the first failure of an outage and its end.
-func (w *Watcher) noteState(err error) {
+func (k *kindWatch) noteState(err error) {
+	log := k.config.Log.WithField("kind", k.kind)
 	switch {
-	case err != nil && !w.failing:
-		w.config.Log.WithError(err).Warn("watch of the object API lost")
-	case err == nil && w.failing:
-		w.config.Log.WithField("revision", w.after).Info("watch of the object API resumed")
+	case err != nil && !k.failing:
+		log.WithError(err).Warn("watch of the object API lost")
+	case err == nil && k.failing:
+		log.WithField("revision", k.after).Info("watch of the object API resumed")
 	}
-	w.failing = err != nil
+	k.failing = err != nil
 }
