Serve routed requests on the users' platform: the thin path

Cause: nothing of briarturn spoke the platform's protocol. Settings: role gateway, filled by the platform from deploy/gateway.json, so no second format is read.

--- /dev/null
+++ b/gateway/attempt.go
@@ -0,0 +1,195 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/briarturn/briarturn/placement"
+	"github.com/briarturn/briarturn/request"
+	"github.com/briarturn/briarturn/routetable"
+	"github.com/briarturn/briarturn/upstream"
+)
+
+// attempt sends the request to one server and, if there is one, passes its answer
+// on.
+func (e *exchange) attempt(ctx context.Context) (step, Reason) {
+	place, ok := e.place()
+	if !ok {
+		return finish, e.noServer()
+	}
+	defer place.End()
+	e.tried[place.Server.Instance] = true
+	e.server = place.Server.Address
+	e.gateway.tally.attempts.Inc(1)
+	response, err := e.send(ctx, place)
+	if err != nil {
+		return e.unanswered(ctx, err)
+	}
+	defer response.Close()
+	return e.answered(ctx, place, response)
+}
+
+func (e *exchange) noServer() Reason {
+	if e.mayRun {
+		return ReasonUnknown
+	}
+	if e.sends > 0 {
+		return ReasonServersFull
+	}
+	return ReasonNoServer
+}
+
+// place chooses the server among those that had no attempt yet, or among all if
+// every one had.
+func (e *exchange) place() (placement.Placement, bool) {
+	g := e.gateway
+	var candidates, had []placement.Candidate
+	now := time.Now()
+	for _, s := range g.cfg.Directory.Of(e.service.Name) {
+		c := placement.Candidate{Instance: s.Instance, Address: s.Address, Zone: s.Zone, Capacity: s.Capacity, Cold: now.Before(s.ColdUntil)}
+		if e.tried[s.Instance] {
+			had = append(had, c)
+			continue
+		}
+		candidates = append(candidates, c)
+	}
+	if len(candidates) == 0 {
+		candidates = had
+	}
+	return g.cfg.Placer.Place(e.query(), candidates)
+}
+
+func (e *exchange) query() placement.Query {
+	return placement.Query{
+		Request:        e.env.ID,
+		Service:        e.service.Name,
+		Engine:         e.service.Engine,
+		InputTokens:    e.env.Prompt.InputTokens,
+		OutputTokens:   e.env.Prompt.OutputTokens,
+		Hint:           e.env.Prompt.Hint,
+		Objective:      e.route.Objective - time.Since(e.begun),
+		PauseObjective: e.route.PauseObjective,
+		Left:           time.Until(e.end),
+		Urgency:        e.urgency(),
+		Stream:         e.route.Kind == routetable.Stream,
+	}
+}
+
+// urgency is the rank of the request: its workspace's goes before its route's.
+func (e *exchange) urgency() int {
+	if e.workspace != nil && e.workspace.Ranked {
+		return e.workspace.Priority
+	}
+	return e.route.Priority
+}
+
+func (e *exchange) send(ctx context.Context, place placement.Placement) (*upstream.Response, error) {
+	header := endToEnd(e.incoming.Header)
+	a := Attempt{
+		Patience:    time.Until(e.end),
+		Instance:    place.Server.Instance,
+		LastEventID: e.env.LastEventID,
+		Urgency:     place.Urgency,
+	}
+	if e.workspace != nil {
+		a.Workspace = e.workspace.Name
+	}
+	if e.stream != nil && e.stream.lastID != "" {
+		a.LastEventID = e.stream.lastID
+	}
+	for _, h := range place.Helpers {
+		a.Helpers = append(a.Helpers, Helper{Address: h.Address})
+	}
+	e.gateway.cfg.Protocol.Encode(header, a)
+	return e.gateway.cfg.Pool.Do(ctx, place.Server.Address, &upstream.Request{
+		Method: e.incoming.Method,
+		Target: target(e.incoming),
+		Host:   e.incoming.Host,
+		Header: header,
+		Body:   e.body,
+		Mine:   e.mine,
+	})
+}
+
+// target is the path and query as the caller wrote them.
+func target(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+// mine reports whether an answer is to this request. One without an id can only
+// be a refusal made before the server had read the head.
+func (e *exchange) mine(status int, h http.Header) bool {
+	v := e.gateway.cfg.Protocol.Judge(status, h)
+	return v.ID == e.env.ID || v.ID == "" && v.NotRun
+}
+
+// unanswered follows an attempt that got no head of an answer.
+func (e *exchange) unanswered(ctx context.Context, err error) (step, Reason) {
+	sent := !errors.Is(err, upstream.ErrNotSent)
+	if sent {
+		e.sends++
+	} else {
+		e.dials++
+	}
+	if ctx.Err() == nil {
+		e.gateway.cfg.Log.WithError(err).WithField("request", e.env.ID).Info("attempt failed")
+	}
+	return e.after(request.Situation{Sent: sent, Deadline: ctx.Err() != nil})
+}
+
+// answered follows the head of an answer.
+func (e *exchange) answered(ctx context.Context, place placement.Placement, r *upstream.Response) (step, Reason) {
+	e.sends++
+	v := e.gateway.cfg.Protocol.Judge(r.Status, r.Header)
+	if v.HasLoad {
+		place.Observe(v.Running, v.Waiting)
+	}
+	if v.NotRun {
+		place.Refused()
+		return e.after(request.Situation{Refused: true, Sent: true})
+	}
+	if e.stream != nil && r.Status == http.StatusOK {
+		return e.passStream(ctx, place, r)
+	}
+	if e.stream != nil && e.stream.started {
+		// The head is out; a failure to go on can't be passed on.
+		return e.after(request.Situation{Sent: true, Deadline: ctx.Err() != nil})
+	}
+	return e.passAnswer(ctx, r)
+}
+
+// hopByHop lists the headers that concern one connection only.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// endToEnd returns a copy of a header without what concerns one connection.
+func endToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	for _, value := range h.Values("Connection") {
+		for _, name := range splitList(value) {
+			out.Del(name)
+		}
+	}
+	for _, name := range hopByHop {
+		out.Del(name)
+	}
+	return out
+}
+
+// retriable lists the statuses of a server's failure that another server may not
+// share.
+var retriable = []int{
+	http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout,
+}
+
+func isRetriable(status int) bool { return slices.Contains(retriable, status) }
--- /dev/null
+++ b/gateway/exchange.go
@@ -0,0 +1,267 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/briarturn/briarturn/request"
+	"github.com/briarturn/briarturn/routetable"
+)
+
+// exchange is one caller's request from its head to the end of its answer. One
+// goroutine owns it.
+type exchange struct {
+	gateway  *Gateway
+	writer   http.ResponseWriter
+	incoming *http.Request
+	begun    time.Time
+
+	env       Envelope
+	route     *routetable.Route
+	service   *routetable.Service
+	workspace *routetable.Workspace
+	revision  uint64
+	age       time.Duration // of the configuration when the request was judged
+	body      []byte
+	end       time.Time // the caller's patience or the route's timeout
+	stream    *relay    // of a stream
+
+	sends    int             // attempts of which something was sent
+	dials    int             // attempts of which nothing was sent
+	tried    map[string]bool // instances that had an attempt
+	mayRun   bool            // an attempt ended without proof that it did not run
+	held     *answer         // the last whole failure of a server, to be passed on
+	firstOut time.Time       // when the caller got the first byte
+	server   string          // address of the last attempt
+	outcome  string
+	status   int
+}
+
+func (e *exchange) serve() {
+	e.gateway.tally.requests.Inc(1)
+	defer e.log()
+	if reason := e.admit(); reason != "" {
+		e.refuse(reason)
+		return
+	}
+	if reason := e.readBody(); reason != "" {
+		e.refuse(reason)
+		return
+	}
+	defer e.gateway.bodies.Add(-int64(len(e.body)))
+	ctx, cancel, end := deadline(e.incoming.Context(), e.begun, e.env, e.route)
+	defer cancel()
+	e.end = end
+	e.run(ctx)
+}
+
+// admit judges the head by the newest configuration.
+func (e *exchange) admit() Reason {
+	g := e.gateway
+	table, age, ok := g.cfg.Routes.Table()
+	if !ok {
+		return ReasonNoConfig
+	}
+	e.revision, e.age = table.Revision(), age
+	stale := age > g.cfg.Options.KeyAge
+	e.route, ok = table.Route(e.incoming.Host, e.incoming.URL.EscapedPath())
+	if !ok && stale {
+		return ReasonStaleConfig // a newer configuration may have the route
+	}
+	if !ok {
+		return ReasonNoRoute
+	}
+	env, err := g.cfg.Protocol.Decode(e.incoming.Header)
+	if err != nil {
+		return ReasonMalformed
+	}
+	e.env = env
+	if reason := e.authorize(table, stale); reason != "" {
+		return reason
+	}
+	if g.refusesNew(e.route) {
+		return ReasonEnding
+	}
+	e.service, ok = table.Service(pickTarget(e.route))
+	if !ok {
+		return ReasonNoServer
+	}
+	return ""
+}
+
+// authorize finds the workspace. A configuration of unknown age may hold keys that
+// operators have removed: it authorizes nobody.
+func (e *exchange) authorize(table *routetable.Table, stale bool) Reason {
+	if !table.NeedsKey(e.route) {
+		return ""
+	}
+	if stale {
+		return ReasonStaleConfig
+	}
+	ws, ok := table.Workspace(e.env.Key)
+	if !ok {
+		return ReasonNoKey
+	}
+	e.workspace = ws
+	return ""
+}
+
+// readBody reads the whole body: an attempt that did not run can then be sent to
+// another server.
+func (e *exchange) readBody() Reason {
+	g := e.gateway
+	limit := g.bodyLimit()
+	if e.incoming.ContentLength > limit {
+		return ReasonTooLarge
+	}
+	if g.bodies.Load() > g.cfg.Options.BodiesBytes {
+		return ReasonMemory
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(e.writer, e.incoming.Body, limit))
+	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
+		return ReasonTooLarge
+	}
+	if err != nil {
+		return ReasonBodyLost
+	}
+	e.body = body
+	g.bodies.Add(int64(len(body)))
+	return ""
+}
+
+func (g *Gateway) bodyLimit() int64 {
+	table, _, ok := g.cfg.Routes.Table()
+	if !ok || table.Limits().BodyBytes <= 0 {
+		return DefaultBodyBytes
+	}
+	return table.Limits().BodyBytes
+}
+
+// run makes attempts until one gives the caller its answer or none may follow.
+func (e *exchange) run(ctx context.Context) {
+	if e.route.Kind == routetable.Stream {
+		e.stream = newRelay(e)
+	}
+	e.tried = map[string]bool{}
+	e.gateway.cfg.Budget.Request(e.service.Name, time.Now())
+	for {
+		next, reason := e.attempt(ctx)
+		if next == stop {
+			return
+		}
+		if next == finish || !e.mayGoOn(ctx) {
+			e.finish(ctx, reason)
+			return
+		}
+	}
+}
+
+// step is what follows an attempt.
+type step uint8
+
+const (
+	stop   step = iota // the caller has its answer, or is gone
+	finish             // no attempt may follow; the caller needs an answer
+	again              // another attempt may follow
+)
+
+// after decides by how an attempt ended. The table is package request's.
+func (e *exchange) after(s request.Situation) (step, Reason) {
+	s.Idempotent = e.route.Repeatable()
+	s.FirstByte = e.stream != nil && e.stream.started
+	if !s.Refused && s.Sent {
+		e.mayRun = true
+	}
+	v := request.Decide(s)
+	reason := ReasonUnknown
+	if v.Certainty == request.NotRun && !e.mayRun {
+		reason = ReasonServersFull
+	}
+	if v.Action == request.Fail {
+		return finish, reason
+	}
+	return again, reason
+}
+
+// mayGoOn reports whether one more attempt is within the limits of the route, the
+// shared budget and the caller's time.
+func (e *exchange) mayGoOn(ctx context.Context) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	if e.dials >= e.gateway.cfg.Options.ConnectTries {
+		return false
+	}
+	if e.sends == 0 {
+		return true
+	}
+	if e.sends >= max(1, e.route.MaxAttempts) {
+		return false
+	}
+	if !e.gateway.cfg.Budget.Take(e.service.Name, time.Now()) {
+		e.gateway.tally.overBudget.Inc(1)
+		return false
+	}
+	e.gateway.tally.again.Inc(1)
+	return true
+}
+
+// finish gives the caller the best answer there is: a server's own failure, a
+// refusal that is true, or the word that the outcome is unknown.
+func (e *exchange) finish(ctx context.Context, reason Reason) {
+	switch {
+	case e.stream != nil && e.stream.started:
+		e.breakOff()
+	case e.incoming.Context().Err() != nil:
+		e.outcome = "caller_gone"
+		e.gateway.tally.gone.Inc(1)
+	case e.held != nil:
+		e.held.deliver(e)
+	case ctx.Err() != nil && e.mayRun:
+		e.refuse(ReasonTimeout)
+	default:
+		e.refuse(reason)
+	}
+}
+
+// breakOff ends an answer that can't be completed. The caller's connection is
+// closed without the mark of an end, so that it can't be taken for whole.
+func (e *exchange) breakOff() {
+	e.outcome = "broken_off"
+	e.gateway.tally.broken.Inc(1)
+	panic(http.ErrAbortHandler)
+}
+
+func (e *exchange) refuse(reason Reason) {
+	e.outcome = string(reason)
+	e.status = reason.status()
+	e.gateway.tally.refused[reason].Inc(1)
+	refuse(e.writer, reason, e.gateway.cfg.Options.RetryAfter)
+}
+
+// log writes the one line of a request: what decided it, and how it ended.
+func (e *exchange) log() {
+	fields := logrus.Fields{
+		"request": e.env.ID, "outcome": e.outcome, "status": e.status, "revision": e.revision,
+		"age_ms": e.age.Milliseconds(), "took_ms": time.Since(e.begun).Milliseconds(),
+		"sends": e.sends, "dials": e.dials, "server": e.server,
+	}
+	if e.route != nil {
+		fields["route"] = e.route.Name
+	}
+	if e.env.Prompt.InputTokens > 0 {
+		fields["tokens"] = e.env.Prompt.InputTokens
+	}
+	if !e.firstOut.IsZero() {
+		fields["first_ms"] = e.firstOut.Sub(e.begun).Milliseconds()
+	}
+	if e.stream != nil {
+		fields["events"], fields["pause_ms"] = e.stream.events, e.stream.longest.Milliseconds()
+	}
+	e.gateway.cfg.Log.WithFields(fields).Info("request")
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/briarturn/briarturn/placement"
+	"github.com/briarturn/briarturn/routetable"
+	"github.com/briarturn/briarturn/upstream"
+)
+
+// Config sets up a Gateway.
+type Config struct {
+	Protocol  Protocol
+	Routes    *routetable.Holder
+	Directory *upstream.Directory
+	Pool      *upstream.Pool
+	Placer    Placer
+	Budget    *RetryBudget
+	Options   Options
+	Log       logrus.FieldLogger
+	Metrics   metrics.Registry
+}
+
+// Placer chooses where an attempt runs, and hears what becomes of it.
+type Placer interface {
+	// Place chooses among candidates. ok is false if none can take it.
+	Place(q placement.Query, candidates []placement.Candidate) (p placement.Placement, ok bool)
+}
+
+// Gateway is the http.Handler of an entry for routed requests. It is safe for
+// concurrent use.
+type Gateway struct {
+	cfg     Config
+	tally   tally
+	running atomic.Int64
+	ending  atomic.Int32 // phase of a shutdown
+	bodies  atomic.Int64 // bytes of request bodies held
+}
+
+// New returns a Gateway.
+func New(cfg Config) *Gateway {
+	cfg.Options = cfg.Options.withDefaults()
+	return &Gateway{cfg: cfg, tally: newTally(cfg.Metrics)}
+}
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.running.Add(1)
+	defer g.running.Add(-1)
+	if g.Ending() {
+		w.Header().Set("Connection", "close")
+	}
+	e := &exchange{gateway: g, writer: w, incoming: r, begun: time.Now()}
+	e.serve()
+}
+
+// pickTarget draws the service of a request by the weights of its route.
+func pickTarget(route *routetable.Route) string {
+	total := 0
+	for _, t := range route.Targets {
+		total += t.Weight
+	}
+	if total <= 0 {
+		return ""
+	}
+	n := rand.IntN(total)
+	for _, t := range route.Targets {
+		if n -= t.Weight; n < 0 {
+			return t.Service
+		}
+	}
+	return ""
+}
+
+// deadline returns a context that ends when the caller's patience or the route's
+// timeout does, whichever is first.
+func deadline(ctx context.Context, begun time.Time, env Envelope, route *routetable.Route) (context.Context, context.CancelFunc, time.Time) {
+	limit := route.Timeout
+	if env.Patience > 0 && (limit <= 0 || env.Patience < limit) {
+		limit = env.Patience
+	}
+	if limit <= 0 {
+		limit = DefaultTimeout
+	}
+	end := begun.Add(limit)
+	ctx, cancel := context.WithDeadline(ctx, end)
+	return ctx, cancel, end
+}
--- /dev/null
+++ b/gateway/options.go
@@ -0,0 +1,47 @@
+package gateway
+
+import (
+	"cmp"
+	"time"
+)
+
+const (
+	// DefaultTimeout bounds a request whose route and caller give no time limit.
+	DefaultTimeout = 30 * time.Second
+	// DefaultKeyAge is how old the proof that the configuration is current may be
+	// for requests that need a key. Operators may expect a removed key to be
+	// refused everywhere after 5 s; a watch may be deaf for a second, which leaves
+	// half a second.
+	DefaultKeyAge = 3500 * time.Millisecond
+	// DefaultBodyBytes bounds a body where the configuration sets no limit.
+	DefaultBodyBytes = 4 << 20
+	// DefaultBodiesBytes bounds the request bodies that are held at a time: a
+	// quarter of the memory of the smallest entry VM, 184 MB.
+	DefaultBodiesBytes = 48 << 20
+	// DefaultRetryAfter is when a caller that was refused may come back. A refusal
+	// comes from a state that passes within a second, such as a server that is
+	// full or leaving.
+	DefaultRetryAfter = 300 * time.Millisecond
+	// DefaultConnectTries is how many servers are dialled in vain for one attempt
+	// of a caller; nothing is sent to them.
+	DefaultConnectTries = 4
+	// answerBuffer is the largest answer of a plain service that is read whole
+	// before the caller gets any of it, so that one that breaks off can be replaced.
+	answerBuffer = 1 << 20
+)
+
+// Options tune a Gateway. Zero values take the defaults.
+type Options struct {
+	KeyAge       time.Duration
+	BodiesBytes  int64
+	RetryAfter   time.Duration
+	ConnectTries int
+}
+
+func (o Options) withDefaults() Options {
+	o.KeyAge = cmp.Or(max(o.KeyAge, 0), DefaultKeyAge)
+	o.BodiesBytes = cmp.Or(max(o.BodiesBytes, 0), DefaultBodiesBytes)
+	o.RetryAfter = cmp.Or(max(o.RetryAfter, 0), DefaultRetryAfter)
+	o.ConnectTries = cmp.Or(max(o.ConnectTries, 0), DefaultConnectTries)
+	return o
+}
--- /dev/null
+++ b/gateway/protocol.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+)
+
+// Envelope is what a caller says of a request in its headers.
+type Envelope struct {
+	ID          string        // of this attempt of the caller; an answer carries it
+	Patience    time.Duration // how long the caller waits; 0: not said
+	Key         string        // API key
+	LastEventID string        // the stream goes on behind this event; empty: from its start
+	Prompt      Prompt        // zero for a request without one
+}
+
+// Prompt is the size of a prompt.
+type Prompt struct {
+	InputTokens  int
+	OutputTokens int // at most
+	Hint         int // the caller's estimate of its output; 0: none
+}
+
+// Attempt is what one attempt adds to the caller's headers.
+type Attempt struct {
+	Patience    time.Duration // what is left of the caller's time
+	Instance    string        // the only instance that may run it
+	Workspace   string        // empty: none
+	LastEventID string
+	Helpers     []Helper // servers that read parts of the prompt
+	Urgency     int      // 0 is first; negative: not said
+}
+
+// Helper is a server that reads a part of a prompt for another one.
+type Helper struct {
+	Address string
+	Ticket  string // reservation that holds the part; empty: none
+}
+
+// Verdict is what an answer's head says of the request, beside its status.
+type Verdict struct {
+	ID     string // of the request it answers; empty: not said
+	NotRun bool   // the server promises that the request has not run and will not
+	// Load of the server, where it tells it.
+	Running, Waiting, Slots int
+	HasLoad                 bool
+}
+
+// Protocol translates between headers and the gateway's types.
+type Protocol interface {
+	// Decode reads a caller's headers. An error means that the request is
+	// malformed.
+	Decode(h http.Header) (Envelope, error)
+	// Encode turns the end-to-end headers of a caller into those of an attempt,
+	// in place: what only the system may say is replaced or removed.
+	Encode(h http.Header, a Attempt)
+	// Judge reads the head of a server's answer.
+	Judge(status int, h http.Header) Verdict
+}
--- /dev/null
+++ b/gateway/refusal.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Reason says why the gateway answers by itself.
+type Reason string
+
+// Reasons. Those with status 503 promise that the request has not run.
+const (
+	ReasonNoConfig    Reason = "no_configuration"
+	ReasonStaleConfig Reason = "stale_configuration"
+	ReasonNoRoute     Reason = "no_route"
+	ReasonNoKey       Reason = "unknown_key"
+	ReasonMalformed   Reason = "malformed"
+	ReasonTooLarge    Reason = "body_too_large"
+	ReasonBodyLost    Reason = "body_incomplete"
+	ReasonMemory      Reason = "bodies_held"
+	ReasonNoServer    Reason = "no_server"
+	ReasonServersFull Reason = "servers_refused"
+	ReasonEnding      Reason = "ending"
+	ReasonTimeout     Reason = "timeout"
+	ReasonUnknown     Reason = "outcome_unknown"
+	ReasonPoison      Reason = "kills_servers"
+)
+
+var reasons = []Reason{
+	ReasonNoConfig, ReasonStaleConfig, ReasonNoRoute, ReasonNoKey, ReasonMalformed, ReasonTooLarge, ReasonBodyLost,
+	ReasonMemory, ReasonNoServer, ReasonServersFull, ReasonEnding, ReasonTimeout, ReasonUnknown, ReasonPoison,
+}
+
+// status of each reason's answer.
+func (r Reason) status() int {
+	switch r {
+	case ReasonNoRoute:
+		return http.StatusNotFound
+	case ReasonNoKey:
+		return http.StatusUnauthorized
+	case ReasonMalformed, ReasonBodyLost:
+		return http.StatusBadRequest
+	case ReasonTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case ReasonTimeout:
+		return http.StatusGatewayTimeout
+	case ReasonUnknown, ReasonPoison:
+		return http.StatusBadGateway
+	}
+	return http.StatusServiceUnavailable
+}
+
+// refusal is the body of an answer of the gateway's own.
+type refusal struct {
+	Error Reason `json:"error"`
+	Run   string `json:"run"` // not_run or outcome_unknown
+}
+
+// refuse answers for the gateway. after is when the caller may come back; it is
+// sent with a 503 only, in seconds with a fraction.
+func refuse(w http.ResponseWriter, reason Reason, after time.Duration) {
+	status := reason.status()
+	body := refusal{Error: reason, Run: "not_run"}
+	if reason == ReasonUnknown || reason == ReasonTimeout {
+		body.Run = "outcome_unknown"
+	}
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A failed write means that the caller is gone, which the context tells.
+	_ = json.NewEncoder(w).Encode(body)
+}
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -55,7 +55,7 @@
 }
 
 type runCommand struct {
-	File string `arg:"positional,required"`
+	File string `arg:"positional,required,env:BRIARTURN_BOOT" help:"settings file"`
 }
 
 // Env is what a command may touch.
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -12,6 +12,8 @@
 	"github.com/briarturn/briarturn/agent"
 	"github.com/briarturn/briarturn/backend"
 	"github.com/briarturn/briarturn/entry"
+	"github.com/briarturn/briarturn/internal/gatewaynode"
+	"github.com/briarturn/briarturn/internal/logqueue"
 	"github.com/briarturn/briarturn/internal/node"
 	"github.com/briarturn/briarturn/invariant"
 	"github.com/briarturn/briarturn/objectapi"
@@ -49,7 +51,9 @@
 	if err != nil {
 		return err
 	}
-	log, err := newLogger(e.err, s.Log.Level, s.Log.Format)
+	lines := logqueue.New(e.out, logqueue.DefaultLines)
+	defer lines.Close()
+	log, err := newLogger(lines, s.Log.Level, s.Log.Format)
 	if err != nil {
 		return err
 	}
@@ -88,6 +92,10 @@
 		r, err := node.StartEntry(entryConfig(s, store, log, registry))
 		return r, drainLimit(s), err
 	}
+	if s.Role == settings.RoleGateway {
+		r, err := gatewaynode.Start(gatewayConfig(s, store, log, registry))
+		return r, drainLimit(s), err
+	}
 	r, err := node.StartAgent(agentConfig(s, store, log, registry))
 	return r, drainLimit(s), err
 }
@@ -104,8 +112,11 @@
 
 // drainLimit is how long work in progress may take after SIGTERM.
 func drainLimit(s *settings.Settings) time.Duration {
-	if s.Role == settings.RoleEntry {
+	switch s.Role {
+	case settings.RoleEntry:
 		return time.Duration(s.Entry.Timeouts.Drain)
+	case settings.RoleGateway:
+		return time.Duration(s.Gateway.Grace)
 	}
 	return time.Duration(s.Agent.Drain)
 }
@@ -175,3 +186,26 @@
 		Metrics:        r,
 	}
 }
+
+func gatewayConfig(s *settings.Settings, store objectapi.Store, log logrus.FieldLogger, r metrics.Registry) gatewaynode.Config {
+	g := s.Gateway
+	return gatewaynode.Config{
+		Name:        s.Name,
+		Listen:      s.Listen.HTTP,
+		ReadyListen: s.Listen.Ready,
+		Grace:       time.Duration(g.Grace),
+		RetryRatio:  g.RetryRatio,
+		RetrySlack:  g.RetrySlack,
+		RetryWindow: time.Duration(g.RetryWindow),
+		Store:       store,
+		Protocol:    platform.Protocol{},
+		Decoder: gatewaynode.Decoder{
+			ConfigKind:  platform.KindConfig,
+			ServersKind: platform.KindServers,
+			Config:      platform.DecodeConfig,
+			Server:      platform.DecodeServer,
+		},
+		Log:     log,
+		Metrics: r,
+	}
+}
--- /dev/null
+++ b/internal/gatewaynode/node.go
@@ -0,0 +1,189 @@
+// Package gatewaynode joins the parts of an entry that serves routed requests: the
+// watches of the store, the gateway, its servers, and its start and end.
+package gatewaynode
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/briarturn/briarturn/gateway"
+	"github.com/briarturn/briarturn/internal/boottime"
+	"github.com/briarturn/briarturn/internal/sleep"
+	"github.com/briarturn/briarturn/objectapi"
+	"github.com/briarturn/briarturn/placement"
+	"github.com/briarturn/briarturn/routetable"
+	"github.com/briarturn/briarturn/upstream"
+)
+
+const (
+	// configWait is how long a watch of the configuration waits. Each return proves
+	// the configuration current, so that it bounds the age of the proof.
+	configWait = time.Second
+	// serversWait is the same for the list of backend servers, which needs no
+	// proof; it bounds how long a silent connection hides a change.
+	serversWait = 2 * time.Second
+	// watchInterval paces the watches in a burst of changes: a tenth of a second
+	// is far under the two seconds in which a change has to be in force.
+	watchInterval = 100 * time.Millisecond
+	// watchBackoffMax bounds the pause between two tries while the store is away:
+	// half a second of the five in which a removed key has to be refused.
+	watchBackoffMax = 500 * time.Millisecond
+	// headerTimeout and idleTimeout bound a caller's connection. They are over
+	// what operators allow callers, so that no proper caller is cut.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	headerBytes   = 64 << 10
+	// readyAge is how old the proof of the configuration may be while the balancer
+	// is told to send callers here: three fifths of the five seconds in which a
+	// removed key has to be refused.
+	readyAge = 3 * time.Second
+	// sweepEvery is how often idle connections are looked over.
+	sweepEvery = time.Second
+)
+
+// Decoder translates the platform's objects.
+type Decoder struct {
+	ConfigKind  string
+	ServersKind string
+	Config      func(objectapi.Object) (*routetable.Table, bool, error)
+	Server      func(objectapi.Object, time.Time) (upstream.Server, error)
+}
+
+// Config sets up a Node.
+type Config struct {
+	Name        string
+	Listen      string // callers
+	ReadyListen string // the balancer's question
+	Grace       time.Duration
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	Store       objectapi.Store
+	Decoder     Decoder
+	Protocol    gateway.Protocol
+	Log         logrus.FieldLogger
+	Metrics     metrics.Registry
+}
+
+// Node is one running entry.
+type Node struct {
+	cfg       Config
+	routes    *routetable.Holder
+	directory *upstream.Directory
+	pool      *upstream.Pool
+	gateway   *gateway.Gateway
+	callers   *http.Server
+	ready     *http.Server
+	stop      context.CancelFunc
+	listed    listedFlag
+}
+
+// Start binds the addresses and begins to serve. The node answers 503 until it has
+// read the configuration.
+func Start(cfg Config) (*Node, error) {
+	n := &Node{
+		cfg:       cfg,
+		routes:    routetable.NewHolder(boottime.Now),
+		directory: upstream.NewDirectory(upstream.DefaultAbsentGrace),
+		pool:      upstream.NewPool(cfg.Metrics),
+	}
+	n.gateway = gateway.New(gateway.Config{
+		Protocol:  cfg.Protocol,
+		Routes:    n.routes,
+		Directory: n.directory,
+		Pool:      n.pool,
+		Placer:    placement.NewLeastWork(4096, 15),
+		Budget:    gateway.NewRetryBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow, 8),
+		Log:       cfg.Log,
+		Metrics:   cfg.Metrics,
+	})
+	if err := n.serve(); err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	n.watch(ctx, cfg.Decoder.ConfigKind, configWait)
+	n.watch(ctx, cfg.Decoder.ServersKind, serversWait)
+	go n.sweep(ctx)
+	return n, nil
+}
+
+func (n *Node) serve() error {
+	callers, err := net.Listen("tcp", n.cfg.Listen)
+	if err != nil {
+		return errors.Annotatef(err, "step listen for callers, address %s", n.cfg.Listen)
+	}
+	ready, err := net.Listen("tcp", n.cfg.ReadyListen)
+	if err != nil {
+		_ = callers.Close() // nothing was accepted on it
+		return errors.Annotatef(err, "step listen for readiness, address %s", n.cfg.ReadyListen)
+	}
+	n.callers = &http.Server{
+		Handler:           n.gateway,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    headerBytes,
+		ErrorLog:          nil,
+	}
+	n.ready = &http.Server{Handler: http.HandlerFunc(n.answerReady), ReadHeaderTimeout: headerTimeout}
+	go n.run(n.callers, callers)
+	go n.run(n.ready, ready)
+	return nil
+}
+
+func (n *Node) run(s *http.Server, lis net.Listener) {
+	if err := s.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
+		n.cfg.Log.WithError(err).WithField("address", lis.Addr().String()).Error("server ended")
+	}
+}
+
+func (n *Node) watch(ctx context.Context, kind string, wait time.Duration) {
+	w := objectapi.NewWatcher(objectapi.WatcherConfig{
+		Store:      n.cfg.Store,
+		Kinds:      []string{kind},
+		Sink:       (*sink)(n),
+		Lost:       n.lost,
+		Wait:       wait,
+		Interval:   watchInterval,
+		BackoffMax: watchBackoffMax,
+		Metrics:    n.cfg.Metrics,
+		Log:        n.cfg.Log,
+	})
+	go w.Run(ctx)
+}
+
+func (n *Node) lost(kind string) {
+	if kind == n.cfg.Decoder.ServersKind {
+		n.directory.Lost()
+	}
+}
+
+func (n *Node) sweep(ctx context.Context) {
+	for sleep.For(ctx, sweepEvery) {
+		known := map[string]bool{}
+		for _, s := range n.directory.All() {
+			known[s.Address] = true
+		}
+		n.pool.Sweep(func(address string) bool { return known[address] })
+	}
+}
+
+// answerReady tells the balancer whether to send callers here.
+func (n *Node) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if !n.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// Ready reports whether the node knows a configuration that was proved current a
+// short time ago, knows the backend servers, and isn't ending.
+func (n *Node) Ready() bool {
+	_, age, ok := n.routes.Table()
+	return ok && age < readyAge && n.listed.Load() && !n.gateway.Ending()
+}
--- /dev/null
+++ b/internal/gatewaynode/sink.go
@@ -0,0 +1,112 @@
+package gatewaynode
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/briarturn/briarturn/objectapi"
+	"github.com/briarturn/briarturn/upstream"
+)
+
+// listedFlag says whether the backend servers were listed once.
+type listedFlag struct{ atomic.Bool }
+
+// sink takes what the watches bring.
+type sink Node
+
+var _ objectapi.Sink = (*sink)(nil)
+
+// Snapshot implements objectapi.Sink.
+func (s *sink) Snapshot(kind string, l objectapi.Listing) {
+	switch kind {
+	case s.cfg.Decoder.ConfigKind:
+		s.takeConfig(l)
+	case s.cfg.Decoder.ServersKind:
+		s.replaceServers(l)
+	}
+}
+
+// Events implements objectapi.Sink.
+func (s *sink) Events(kind string, l objectapi.Listing) {
+	switch kind {
+	case s.cfg.Decoder.ConfigKind:
+		s.takeConfig(l)
+	case s.cfg.Decoder.ServersKind:
+		s.changeServers(l)
+	}
+}
+
+// takeConfig takes the newest configuration of a list or of some events. One that
+// can't be read leaves the last good one in force, and its age unproved.
+func (s *sink) takeConfig(l objectapi.Listing) {
+	for i := len(l.Objects) - 1; i >= 0; i-- {
+		table, ok, err := s.cfg.Decoder.Config(l.Objects[i])
+		if err != nil {
+			s.cfg.Log.WithError(err).Error("configuration can't be read")
+			return
+		}
+		if !ok {
+			continue
+		}
+		if s.routes.Offer(table, l.Asked) {
+			s.cfg.Log.WithFields(logrus.Fields{"revision": table.Revision(), "object_revision": l.Objects[i].Version}).
+				Info("configuration in force")
+		}
+		return
+	}
+	s.routes.Prove(l.Asked)
+}
+
+func (s *sink) replaceServers(l objectapi.Listing) {
+	now := time.Now()
+	var servers []upstream.Server
+	for _, o := range l.Objects {
+		if server, ok := s.decodeServer(o, now); ok {
+			servers = append(servers, server)
+		}
+	}
+	s.directory.Replace(servers, now)
+	s.listed.Store(true)
+	s.cfg.Log.WithFields(logrus.Fields{"servers": len(servers), "object_revision": l.Revision}).Info("backend servers listed")
+}
+
+func (s *sink) changeServers(l objectapi.Listing) {
+	now := time.Now()
+	s.directory.Confirm(now)
+	for _, o := range l.Objects {
+		if o.Deleted {
+			s.directory.Remove(o.Name, now)
+			s.logServer(upstream.Server{Instance: o.Name}, "gone", o.Version)
+			continue
+		}
+		server, ok := s.decodeServer(o, now)
+		if !ok {
+			continue
+		}
+		s.directory.Put(server)
+		state := "ready"
+		if server.Draining {
+			state = "draining"
+		}
+		s.logServer(server, state, o.Version)
+	}
+}
+
+func (s *sink) logServer(server upstream.Server, state string, revision uint64) {
+	s.cfg.Log.WithFields(logrus.Fields{
+		"instance": server.Instance, "service": server.Service, "server": server.Address, "state": state, "object_revision": revision,
+	}).Info("backend server changed")
+}
+
+// decodeServer skips a registration that can't be read: one server's fault must
+// not hide the rest.
+func (s *sink) decodeServer(o objectapi.Object, now time.Time) (upstream.Server, bool) {
+	server, err := s.cfg.Decoder.Server(o, now)
+	if err != nil {
+		s.cfg.Log.WithError(err).Warn("backend server can't be read")
+		return server, false
+	}
+	return server, true
+}
--- a/objectapi/watcher.go
+++ b/objectapi/watcher.go
@@ -47,9 +47,12 @@
 
 // WatcherConfig sets up a Watcher. Zero values take the defaults.
 type WatcherConfig struct {
-	Store    Store
-	Kinds    []string
-	Sink     Sink
+	Store Store
+	Kinds []string
+	Sink  Sink
+	// Lost, if set, is told when the store stops answering for a kind; the next
+	// call of the Sink for the kind says that it answers again.
+	Lost     func(kind string)
 	Wait     time.Duration
 	Interval time.Duration
 	// BackoffMax bounds the wait between two tries while the store is away.
@@ -166,6 +169,9 @@
 	switch {
 	case err != nil && !k.failing:
 		log.WithError(err).Warn("watch of the object API lost")
+		if k.config.Lost != nil {
+			k.config.Lost(k.kind)
+		}
 	case err == nil && k.failing:
 		log.WithField("revision", k.after).Info("watch of the object API resumed")
 	}
--- a/routetable/table.go
+++ b/routetable/table.go
@@ -82,8 +82,8 @@
 // Workspace is who a request is accounted to.
 type Workspace struct {
 	Name     string
-	Priority int // goes before the route's
-	HasKeys  bool
+	Priority int  // goes before the route's
+	Ranked   bool // Priority is given
 }
 
 // Declared is the decoded content of one revision.
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -47,6 +47,14 @@
 	DefaultAgentDrain  = 30 * time.Minute
 )
 
+// Defaults of a gateway.
+const (
+	DefaultGatewayGrace = 8 * time.Second
+	DefaultRetryRatio   = 0.2
+	DefaultRetrySlack   = 100
+	DefaultRetryWindow  = 10 * time.Second
+)
+
 func withDefaults(role Role) *Settings {
 	s := &Settings{
 		Platform: Store{
@@ -59,6 +67,8 @@
 	switch role {
 	case RoleEntry:
 		s.Entry = defaultEntry()
+	case RoleGateway:
+		s.Gateway = defaultGateway()
 	case RoleAgent:
 		s.Agent = &Agent{Role: DefaultRole, Concurrency: DefaultConcurrency, Drain: config.Duration(DefaultAgentDrain)}
 	}
@@ -89,3 +99,12 @@
 		},
 	}
 }
+
+func defaultGateway() *Gateway {
+	return &Gateway{
+		Grace:       config.Duration(DefaultGatewayGrace),
+		RetryRatio:  DefaultRetryRatio,
+		RetrySlack:  DefaultRetrySlack,
+		RetryWindow: config.Duration(DefaultRetryWindow),
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -17,26 +17,30 @@
 const (
 	RoleEntry Role = "entry"
 	RoleAgent Role = "agent"
+	// RoleGateway serves routed HTTP requests in front of backend servers.
+	RoleGateway Role = "gateway"
 )
 
 // Settings is the whole settings file of one process.
 type Settings struct {
-	Role     Role   `json:"role" validate:"required,oneof=entry agent"`
-	Name     string `json:"name" validate:"required,name"` // the VM's name
-	Zone     string `json:"zone" validate:"required,name"`
-	Region   string `json:"region" validate:"required,name"`
-	Listen   Listen `json:"listen"`
-	Platform Store  `json:"platform"`
-	Log      Log    `json:"log"`
-	Entry    *Entry `json:"entry,omitempty"` // with role entry only
-	Agent    *Agent `json:"agent,omitempty"` // with role agent only
+	Role     Role     `json:"role" validate:"required,oneof=entry agent gateway"`
+	Name     string   `json:"name" validate:"required,name"` // the VM's name
+	Zone     string   `json:"zone" validate:"required,name"`
+	Region   string   `json:"region" validate:"required,name"`
+	Listen   Listen   `json:"listen"`
+	Platform Store    `json:"platform"`
+	Log      Log      `json:"log"`
+	Entry    *Entry   `json:"entry,omitempty"`   // with role entry only
+	Agent    *Agent   `json:"agent,omitempty"`   // with role agent only
+	Gateway  *Gateway `json:"gateway,omitempty"` // with role gateway only
 }
 
 // Listen is the addresses that the process listens on, and by which others
 // reach it, all IP:PORT.
 type Listen struct {
-	HTTP     string `json:"http,omitempty" validate:"omitempty,addrport"` // callers; entry only
-	RPC      string `json:"rpc" validate:"required,addrport"`
+	HTTP     string `json:"http,omitempty" validate:"omitempty,addrport"`  // callers; not of an agent
+	Ready    string `json:"ready,omitempty" validate:"omitempty,addrport"` // the balancer's question; gateway only
+	RPC      string `json:"rpc,omitempty" validate:"omitempty,addrport"`   // not of a gateway
 	Datagram string `json:"datagram" validate:"required,addrport"`
 	Admin    string `json:"admin" validate:"required,addrport"` // metrics, health, readiness
 }
@@ -89,6 +93,10 @@
 
 func checkSettings(sl validator.StructLevel) {
 	s := sl.Current().Interface().(Settings)
+	checkListen(sl, s)
+	if s.Role != RoleGateway && s.Gateway != nil {
+		config.Report(sl, s.Gateway, "gateway", "Gateway", "is for role gateway only")
+	}
 	if s.Role == RoleEntry && s.Listen.HTTP == "" {
 		config.Report(sl, s.Listen.HTTP, "listen.http", "Listen", "is required of an entry")
 	}
@@ -102,3 +110,19 @@
 		config.Report(sl, s.Listen.HTTP, "listen.http", "Listen", "is for an entry only")
 	}
 }
+
+// checkListen wants the addresses that a role needs.
+func checkListen(sl validator.StructLevel, s Settings) {
+	if s.Role != RoleGateway && s.Listen.RPC == "" {
+		config.Report(sl, s.Listen.RPC, "listen.rpc", "Listen", "is required")
+	}
+	if s.Role != RoleGateway && s.Listen.Ready != "" {
+		config.Report(sl, s.Listen.Ready, "listen.ready", "Listen", "is for a gateway only")
+	}
+	if s.Role == RoleGateway && s.Listen.HTTP == "" {
+		config.Report(sl, s.Listen.HTTP, "listen.http", "Listen", "is required of a gateway")
+	}
+	if s.Role == RoleGateway && s.Listen.Ready == "" {
+		config.Report(sl, s.Listen.Ready, "listen.ready", "Listen", "is required of a gateway")
+	}
+}
--- /dev/null
+++ b/upstream/directory.go
@@ -0,0 +1,161 @@
+package upstream
+
+import (
+	"sync"
+	"time"
+)
+
+// Server is one backend server as its registration shows it.
+type Server struct {
+	Instance string // one life of the server; a restarted one has another
+	Service  string
+	Address  string // IP:PORT
+	Zone     string
+	Capacity int  // requests that it runs at a time
+	Draining bool // takes no new work
+	// ColdUntil is when a freshly started server runs at its full speed.
+	ColdUntil time.Time
+}
+
+// DefaultAbsentGrace is how long a server that is missing after an outage of the
+// store stays in use. Registrations lapse while the store is away; servers that
+// live are registered again within about two seconds of its return.
+const DefaultAbsentGrace = 2 * time.Second
+
+// Directory holds the registered backend servers. It is safe for concurrent use;
+// mu guards all fields and is a leaf lock.
+type Directory struct {
+	grace time.Duration
+
+	mu       sync.Mutex
+	servers  map[string]Server // by instance
+	absent   map[string]time.Time
+	outage   bool
+	returned time.Time
+	version  uint64
+}
+
+// NewDirectory returns an empty Directory; grace is how long servers that are
+// missing after an outage stay in use.
+func NewDirectory(grace time.Duration) *Directory {
+	return &Directory{grace: grace, servers: map[string]Server{}, absent: map[string]time.Time{}}
+}
+
+// Lost notes that the store is out of reach: from now on a missing registration
+// may have lapsed though its server lives.
+func (d *Directory) Lost() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.outage = true
+}
+
+// Replace takes the complete list of registered servers.
+func (d *Directory) Replace(servers []Server, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.returnLocked(now)
+	listed := make(map[string]bool, len(servers))
+	for _, s := range servers {
+		listed[s.Instance] = true
+		d.putLocked(s)
+	}
+	for instance := range d.servers {
+		if !listed[instance] {
+			d.removeLocked(instance, now)
+		}
+	}
+	d.sweepLocked(now)
+}
+
+// Put takes one new or changed registration.
+func (d *Directory) Put(s Server) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.putLocked(s)
+}
+
+// Remove takes the end of a registration.
+func (d *Directory) Remove(instance string, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.removeLocked(instance, now)
+}
+
+// Confirm notes that the store answered, and drops servers whose time to come
+// back has passed.
+func (d *Directory) Confirm(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.returnLocked(now)
+	d.sweepLocked(now)
+}
+
+func (d *Directory) returnLocked(now time.Time) {
+	if d.outage {
+		d.outage = false
+		d.returned = now
+	}
+}
+
+func (d *Directory) putLocked(s Server) {
+	d.servers[s.Instance] = s
+	delete(d.absent, s.Instance)
+	d.version++
+}
+
+// removeLocked drops a server, or after an outage gives it time to come back:
+// without that, a store that returns with an empty list would leave no server
+// though all of them live.
+func (d *Directory) removeLocked(instance string, now time.Time) {
+	if now.Sub(d.returned) < d.grace && !d.returned.IsZero() {
+		if _, waiting := d.absent[instance]; !waiting {
+			d.absent[instance] = d.returned.Add(d.grace)
+		}
+		return
+	}
+	delete(d.servers, instance)
+	delete(d.absent, instance)
+	d.version++
+}
+
+func (d *Directory) sweepLocked(now time.Time) {
+	for instance, until := range d.absent {
+		if now.Before(until) {
+			continue
+		}
+		delete(d.servers, instance)
+		delete(d.absent, instance)
+		d.version++
+	}
+}
+
+// Version changes whenever the content does.
+func (d *Directory) Version() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.version
+}
+
+// Of returns the servers of a service that take new work, in no order.
+func (d *Directory) Of(service string) []Server {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []Server
+	for _, s := range d.servers {
+		if s.Service == service && !s.Draining {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// All returns all servers, in no order.
+func (d *Directory) All() []Server {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make([]Server, 0, len(d.servers))
+	for _, s := range d.servers {
+		out = append(out, s)
+	}
+	return out
+}
