Place prompts by forecast, with every entry's work in sight

Change: placement.Ledger holds each engine's expected passes and what runs there; Planner takes the spread and the servers with the least loss, of the prompt and of all others there; peering tells the other entries of each attempt by datagram.

--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -193,6 +193,7 @@
 		Name:        s.Name,
 		Listen:      s.Listen.HTTP,
 		ReadyListen: s.Listen.Ready,
+		Datagram:    s.Listen.Datagram,
 		Grace:       time.Duration(g.Grace),
 		RetryRatio:  g.RetryRatio,
 		RetrySlack:  g.RetrySlack,
--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/briarturn/briarturn/internal/boottime"
 	"github.com/briarturn/briarturn/internal/sleep"
 	"github.com/briarturn/briarturn/objectapi"
+	"github.com/briarturn/briarturn/peering"
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/routetable"
 	"github.com/briarturn/briarturn/upstream"
@@ -43,6 +45,9 @@
 	// is told to send callers here: three fifths of the five seconds in which a
 	// removed key has to be refused.
 	readyAge = 3 * time.Second
+	// assumedEntries is how many entries share the retry budget until more are
+	// known: a new process must not take the whole of it.
+	assumedEntries = 6
 	// sweepEvery is how often idle connections are looked over.
 	sweepEvery = time.Second
 )
@@ -59,6 +64,7 @@
 type Config struct {
 	Name        string
 	Listen      string // callers
+	Datagram    string // other entries
 	ReadyListen string // the balancer's question
 	Grace       time.Duration
 	RetryRatio  float64
@@ -82,6 +88,9 @@
 	ready     *http.Server
 	stop      context.CancelFunc
 	listed    listedFlag
+	ledger    *placement.Ledger
+	exchange  *peering.Exchange
+	engines   engineIndex
 }
 
 // Start binds the addresses and begins to serve. The node answers 503 until it has
@@ -93,21 +102,41 @@
 		directory: upstream.NewDirectory(upstream.DefaultAbsentGrace),
 		pool:      upstream.NewPool(cfg.Metrics),
 	}
+	n.ledger = placement.NewLedger(n.engineOf)
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	incarnation := rand.Uint64()
+	budget := gateway.NewRetryBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow, assumedEntries)
+	exchange, err := peering.Start(ctx, peering.Config{
+		Name:        cfg.Name,
+		Listen:      cfg.Datagram,
+		Incarnation: incarnation,
+		Store:       cfg.Store,
+		Ledger:      n.ledger,
+		Entries:     budget.SetEntries,
+		Log:         cfg.Log,
+		Metrics:     cfg.Metrics,
+	})
+	if err != nil {
+		stop()
+		return nil, err
+	}
+	n.exchange = exchange
 	n.gateway = gateway.New(gateway.Config{
 		Protocol:  cfg.Protocol,
 		Routes:    n.routes,
 		Directory: n.directory,
 		Pool:      n.pool,
-		Placer:    placement.NewLeastWork(4096, 15),
-		Budget:    gateway.NewRetryBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow, 8),
+		Placer:    placement.NewPlanner(n.ledger, incarnation, time.Now, exchange.Teller()),
+		Budget:    budget,
 		Log:       cfg.Log,
 		Metrics:   cfg.Metrics,
 	})
 	if err := n.serve(); err != nil {
+		stop()
+		_ = exchange.Close() // nothing was exchanged yet
 		return nil, err
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	n.stop = stop
 	n.watch(ctx, cfg.Decoder.ConfigKind, configWait)
 	n.watch(ctx, cfg.Decoder.ServersKind, serversWait)
 	go n.sweep(ctx)
@@ -171,6 +200,7 @@
 			known[s.Address] = true
 		}
 		n.pool.Sweep(func(address string) bool { return known[address] })
+		n.ledger.Forget(func(server uint64) bool { return n.engines.knows(n.directory, server) })
 	}
 }
 
--- /dev/null
+++ b/peering/exchange.go
@@ -0,0 +1,221 @@
+package peering
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/briarturn/briarturn/internal/sleep"
+	"github.com/briarturn/briarturn/objectapi"
+	"github.com/briarturn/briarturn/placement"
+	"github.com/briarturn/briarturn/wire"
+	"github.com/briarturn/briarturn/wire/wirepb"
+)
+
+const (
+	// beatEvery is how often an entry lists its attempts that go on.
+	beatEvery = 500 * time.Millisecond
+	// silentAfter is how long an entry must be silent for its attempts to be
+	// forgotten: three beats.
+	silentAfter = 1600 * time.Millisecond
+	// settleTime is how old an attempt must be for a beat that does not list it to
+	// end it: datagrams may overtake each other.
+	settleTime = 100 * time.Millisecond
+	// presenceWait and presenceBackoff pace the watch of the other entries, which
+	// change rarely.
+	presenceWait    = 10 * time.Second
+	presenceBackoff = time.Second
+)
+
+// Config sets up an Exchange.
+type Config struct {
+	Name        string // the VM's
+	Listen      string // datagrams, IP:PORT
+	Incarnation uint64
+	Store       objectapi.Store
+	Ledger      *placement.Ledger
+	// Entries is told how many entries there are, this one included.
+	Entries func(n int)
+	Log     logrus.FieldLogger
+	Metrics metrics.Registry
+}
+
+// Exchange is one entry's end of the exchange. Make it with Start.
+type Exchange struct {
+	cfg       Config
+	outbox    *outbox
+	datagrams *wire.Datagrams
+	heard     metrics.Counter
+	failed    metrics.Counter
+
+	mu    sync.Mutex // guards what follows
+	peers []Peer
+	last  map[uint64]time.Time // by incarnation, when an entry was last heard
+}
+
+// Start binds the datagram address and begins to exchange until ctx ends.
+func Start(ctx context.Context, cfg Config) (*Exchange, error) {
+	x := &Exchange{
+		cfg:    cfg,
+		outbox: newOutbox(cfg.Incarnation),
+		heard:  metrics.GetOrRegisterCounter("peering.news.heard", cfg.Metrics),
+		failed: metrics.GetOrRegisterCounter("peering.news.send_failed", cfg.Metrics),
+		last:   map[uint64]time.Time{},
+	}
+	datagrams, err := wire.ListenDatagrams(wire.DatagramConfig{
+		Address: cfg.Listen, Handler: x.hear, Log: cfg.Log, Metrics: cfg.Metrics,
+	})
+	if err != nil {
+		return nil, errors.Annotate(err, "step start exchange with peers")
+	}
+	x.datagrams = datagrams
+	own := presence{Datagram: datagrams.Addr().String(), Incarnation: cfg.Incarnation}
+	go announce(ctx, cfg.Store, cfg.Name, own, cfg.Log)
+	go x.follow(ctx)
+	go x.send(ctx)
+	go x.beat(ctx)
+	return x, nil
+}
+
+// Teller returns what the entry's planner tells of its attempts.
+func (x *Exchange) Teller() placement.Teller { return x.outbox }
+
+// Close ends the datagrams.
+func (x *Exchange) Close() error { return errors.Trace(x.datagrams.Close()) }
+
+func (x *Exchange) follow(ctx context.Context) {
+	r := &roster{own: x.cfg.Name, log: x.cfg.Log, peers: map[string]Peer{}, changed: x.setPeers}
+	objectapi.NewWatcher(objectapi.WatcherConfig{
+		Store:      x.cfg.Store,
+		Kinds:      []string{KindGateway},
+		Sink:       r,
+		Wait:       presenceWait,
+		BackoffMax: presenceBackoff,
+		Metrics:    x.cfg.Metrics,
+		Log:        x.cfg.Log,
+	}).Run(ctx)
+}
+
+// setPeers takes the entries that are there, and tells those that are new of all
+// attempts that go on.
+func (x *Exchange) setPeers(peers []Peer) {
+	x.mu.Lock()
+	known := map[uint64]bool{}
+	for _, p := range x.peers {
+		known[p.Incarnation] = true
+	}
+	x.peers = peers
+	x.mu.Unlock()
+	x.cfg.Entries(len(peers) + 1)
+	now := time.Now()
+	all := pack(x.cfg.Incarnation, x.cfg.Ledger.Active(x.cfg.Incarnation), nil, nil, now)
+	for _, p := range peers {
+		if known[p.Incarnation] {
+			continue
+		}
+		x.cfg.Log.WithFields(logrus.Fields{"peer": p.Name, "address": p.Address.String()}).Info("peer found")
+		for _, m := range all {
+			x.sendTo(p.Address, m)
+		}
+	}
+}
+
+// send passes news on as it comes.
+func (x *Exchange) send(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-x.outbox.wake:
+		}
+		if !x.outbox.urgent() && !sleep.For(ctx, batchTime) {
+			return
+		}
+		for _, m := range x.outbox.take(time.Now()) {
+			x.sendAll(m)
+		}
+	}
+}
+
+func (x *Exchange) beat(ctx context.Context) {
+	for sleep.For(ctx, beatEvery) {
+		m := &wirepb.WorkNews{Owner: x.cfg.Incarnation, Beat: true}
+		for _, w := range x.cfg.Ledger.Active(x.cfg.Incarnation) {
+			m.Active = append(m.Active, w.ID.Seq)
+		}
+		// More than fit are not listed; without the mark of a whole list nobody
+		// ends what is missing.
+		if len(m.Active) > 2*maxSeqs {
+			m.Active, m.Beat = nil, false
+		}
+		x.sendAll(m)
+		x.forgetSilent(time.Now())
+	}
+}
+
+// forgetSilent drops the attempts of entries that are gone: their servers would
+// look busy for ever.
+func (x *Exchange) forgetSilent(now time.Time) {
+	var silent []uint64
+	x.mu.Lock()
+	for owner, at := range x.last {
+		if now.Sub(at) > silentAfter {
+			silent = append(silent, owner)
+			delete(x.last, owner)
+		}
+	}
+	x.mu.Unlock()
+	for _, owner := range silent {
+		x.cfg.Ledger.EndOwner(owner)
+		x.cfg.Log.WithField("incarnation", owner).Info("peer silent, its work forgotten")
+	}
+}
+
+func (x *Exchange) sendAll(m *wirepb.WorkNews) {
+	x.mu.Lock()
+	peers := x.peers
+	x.mu.Unlock()
+	for _, p := range peers {
+		x.sendTo(p.Address, m)
+	}
+}
+
+func (x *Exchange) sendTo(to netip.AddrPort, m *wirepb.WorkNews) {
+	err := x.datagrams.Send(to, &wirepb.Datagram{Body: &wirepb.Datagram_Work{Work: m}})
+	if err != nil {
+		// The next beat makes up for it; a line for each would flood the log of an
+		// entry that is cut off.
+		x.failed.Inc(1)
+	}
+}
+
+// hear takes a datagram of a peer.
+func (x *Exchange) hear(_ netip.AddrPort, d *wirepb.Datagram) {
+	m := d.GetWork()
+	if m == nil || m.GetOwner() == x.cfg.Incarnation {
+		return
+	}
+	x.heard.Inc(1)
+	now := time.Now()
+	owner := m.GetOwner()
+	x.mu.Lock()
+	x.last[owner] = now
+	x.mu.Unlock()
+	for _, b := range m.GetBegan() {
+		x.cfg.Ledger.Begin(decode(owner, b, now), now)
+	}
+	for _, seq := range m.GetFirstToken() {
+		x.cfg.Ledger.FirstToken(placement.WorkID{Owner: owner, Seq: seq}, now)
+	}
+	for _, seq := range m.GetEnded() {
+		x.cfg.Ledger.End(placement.WorkID{Owner: owner, Seq: seq})
+	}
+	if m.GetBeat() {
+		x.cfg.Ledger.Keep(owner, m.GetActive(), now.Add(-settleTime))
+	}
+}
--- /dev/null
+++ b/peering/outbox.go
@@ -0,0 +1,131 @@
+package peering
+
+import (
+	"sync"
+	"time"
+
+	"github.com/briarturn/briarturn/placement"
+	"github.com/briarturn/briarturn/wire/wirepb"
+)
+
+// batchTime is how long the news of first tokens and ends waits for more: it only
+// frees what others take for busy. What begins goes out at once, for another entry
+// may place on the same server a moment later.
+const batchTime = 5 * time.Millisecond
+
+// maxBegan bounds the begun attempts of one datagram: 16 helpers make 160 bytes of
+// one.
+const maxBegan = 6
+
+// outbox collects the news of this entry. It implements placement.Teller.
+type outbox struct {
+	owner uint64
+	wake  chan struct{} // holds one token while there is news
+
+	mu    sync.Mutex // guards what follows
+	began []placement.Work
+	first []uint64
+	ended []uint64
+}
+
+func newOutbox(owner uint64) *outbox {
+	return &outbox{owner: owner, wake: make(chan struct{}, 1)}
+}
+
+// Began implements placement.Teller.
+func (o *outbox) Began(w placement.Work) {
+	o.mu.Lock()
+	o.began = append(o.began, w)
+	o.mu.Unlock()
+	o.signal()
+}
+
+// FirstToken implements placement.Teller.
+func (o *outbox) FirstToken(id placement.WorkID) {
+	o.mu.Lock()
+	o.first = append(o.first, id.Seq)
+	o.mu.Unlock()
+	o.signal()
+}
+
+// Ended implements placement.Teller.
+func (o *outbox) Ended(id placement.WorkID) {
+	o.mu.Lock()
+	o.ended = append(o.ended, id.Seq)
+	o.mu.Unlock()
+	o.signal()
+}
+
+func (o *outbox) signal() {
+	select {
+	case o.wake <- struct{}{}:
+	default: // a token is there already
+	}
+}
+
+// urgent reports whether something begun waits.
+func (o *outbox) urgent() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.began) > 0
+}
+
+// take empties the outbox into messages that fit a datagram each.
+func (o *outbox) take(now time.Time) []*wirepb.WorkNews {
+	o.mu.Lock()
+	began, first, ended := o.began, o.first, o.ended
+	o.began, o.first, o.ended = nil, nil, nil
+	o.mu.Unlock()
+	return pack(o.owner, began, first, ended, now)
+}
+
+// maxSeqs bounds the numbers of one datagram; each takes up to four bytes.
+const maxSeqs = 100
+
+func pack(owner uint64, began []placement.Work, first, ended []uint64, now time.Time) []*wirepb.WorkNews {
+	var out []*wirepb.WorkNews
+	for len(began)+len(first)+len(ended) > 0 {
+		m := &wirepb.WorkNews{Owner: owner}
+		n := min(len(began), maxBegan)
+		for _, w := range began[:n] {
+			m.Began = append(m.Began, encode(w, now))
+		}
+		began = began[n:]
+		n = min(len(first), maxSeqs/2)
+		m.FirstToken, first = first[:n], first[n:]
+		n = min(len(ended), maxSeqs/2)
+		m.Ended, ended = ended[:n], ended[n:]
+		out = append(out, m)
+	}
+	return out
+}
+
+func encode(w placement.Work, now time.Time) *wirepb.WorkBegan {
+	return &wirepb.WorkBegan{
+		Seq:          w.ID.Seq,
+		Server:       w.Server,
+		Helpers:      w.Helpers,
+		PartUs:       uint64(max(w.Part, 0).Microseconds()),
+		PartTokens:   uint32(w.PartTokens),
+		MemoryTokens: uint32(w.Memory),
+		PauseMs:      uint32(w.Pause.Milliseconds()),
+		FirstInMs:    uint32(max(w.FirstBy.Sub(now), 0).Milliseconds()),
+		Weight:       float32(w.Weight),
+		Writing:      w.Writing,
+	}
+}
+
+func decode(owner uint64, b *wirepb.WorkBegan, now time.Time) placement.Work {
+	return placement.Work{
+		ID:         placement.WorkID{Owner: owner, Seq: b.GetSeq()},
+		Server:     b.GetServer(),
+		Helpers:    b.GetHelpers(),
+		Part:       time.Duration(b.GetPartUs()) * time.Microsecond,
+		PartTokens: int(b.GetPartTokens()),
+		Memory:     int(b.GetMemoryTokens()),
+		Pause:      time.Duration(b.GetPauseMs()) * time.Millisecond,
+		FirstBy:    now.Add(time.Duration(b.GetFirstInMs()) * time.Millisecond),
+		Weight:     float64(b.GetWeight()),
+		Writing:    b.GetWriting(),
+	}
+}
--- /dev/null
+++ b/peering/presence.go
@@ -0,0 +1,138 @@
+package peering
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/briarturn/briarturn/internal/sleep"
+	"github.com/briarturn/briarturn/objectapi"
+)
+
+// KindGateway is the object kind by which entries find each other.
+const KindGateway = "briarturn-gateways"
+
+// announceRetry is the pause after a failed write of the own presence.
+const announceRetry = 500 * time.Millisecond
+
+// presence is the value of a KindGateway object; its name is the VM's.
+type presence struct {
+	Datagram    string `json:"datagram"` // IP:PORT
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Peer is another entry.
+type Peer struct {
+	Name        string
+	Address     netip.AddrPort
+	Incarnation uint64
+}
+
+// announce writes the own presence and tries until it is written. The value is the
+// same at each try, so that a write whose answer was lost does no harm.
+func announce(ctx context.Context, store objectapi.Store, name string, p presence, log logrus.FieldLogger) {
+	data, err := json.Marshal(p)
+	if err != nil {
+		log.WithError(err).Error("presence can't be encoded")
+		return
+	}
+	for {
+		err := put(ctx, store, name, data)
+		if err == nil {
+			return
+		}
+		log.WithError(err).Info("presence not written yet")
+		if !sleep.For(ctx, announceRetry) {
+			return
+		}
+	}
+}
+
+func put(ctx context.Context, store objectapi.Store, name string, data json.RawMessage) error {
+	_, err := store.Create(ctx, KindGateway, name, data)
+	if !errors.Is(err, objectapi.ErrExists) {
+		return err
+	}
+	old, err := store.Get(ctx, KindGateway, name)
+	if err != nil {
+		return err
+	}
+	_, err = store.Update(ctx, KindGateway, name, data, old.Version)
+	return err
+}
+
+// roster is the objectapi.Sink that follows the presences of the other entries.
+type roster struct {
+	own string
+	log logrus.FieldLogger
+	// changed is told of each change, without the roster's lock.
+	changed func(peers []Peer)
+
+	mu    sync.Mutex // guards peers
+	peers map[string]Peer
+}
+
+// Snapshot implements objectapi.Sink.
+func (r *roster) Snapshot(_ string, l objectapi.Listing) {
+	r.mu.Lock()
+	clear(r.peers)
+	r.takeLocked(l.Objects)
+	list := r.listLocked()
+	r.mu.Unlock()
+	r.changed(list)
+}
+
+// Events implements objectapi.Sink.
+func (r *roster) Events(_ string, l objectapi.Listing) {
+	if len(l.Objects) == 0 {
+		return
+	}
+	r.mu.Lock()
+	r.takeLocked(l.Objects)
+	list := r.listLocked()
+	r.mu.Unlock()
+	r.changed(list)
+}
+
+func (r *roster) takeLocked(objects []objectapi.Object) {
+	for _, o := range objects {
+		if o.Name == r.own {
+			continue
+		}
+		if o.Deleted {
+			delete(r.peers, o.Name)
+			continue
+		}
+		peer, err := peerOf(o)
+		if err != nil {
+			r.log.WithError(err).Warn("peer's presence can't be read")
+			continue
+		}
+		r.peers[o.Name] = peer
+	}
+}
+
+func (r *roster) listLocked() []Peer {
+	out := make([]Peer, 0, len(r.peers))
+	for _, p := range r.peers {
+		out = append(out, p)
+	}
+	return out
+}
+
+func peerOf(o objectapi.Object) (Peer, error) {
+	var p presence
+	if err := json.Unmarshal(o.Data, &p); err != nil {
+		return Peer{}, errors.Annotatef(err, "step read presence, peer %s", o.Name)
+	}
+	address, err := netip.ParseAddrPort(p.Datagram)
+	if err != nil {
+		return Peer{}, errors.Annotatef(err, "step read presence, peer %s", o.Name)
+	}
+	return Peer{Name: o.Name, Address: address, Incarnation: p.Incarnation}, nil
+}
--- /dev/null
+++ b/placement/cost.go
@@ -0,0 +1,99 @@
+package placement
+
+import (
+	"time"
+)
+
+const (
+	// pauseFrom and pauseTo bound the passes, as shares of a stream's limit, between
+	// which a pause grows from harmless to late: forecasts are off by about a
+	// tenth.
+	pauseFrom, pauseTo = 0.8, 1.1
+	// pausePressure is the price of a pass that stays under the limit, as a share of
+	// what being late costs, for the square of the share of the limit that it takes.
+	pausePressure = 0.03
+	// firstFrom and firstTo are the same for the time to the first token.
+	firstFrom, firstTo = 0.7, 1.05
+	// firstPressure prices time to the first token within the objective.
+	firstPressure = 0.08
+	// helperPrice is the price of one more server for a prompt: every server that
+	// reads a part has its other work wait for it.
+	helperPrice = 0.02
+	// companyGain is what a short stream gains by a server that writes others like
+	// it: long parts keep away from there.
+	companyGain = 0.15
+	// companyEnough is how many such streams give all of that gain.
+	companyEnough = 6
+	// longPrice is what a short stream loses by a server whose time goes into long
+	// parts, for all of its time.
+	longPrice = 1.2
+	// shortPause is the limit up to which a stream counts as short.
+	shortPause = 400 * time.Millisecond
+	// fullPrice is the price of a server without a free slot or memory: the request
+	// waits there for as long as a whole other request takes.
+	fullPrice = 3.0
+	// refusedPrice is the price of a server that refused an attempt just now.
+	refusedPrice = 4.0
+	// refusedMemory is how long that counts.
+	refusedMemory = 400 * time.Millisecond
+	// coldPrice is the price of a server that isn't warm yet, as a share of the
+	// weight.
+	coldPrice = 0.3
+)
+
+// scale multiplies a duration.
+func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
+
+// pauseLoss is what a pass of a length costs a stream.
+func pauseLoss(pass, limit time.Duration, weight float64) float64 {
+	if limit <= 0 {
+		return 0
+	}
+	share := float64(pass) / float64(limit)
+	return weight * lateLoss * (ramp(pass, scale(limit, pauseFrom), scale(limit, pauseTo)) + pausePressure*share*share)
+}
+
+// firstLoss is what a first token after so long costs, with the objective left.
+func firstLoss(after, left time.Duration, weight float64) float64 {
+	if left <= 0 {
+		// Late in any case: sooner is still better for the caller.
+		return weight * lateLoss * (1 + firstPressure*after.Seconds())
+	}
+	return weight * lateLoss * (ramp(after, scale(left, firstFrom), scale(left, firstTo)) + firstPressure*float64(after)/float64(left))
+}
+
+// harm is what a part costs the others on a server.
+func (s *serverState) harm(f forecast, now time.Time) float64 {
+	total := 0.0
+	for _, a := range s.works {
+		switch {
+		case a.Writing && !a.late:
+			total += pauseLoss(f.pass, a.Pause, a.Weight)
+		case !a.Writing:
+			// Whatever the pass is, the one that waits starts after it.
+			left := a.FirstBy.Sub(now)
+			total += a.Weight * lateLoss * ramp(f.delay, scale(left, firstFrom/2), left)
+		}
+	}
+	return total
+}
+
+// company is how many short streams the server answers.
+func (s *serverState) company() int {
+	n := 0
+	for _, a := range s.works {
+		if a.Pause > 0 && a.Pause <= shortPause {
+			n++
+		}
+	}
+	return n
+}
+
+// memory is how many tokens are kept.
+func (s *serverState) memory() int {
+	sum := 0
+	for _, a := range s.works {
+		sum += a.Memory
+	}
+	return sum
+}
--- /dev/null
+++ b/placement/ledger.go
@@ -0,0 +1,185 @@
+package placement
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ServerKey names an instance in a Ledger and between entries.
+func ServerKey(instance string) uint64 { return xxhash.Sum64String(instance) }
+
+// Ledger is what entries know together of the work on each server. Every entry
+// notes its own attempts in it and what its peers tell of theirs. It is safe for
+// concurrent use; mu guards all fields and is a leaf lock.
+type Ledger struct {
+	engineOf func(server uint64) *Engine
+
+	mu      sync.Mutex
+	servers map[uint64]*serverState
+	works   map[WorkID]*activeWork
+}
+
+type activeWork struct {
+	Work
+	late    bool // a pause was over the limit, so that a further one loses nothing
+	changed time.Time
+}
+
+// serverState is one server's passes as the ledger expects them. A pass writes a
+// stride of tokens for each writer and reads what waits for it; work that comes
+// while a pass runs is read in the next.
+type serverState struct {
+	passEnd    time.Time     // of the pass that reads now
+	next       time.Duration // reading that waits for the next pass
+	nextTokens int
+	works      map[WorkID]*activeWork // that it answers
+	helping    int                    // parts it reads for others
+	longLoad   float64                // share of time spent on long parts, decaying
+	longAt     time.Time              // when longLoad was last brought up to date
+	refusedAt  time.Time              // when it last refused an attempt
+}
+
+// NewLedger returns an empty Ledger. engineOf returns the engine that a server is,
+// nil for a plain service or one that isn't known; it must not call the ledger.
+func NewLedger(engineOf func(server uint64) *Engine) *Ledger {
+	return &Ledger{engineOf: engineOf, servers: map[uint64]*serverState{}, works: map[WorkID]*activeWork{}}
+}
+
+// Begin notes an attempt. A work that is known already changes nothing.
+func (l *Ledger) Begin(w Work, now time.Time) {
+	engine := l.engineOf(w.Server)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.beginLocked(w, engine, now)
+}
+
+func (l *Ledger) beginLocked(w Work, engine *Engine, now time.Time) {
+	if _, known := l.works[w.ID]; known {
+		return
+	}
+	a := &activeWork{Work: w, changed: now}
+	l.works[w.ID] = a
+	s := l.serverLocked(w.Server)
+	s.works[w.ID] = a
+	if engine == nil || w.Writing {
+		a.Helpers = nil
+		return
+	}
+	s.read(w, engine, now)
+	for _, key := range w.Helpers {
+		h := l.serverLocked(key)
+		h.helping++
+		h.read(w, engine, now)
+	}
+}
+
+// FirstToken notes that an attempt's prompt is read and its stream has begun.
+func (l *Ledger) FirstToken(id WorkID, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.works[id]
+	if a == nil || a.Writing {
+		return
+	}
+	a.Writing = true
+	a.changed = now
+	l.endHelpLocked(a)
+}
+
+func (l *Ledger) endHelpLocked(a *activeWork) {
+	for _, key := range a.Helpers {
+		if h := l.servers[key]; h != nil {
+			h.helping--
+		}
+	}
+	a.Helpers = nil
+}
+
+// End notes the end of an attempt.
+func (l *Ledger) End(id WorkID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.endLocked(id)
+}
+
+func (l *Ledger) endLocked(id WorkID) {
+	a := l.works[id]
+	if a == nil {
+		return
+	}
+	delete(l.works, id)
+	l.endHelpLocked(a)
+	if s := l.servers[a.Server]; s != nil {
+		delete(s.works, id)
+	}
+}
+
+// Keep ends the attempts of an entry that it does not list, but for those that are
+// newer than before: what began while the list was on its way isn't in it.
+func (l *Ledger) Keep(owner uint64, active []uint64, before time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	listed := make(map[uint64]bool, len(active))
+	for _, seq := range active {
+		listed[seq] = true
+	}
+	for id, a := range l.works {
+		if id.Owner == owner && !listed[id.Seq] && a.changed.Before(before) {
+			l.endLocked(id)
+		}
+	}
+}
+
+// EndOwner notes the end of all attempts of an entry that is gone.
+func (l *Ledger) EndOwner(owner uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id := range l.works {
+		if id.Owner == owner {
+			l.endLocked(id)
+		}
+	}
+}
+
+// Refused notes that a server refused an attempt.
+func (l *Ledger) Refused(server uint64, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.serverLocked(server).refusedAt = now
+}
+
+// Forget drops servers that keep does not name and that have no work.
+func (l *Ledger) Forget(keep func(server uint64) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for key, s := range l.servers {
+		if !keep(key) && len(s.works) == 0 && s.helping == 0 {
+			delete(l.servers, key)
+		}
+	}
+}
+
+// Active returns the attempts of an entry, for a peer that starts with an empty
+// ledger.
+func (l *Ledger) Active(owner uint64) []Work {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []Work
+	for id, a := range l.works {
+		if id.Owner == owner {
+			out = append(out, a.Work)
+		}
+	}
+	return out
+}
+
+func (l *Ledger) serverLocked(key uint64) *serverState {
+	s := l.servers[key]
+	if s == nil {
+		s = &serverState{works: map[WorkID]*activeWork{}}
+		l.servers[key] = s
+	}
+	return s
+}
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -1,11 +1,6 @@
 package placement
 
-import (
-	"math/rand/v2"
-	"slices"
-	"sync"
-	"time"
-)
+import "time"
 
 // Candidate is a server that may take an attempt.
 type Candidate struct {
@@ -31,66 +26,48 @@
 	Stream         bool
 }
 
+// urgencyLevel is the level for the engine's own queue: shorter objectives first.
+func (q Query) urgencyLevel() int {
+	if q.Engine == nil {
+		return -1
+	}
+	switch {
+	case q.PauseObjective > 0 && q.PauseObjective <= shortPause:
+		return 2
+	case q.InputTokens > 0:
+		return 4
+	}
+	return -1
+}
+
 // Placement is where an attempt runs.
 type Placement struct {
 	Server  Candidate
 	Helpers []Candidate
 	Urgency int // for the engine; negative: not said
-	ledger  *LeastWork
-}
-
-// LeastWork is the baseline policy: the server with the fewest requests of this
-// entry, and for a long prompt helpers by its length.
-type LeastWork struct {
-	tokensPerHelper int
-	maxHelpers      int
-
-	mu      sync.Mutex // guards what follows
-	running map[string]int
-}
-
-// NewLeastWork returns the baseline.
-func NewLeastWork(tokensPerHelper, maxHelpers int) *LeastWork {
-	return &LeastWork{tokensPerHelper: tokensPerHelper, maxHelpers: maxHelpers, running: map[string]int{}}
-}
-
-// Place implements the gateway's Placer.
-func (l *LeastWork) Place(q Query, candidates []Candidate) (Placement, bool) {
-	if len(candidates) == 0 {
-		return Placement{}, false
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	slices.SortStableFunc(candidates, func(a, b Candidate) int { return l.running[a.Instance] - l.running[b.Instance] })
-	p := Placement{Server: candidates[0], Urgency: -1, ledger: l}
-	if q.Engine != nil && l.tokensPerHelper > 0 {
-		n := min(q.InputTokens/l.tokensPerHelper, l.maxHelpers, len(candidates)-1)
-		p.Helpers = slices.Clone(candidates[1 : 1+n])
-	}
-	l.count(p, 1)
-	return p, true
-}
-
-func (l *LeastWork) count(p Placement, by int) {
-	l.running[p.Server.Instance] += by
-	for _, h := range p.Helpers {
-		l.running[h.Instance] += by
-	}
+	planner *Planner
+	work    WorkID
+	key     uint64
 }
 
 // End tells that the attempt is over.
 func (p Placement) End() {
-	p.ledger.mu.Lock()
-	defer p.ledger.mu.Unlock()
-	p.ledger.count(p, -1)
+	p.planner.ledger.End(p.work)
+	if p.planner.tell != nil {
+		p.planner.tell.Ended(p.work)
+	}
 }
 
 // FirstToken tells that the prompt is read.
-func (p Placement) FirstToken() {}
+func (p Placement) FirstToken() {
+	p.planner.ledger.FirstToken(p.work, p.planner.clock())
+	if p.planner.tell != nil {
+		p.planner.tell.FirstToken(p.work)
+	}
+}
 
 // Refused tells that the server did not take the attempt.
-func (p Placement) Refused() {}
+func (p Placement) Refused() { p.planner.ledger.Refused(p.key, p.planner.clock()) }
 
 // Observe takes what the server says of its load.
 func (p Placement) Observe(running, waiting int) {}
--- /dev/null
+++ b/placement/work.go
@@ -0,0 +1,50 @@
+package placement
+
+import (
+	"time"
+)
+
+// WorkID names one attempt across entries.
+type WorkID struct {
+	Owner uint64 // incarnation of the entry that sent it
+	Seq   uint64 // of that entry
+}
+
+// Work is one attempt on one or more servers, as entries tell each other of it.
+type Work struct {
+	ID      WorkID
+	Server  uint64   // ServerKey of the server that answers
+	Helpers []uint64 // ServerKey of those that read parts
+	// Part is how long each of them reads, and PartTokens how much.
+	Part       time.Duration
+	PartTokens int
+	Memory     int           // tokens kept at Server until the attempt ends
+	Pause      time.Duration // longest pause between events on time; 0: no stream
+	FirstBy    time.Time     // when the first token is still on time
+	Weight     float64       // what being on time is worth, beside other work
+	Writing    bool          // the first token has come
+}
+
+// weightTokens is the prompt that is worth as much as the fixed part of a request.
+// With it a notice of 5,000 tokens weighs 1.5 and a review of 133,000 weighs 14,
+// near what their owners give for them.
+const weightTokens = 10_000
+
+// weightOf estimates what being on time is worth from the size of a prompt, since
+// operators declare no worth.
+func weightOf(tokens int) float64 { return 1 + float64(tokens)/weightTokens }
+
+// lateLoss is the part of the weight that is lost by being late: late answers earn
+// about a quarter.
+const lateLoss = 0.75
+
+// ramp rises from 0 at from to 1 at to.
+func ramp(x, from, to time.Duration) float64 {
+	if x <= from {
+		return 0
+	}
+	if x >= to {
+		return 1
+	}
+	return float64(x-from) / float64(to-from)
+}
--- a/wire/check.go
+++ b/wire/check.go
@@ -22,6 +22,10 @@
 	maxTokens     = 1 << 40 // any count or rate of tokens
 	maxKiloTokens = 1 << 30 // any count of a digest row, thousands of tokens
 	maxDeaths     = 1 << 10
+	maxHelpers    = 16    // servers that read parts of one prompt
+	maxPartMicros = 600e6 // ten minutes
+	maxMillis     = 24 * 60 * 60 * 1000
+	maxWeight     = 1e6
 	maxTTLMillis  = 24 * 60 * 60 * 1000
 	maxAgeTenths  = 10 * 60 * 60 // one hour
 	maxPort       = 1<<16 - 1
@@ -58,12 +62,35 @@
 		return checkDigest(body.Digest)
 	case *wirepb.Datagram_Evidence:
 		return checkEvidence(body.Evidence.GetEvidence())
+	case *wirepb.Datagram_Work:
+		return checkWork(body.Work)
 	case *wirepb.Datagram_Describe:
 		return want(body.Describe.GetKey() != 0, "describe.key")
 	}
 	return errors.Annotate(ErrUndecodable, "no body")
 }
 
+func checkWork(w *wirepb.WorkNews) error {
+	if err := firstOf(want(w.GetOwner() != 0, "work.owner"), checkEvidence(w.GetEvidence())); err != nil {
+		return err
+	}
+	for _, b := range w.GetBegan() {
+		err := firstOf(
+			want(b.GetSeq() != 0, "work.began.seq"),
+			want(b.GetServer() != 0, "work.began.server"),
+			want(len(b.GetHelpers()) <= maxHelpers, "work.began.helpers"),
+			want(b.GetPartUs() <= maxPartMicros, "work.began.part_us"),
+			want(b.GetPauseMs() <= maxMillis, "work.began.pause_ms"),
+			want(b.GetFirstInMs() <= maxMillis, "work.began.first_in_ms"),
+			want(b.GetWeight() >= 0 && b.GetWeight() <= maxWeight, "work.began.weight"),
+		)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func checkReport(r *wirepb.Report) error {
 	load := r.GetLoad()
 	return firstOf(
