Take SIGHUP and changed settings; serve metrics; withdraw a presence for good

(2) A handler that ends without an answer has net/http send an empty 200; it now closes the connection.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -58,6 +58,11 @@
 	defer cancel()
 	e.end = end
 	e.run(ctx)
+	if e.status == 0 {
+		// Nobody is there to answer. Returning would have net/http send an empty
+		// 200, which no server gave.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // admit judges the head by the newest configuration.
--- a/internal/daemon/main_test.go
+++ b/internal/daemon/main_test.go
@@ -109,7 +109,7 @@
 	got := <-ended
 	got.want(t, ExitOK, "started", "draining", "drained")
 	if _, err := store.Get(t.Context(), "Entry", "entry-1"); err == nil {
-		t.Error("its presence is still on record")
+		t.Errorf("its presence is still on record\n%s", got.out+got.errors)
 	}
 }
 
--- a/internal/daemon/mapping_test.go
+++ b/internal/daemon/mapping_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/briarturn/briarturn/internal/gatewaynode"
 	"github.com/briarturn/briarturn/internal/node"
 	"github.com/briarturn/briarturn/platform"
 	"github.com/briarturn/briarturn/settings"
@@ -21,19 +22,26 @@
 	mappedEntry = `{"role":"entry",` + mappedCommon + `,"http":"10.0.0.1:4"}}`
 	mappedAgent = `{"role":"agent",` + mappedCommon + `},"agent":{"address":"10.0.0.1:8000","pool":"p",
 		"models":["m"],"prefill_rate":1,"decode_rate":1,"memory_tokens":1,"seeds":["10.0.0.2:1"]}}`
+	mappedGateway = `{"role":"gateway","name":"vm-1","zone":"z","region":"r","platform":{"address":"http://10.0.0.9:80"},
+		"listen":{"http":"10.0.0.1:4","ready":"10.0.0.1:5","datagram":"10.0.0.1:2","admin":"10.0.0.1:3"}}`
 )
 
-// refused are fields that a valid file of an agent can't have.
-var refused = map[string]bool{"Listen.HTTP": true}
+// refused are fields that a valid file of a role can't have.
+var refused = map[settings.Role]map[string]bool{
+	settings.RoleEntry:   {"Listen.Ready": true},
+	settings.RoleAgent:   {"Listen.HTTP": true, "Listen.Ready": true},
+	settings.RoleGateway: {"Listen.RPC": true},
+}
 
 // effects is all that a process makes of its settings.
 type effects struct {
-	Entry node.EntryConfig
-	Agent node.AgentConfig
-	Store platform.StoreConfig
-	Drain time.Duration
-	Level logrus.Level
-	JSON  bool
+	Entry   node.EntryConfig
+	Agent   node.AgentConfig
+	Gateway gatewaynode.Config
+	Store   platform.StoreConfig
+	Drain   time.Duration
+	Level   logrus.Level
+	JSON    bool
 }
 
 func effectsOf(t *testing.T, s *settings.Settings) effects {
@@ -44,9 +52,13 @@
 	}
 	_, json := log.Formatter.(*logrus.JSONFormatter)
 	e := effects{Store: storeConfig(s, nil), Drain: drainLimit(s), Level: log.Level, JSON: json}
-	if s.Role == settings.RoleEntry {
+	switch s.Role {
+	case settings.RoleEntry:
 		e.Entry = entryConfig(s, nil, nil, nil)
-	} else {
+	case settings.RoleGateway:
+		e.Gateway = gatewayConfig(s, nil, nil, nil)
+		e.Gateway.Decoder = gatewaynode.Decoder{} // functions are never equal
+	default:
 		e.Agent = agentConfig(s, nil, nil, nil)
 	}
 	return e
@@ -56,7 +68,7 @@
 // Sequence: the file is read and found valid; the process starts.
 // Cause: a key that no configuration of a node is made from.
 func TestEverySettingReachesTheNode(t *testing.T) {
-	for _, file := range []string{mappedEntry, mappedAgent} {
+	for _, file := range []string{mappedEntry, mappedAgent, mappedGateway} {
 		parse := func() *settings.Settings {
 			s, err := settings.Parse([]byte(file))
 			if err != nil {
@@ -68,8 +80,8 @@
 		for _, path := range leaves(reflect.ValueOf(parse()).Elem(), nil) {
 			s := parse()
 			name := change(t, reflect.ValueOf(s).Elem(), path)
-			if refused[name] && s.Role != settings.RoleEntry || name == "Role" {
-				continue // refused of an agent; the files differ in the role
+			if refused[s.Role][name] || name == "Role" {
+				continue // the files differ in the role
 			}
 			if reflect.DeepEqual(before, effectsOf(t, s)) {
 				t.Errorf("%s: %s has no effect", s.Role, name)
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -64,11 +64,18 @@
 		log.WithField("invariant", name).Error(detail)
 	})
 	node.LimitGarbage()
-	r, drain, err := start(s, log)
+	hangups, err := newReloader(c.File, log)
+	if err != nil {
+		return err
+	}
+	r, drain, err := start(s, log, hangups)
 	if err != nil {
 		return err
 	}
 	defer r.Close()
+	looking, stopLooking := context.WithCancel(context.Background())
+	defer stopLooking()
+	go hangups.run(looking)
 	log.WithFields(logrus.Fields{"role": s.Role, "name": s.Name, "zone": s.Zone}).Info("started")
 	<-ctx.Done()
 	log.WithField("limit", drain).Info("draining")
@@ -82,12 +89,13 @@
 }
 
 // start starts the role of the settings and returns it with its drain limit.
-func start(s *settings.Settings, log logrus.FieldLogger) (runner, time.Duration, error) {
+func start(s *settings.Settings, log logrus.FieldLogger, hangups *reloader) (runner, time.Duration, error) {
 	registry := metrics.NewRegistry()
 	store, err := platform.NewStoreClient(storeConfig(s, registry))
 	if err != nil {
 		return nil, 0, errors.Annotatef(err, "step start, peer %s", s.Platform.Address)
 	}
+	hangups.apply = func(changed *settings.Settings) { applyChange(changed, store, log) }
 	if s.Role == settings.RoleEntry {
 		r, err := node.StartEntry(entryConfig(s, store, log, registry))
 		return r, drainLimit(s), err
@@ -194,6 +202,9 @@
 		Listen:      s.Listen.HTTP,
 		ReadyListen: s.Listen.Ready,
 		Datagram:    s.Listen.Datagram,
+		AdminListen: s.Listen.Admin,
+		Zone:        s.Zone,
+		Region:      s.Region,
 		Grace:       time.Duration(g.Grace),
 		RetryRatio:  g.RetryRatio,
 		RetrySlack:  g.RetrySlack,
@@ -210,3 +221,11 @@
 		Metrics: r,
 	}
 }
+
+// applyChange puts in force what can change while a process runs: where the object
+// API is. The rest holds until the next start.
+func applyChange(s *settings.Settings, store *platform.StoreClient, log logrus.FieldLogger) {
+	if err := store.Move(s.Platform.Address); err != nil {
+		log.WithError(err).Warn("the object API stays where it was")
+	}
+}
--- a/internal/gatewaynode/end.go
+++ b/internal/gatewaynode/end.go
@@ -75,6 +75,7 @@
 	// Both end at once; connections that are open are cut.
 	_ = n.callers.Close()
 	_ = n.ready.Close()
+	_ = n.admin.Close()
 	if err := n.exchange.Close(); err != nil {
 		n.cfg.Log.WithError(err).Warn("exchange with peers did not end well")
 	}
--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/briarturn/briarturn/gateway"
+	"github.com/briarturn/briarturn/internal/admin"
 	"github.com/briarturn/briarturn/internal/boottime"
 	"github.com/briarturn/briarturn/internal/sleep"
 	"github.com/briarturn/briarturn/objectapi"
@@ -65,6 +66,9 @@
 	Name        string
 	Listen      string // callers
 	Datagram    string // other entries
+	AdminListen string // metrics, health and readiness
+	Zone        string
+	Region      string
 	ReadyListen string // the balancer's question
 	Grace       time.Duration
 	RetryRatio  float64
@@ -86,6 +90,7 @@
 	gateway   *gateway.Gateway
 	callers   *http.Server
 	ready     *http.Server
+	admin     *http.Server
 	stop      context.CancelFunc
 	listed    listedFlag
 	ledger    *placement.Ledger
@@ -111,6 +116,8 @@
 		Name:        cfg.Name,
 		Listen:      cfg.Datagram,
 		Incarnation: incarnation,
+		Zone:        cfg.Zone,
+		Region:      cfg.Region,
 		Store:       cfg.Store,
 		Ledger:      n.ledger,
 		Entries:     budget.SetEntries,
@@ -161,8 +168,16 @@
 		ErrorLog:          nil,
 	}
 	n.ready = &http.Server{Handler: http.HandlerFunc(n.answerReady), ReadHeaderTimeout: headerTimeout}
+	admins, err := net.Listen("tcp", n.cfg.AdminListen)
+	if err != nil {
+		_ = callers.Close() // nothing was accepted on either
+		_ = ready.Close()
+		return errors.Annotatef(err, "step listen for operators, address %s", n.cfg.AdminListen)
+	}
+	n.admin = admin.NewServer(admin.Config{Ready: n, Metrics: n.cfg.Metrics})
 	go n.run(n.callers, callers)
 	go n.run(n.ready, ready)
+	go n.run(n.admin, admins)
 	return nil
 }
 
@@ -206,14 +221,24 @@
 
 // answerReady tells the balancer whether to send callers here.
 func (n *Node) answerReady(w http.ResponseWriter, _ *http.Request) {
-	if !n.Ready() {
+	if n.Ready() != nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
-// Ready reports whether the node knows a configuration that was proved current a
-// short time ago, knows the backend servers, and isn't ending.
-func (n *Node) Ready() bool {
+// Ready returns nil if the node knows a configuration that was proved current a
+// short time ago, knows the backend servers, and isn't ending; else the reason.
+func (n *Node) Ready() error {
 	_, age, ok := n.routes.Table()
-	return ok && age < readyAge && n.listed.Load() && !n.gateway.Ending()
+	switch {
+	case !ok:
+		return errors.New("no configuration yet")
+	case age >= readyAge:
+		return errors.Errorf("configuration was last proved current %v ago", age)
+	case !n.listed.Load():
+		return errors.New("backend servers not listed yet")
+	case n.gateway.Ending():
+		return errors.New("shutting down")
+	}
+	return nil
 }
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -72,6 +72,7 @@
 	address     string
 	admin       string
 	entries     atomic.Int64 // known to be alive, this one included
+	presence    sync.Mutex   // held for each write of the presence
 	announced   atomic.Bool  // the presence has been written, or is being
 	claimsTried atomic.Bool  // a read of what is on record of claims has ended
 	started     time.Time
--- a/internal/node/entry_admin.go
+++ b/internal/node/entry_admin.go
@@ -23,6 +23,16 @@
 	return err
 }
 
+// isDraining reports whether a drain has begun.
+func (n *Entry) isDraining() bool {
+	select {
+	case <-n.draining:
+		return true
+	default:
+		return false
+	}
+}
+
 // DrainAndWait makes the entry unready, refuses new requests and waits until
 // those in progress have ended or ctx ends.
 func (n *Entry) DrainAndWait(ctx context.Context) error {
@@ -30,7 +40,10 @@
 	// Before the withdrawal: an entry that hears of its own deletion while it does
 	// not drain announces itself again, and stays on record when it is gone.
 	n.drainOnce.Do(func() { close(n.draining) })
-	if err := withdraw(ctx, n.cfg.Store, n.self); err != nil {
+	n.presence.Lock()
+	err := withdraw(ctx, n.cfg.Store, n.self)
+	n.presence.Unlock()
+	if err != nil {
 		n.tasks.log.WithError(err).Warn("presence not withdrawn")
 	}
 	noticed := time.NewTimer(drainNotice)
--- a/internal/node/presence.go
+++ b/internal/node/presence.go
@@ -28,10 +28,11 @@
 	Incarnation     uint64 `json:"incarnation"`
 }
 
-// announce writes the entry's presence, once, and tries until it is written.
+// announce writes the entry's presence, once, and tries until it is written. guard
+// runs each try, or leaves it.
 // The value is a function of the incarnation, so writing it again after a lost
 // answer does no harm.
-func announce(ctx context.Context, store objectapi.Store, self *wirepb.Peer) error {
+func announce(ctx context.Context, store objectapi.Store, self *wirepb.Peer, guard func(func() error) error) error {
 	data, err := json.Marshal(presence{
 		RPCAddress:      self.GetRpcAddress(),
 		DatagramAddress: self.GetDatagramAddress(),
@@ -43,7 +44,7 @@
 		return errors.Trace(err)
 	}
 	for {
-		err := put(ctx, store, self.GetName(), data)
+		err := guard(func() error { return put(ctx, store, self.GetName(), data) })
 		if err == nil {
 			return nil
 		}
--- a/internal/node/presence_cleanup.go
+++ b/internal/node/presence_cleanup.go
@@ -54,7 +54,7 @@
 // announceAgain writes this entry's presence anew after somebody deleted it,
 // unless a drain did.
 func (n *Entry) announceAgain() {
-	if !n.entry.Ready() {
+	if !n.entry.Ready() || n.isDraining() {
 		return
 	}
 	n.tasks.run("announce again", n.announce)
@@ -65,5 +65,17 @@
 // Writing it twice does no harm.
 func (n *Entry) announce(ctx context.Context) error {
 	n.announced.Store(true)
-	return announce(ctx, n.cfg.Store, n.self)
+	return announce(ctx, n.cfg.Store, n.self, n.whilePresent)
+}
+
+// whilePresent runs a write of the presence, unless a drain has begun. A write
+// that is on its way when the entry withdraws would otherwise bring the presence
+// back, of an entry that is gone.
+func (n *Entry) whilePresent(write func() error) error {
+	n.presence.Lock()
+	defer n.presence.Unlock()
+	if n.isDraining() {
+		return nil
+	}
+	return write()
 }
--- a/internal/node/presence_cleanup_test.go
+++ b/internal/node/presence_cleanup_test.go
@@ -71,7 +71,7 @@
 		Name: "entry-2", Zone: "hobart", Region: "tas", Incarnation: 7,
 		RpcAddress: "127.0.3.2:9", DatagramAddress: "127.0.3.2:9",
 	}
-	if err := announce(t.Context(), store, lost); err != nil {
+	if err := announce(t.Context(), store, lost, func(write func() error) error { return write() }); err != nil {
 		t.Fatal(err)
 	}
 	replaced := &wirepb.Peer{Name: "entry-2", Region: "tas", Incarnation: 6}
--- a/peering/exchange.go
+++ b/peering/exchange.go
@@ -37,6 +37,8 @@
 	Name        string // the VM's
 	Listen      string // datagrams, IP:PORT
 	Incarnation uint64
+	Zone        string
+	Region      string
 	Store       objectapi.Store
 	Ledger      *placement.Ledger
 	// Entries is told how many entries there are, this one included.
@@ -74,7 +76,9 @@
 		return nil, errors.Annotate(err, "step start exchange with peers")
 	}
 	x.datagrams = datagrams
-	own := presence{Datagram: datagrams.Addr().String(), Incarnation: cfg.Incarnation}
+	own := presence{
+		Datagram: datagrams.Addr().String(), Incarnation: cfg.Incarnation, Zone: cfg.Zone, Region: cfg.Region,
+	}
 	go announce(ctx, cfg.Store, cfg.Name, own, cfg.Log)
 	go x.follow(ctx)
 	go x.send(ctx)
--- a/peering/presence.go
+++ b/peering/presence.go
@@ -24,6 +24,8 @@
 type presence struct {
 	Datagram    string `json:"datagram"` // IP:PORT
 	Incarnation uint64 `json:"incarnation"`
+	Zone        string `json:"zone"`
+	Region      string `json:"region"`
 }
 
 // Peer is another entry.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -84,6 +84,7 @@
 	}
 	s := withDefaults(RoleEntry)
 	s.Agent = withDefaults(RoleAgent).Agent
+	s.Gateway = withDefaults(RoleGateway).Gateway
 	for _, row := range rowsOf(reflect.ValueOf(s).Elem(), "") {
 		if !strings.Contains(string(page), row) {
 			t.Errorf("docs/SETTINGS.md lacks a row that begins with %s", row)
