End the grace of absent servers by the clock

Cause, from the entry's log: the registration ended 1.1 s after an outage; the time in which it might come back was looked at only when a watch returned, and the store was away again by then. Ruled out: a lost event (it was logged at once). Change: Directory.Of drops it when the time has passed. TestGraceEndsWithoutTheStore is red without the change.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -50,7 +50,7 @@
 	g := e.gateway
 	var candidates, had []placement.Candidate
 	now := time.Now()
-	for _, s := range g.cfg.Directory.Of(e.service.Name) {
+	for _, s := range g.cfg.Directory.Of(e.service.Name, now) {
 		c := placement.Candidate{Instance: s.Instance, Address: s.Address, Zone: s.Zone, Capacity: s.Capacity, Cold: now.Before(s.ColdUntil)}
 		if e.tried[s.Instance] {
 			had = append(had, c)
--- a/upstream/directory.go
+++ b/upstream/directory.go
@@ -81,13 +81,11 @@
 	d.removeLocked(instance, now)
 }
 
-// Confirm notes that the store answered, and drops servers whose time to come
-// back has passed.
+// Confirm notes that the store answered.
 func (d *Directory) Confirm(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.returnLocked(now)
-	d.sweepLocked(now)
 }
 
 func (d *Directory) returnLocked(now time.Time) {
@@ -136,10 +134,14 @@
 	return d.version
 }
 
-// Of returns the servers of a service that take new work, in no order.
-func (d *Directory) Of(service string) []Server {
+// Of returns the servers of a service that take new work, in no order. A server
+// whose time to come back has passed is gone from then on, whether or not the store
+// answers at that moment: waiting for its next word would send new work to a server
+// that left long ago.
+func (d *Directory) Of(service string, now time.Time) []Server {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.sweepLocked(now)
 	var out []Server
 	for _, s := range d.servers {
 		if s.Service == service && !s.Draining {
