Keep a prompt that no engine has room for on several

Change: package reservation sets memory aside on the roomiest engines, all or nothing, under a lease of 3 s that is renewed and released on every way out; the planner chooses holders and readers; the ledger counts their memory and tells peers.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/request"
+	"github.com/briarturn/briarturn/reservation"
 	"github.com/briarturn/briarturn/routetable"
 	"github.com/briarturn/briarturn/upstream"
 )
@@ -18,15 +19,18 @@
 // attempt sends the request to one server and, if there is one, passes its answer
 // on.
 func (e *exchange) attempt(ctx context.Context) (step, Reason) {
-	place, ok := e.place()
+	place, held, ok := e.placeWithMemory(ctx)
 	if !ok {
 		return finish, e.noServer()
 	}
 	defer place.End()
+	if held != nil {
+		defer held.Release()
+	}
 	e.tried[place.Server.Instance] = true
 	e.server = place.Server.Address
 	e.gateway.tally.attempts.Inc(1)
-	response, err := e.send(ctx, place)
+	response, err := e.send(ctx, place, held)
 	if err != nil {
 		return e.unanswered(ctx, err)
 	}
@@ -88,7 +92,7 @@
 	return e.route.Priority
 }
 
-func (e *exchange) send(ctx context.Context, place placement.Placement) (*upstream.Response, error) {
+func (e *exchange) send(ctx context.Context, place placement.Placement, held *reservation.Held) (*upstream.Response, error) {
 	header := endToEnd(e.incoming.Header)
 	a := Attempt{
 		Patience:    time.Until(e.end),
@@ -102,9 +106,7 @@
 	if e.stream != nil && e.stream.lastID != "" {
 		a.LastEventID = e.stream.lastID
 	}
-	for _, h := range place.Helpers {
-		a.Helpers = append(a.Helpers, Helper{Address: h.Address})
-	}
+	a.Helpers = helpersOf(place, held)
 	e.gateway.cfg.Protocol.Encode(header, a)
 	return e.gateway.cfg.Pool.Do(ctx, place.Server.Address, &upstream.Request{
 		Method: e.incoming.Method,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/briarturn/briarturn/placement"
+	"github.com/briarturn/briarturn/reservation"
 	"github.com/briarturn/briarturn/routetable"
 	"github.com/briarturn/briarturn/upstream"
 )
@@ -23,6 +24,7 @@
 	Pool      *upstream.Pool
 	Placer    Placer
 	Budget    *RetryBudget
+	Reserver  *reservation.Reserver
 	Options   Options
 	Log       logrus.FieldLogger
 	Metrics   metrics.Registry
--- /dev/null
+++ b/gateway/memory.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/briarturn/briarturn/internal/sleep"
+	"github.com/briarturn/briarturn/placement"
+	"github.com/briarturn/briarturn/reservation"
+)
+
+const (
+	// memoryPause is the wait before memory is looked for again. Streams end, and
+	// free theirs, several times a second.
+	memoryPause = 60 * time.Millisecond
+	// memoryShare is the part of the time to the first token's objective in which
+	// memory is looked for; a caller that is told then can still come back in time.
+	memoryShare = 0.8
+	// memoryLeast is how long it is looked for in any case.
+	memoryLeast = 500 * time.Millisecond
+)
+
+// placeWithMemory places an attempt, and where the prompt is kept on several
+// servers reserves their memory first. It waits for memory for a bounded time.
+func (e *exchange) placeWithMemory(ctx context.Context) (placement.Placement, *reservation.Held, bool) {
+	limit := max(time.Duration(memoryShare*float64(e.route.Objective))-time.Since(e.begun), memoryLeast)
+	until := time.Now().Add(limit)
+	for {
+		place, ok := e.place()
+		if ok && len(place.Holders) == 0 {
+			return place, nil, true
+		}
+		if ok {
+			held, err := e.reserve(ctx, place)
+			if err == nil {
+				return place, held, true
+			}
+			place.End()
+		}
+		if e.env.Prompt.InputTokens == 0 || time.Now().After(until) || !sleep.For(ctx, memoryPause) {
+			return placement.Placement{}, nil, false
+		}
+	}
+}
+
+func (e *exchange) reserve(ctx context.Context, place placement.Placement) (*reservation.Held, error) {
+	parts := make([]reservation.Part, len(place.Holders))
+	for i, h := range place.Holders {
+		parts[i] = reservation.Part{
+			Engine: reservation.Engine{Address: h.Address, Instance: h.Instance},
+			Tokens: place.HolderTokens,
+		}
+	}
+	held, failed, err := e.gateway.cfg.Reserver.Acquire(ctx, parts)
+	log := e.gateway.cfg.Log.WithFields(logrus.Fields{"request": e.env.ID, "holders": len(parts), "tokens_each": place.HolderTokens})
+	if err != nil {
+		place.NoMemory(failed)
+		log.WithError(err).Info("memory not reserved")
+		return nil, err
+	}
+	log.Info("memory reserved")
+	return held, nil
+}
+
+// helpersOf lists the servers that help the answering one. Where memory is
+// reserved the holders go first, the answering server before all: reservations are
+// filled in turn.
+func helpersOf(place placement.Placement, held *reservation.Held) []Helper {
+	var out []Helper
+	listed := map[string]bool{}
+	if held != nil {
+		for _, p := range held.Parts {
+			out = append(out, Helper{Address: p.Engine.Address, Ticket: p.ID})
+			listed[p.Engine.Address] = true
+		}
+	}
+	for _, h := range place.Helpers {
+		if !listed[h.Address] {
+			out = append(out, Helper{Address: h.Address})
+		}
+	}
+	return out
+}
--- a/internal/daemon/mapping_test.go
+++ b/internal/daemon/mapping_test.go
@@ -57,7 +57,7 @@
 		e.Entry = entryConfig(s, nil, nil, nil)
 	case settings.RoleGateway:
 		e.Gateway = gatewayConfig(s, nil, nil, nil)
-		e.Gateway.Decoder = gatewaynode.Decoder{} // functions are never equal
+		e.Gateway.Decoder, e.Gateway.Engines = gatewaynode.Decoder{}, nil // functions are never equal
 	default:
 		e.Agent = agentConfig(s, nil, nil, nil)
 	}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -18,7 +18,9 @@
 	"github.com/briarturn/briarturn/invariant"
 	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/reservation"
 	"github.com/briarturn/briarturn/settings"
+	"github.com/briarturn/briarturn/upstream"
 )
 
 // runner is a role that was started.
@@ -211,6 +213,7 @@
 		RetryWindow: time.Duration(g.RetryWindow),
 		Store:       store,
 		Protocol:    platform.Protocol{},
+		Engines:     func(p *upstream.Pool) reservation.Engines { return platform.NewOrders(p) },
 		Decoder: gatewaynode.Decoder{
 			ConfigKind:  platform.KindConfig,
 			ServersKind: platform.KindServers,
--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -20,6 +20,7 @@
 	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/peering"
 	"github.com/briarturn/briarturn/placement"
+	"github.com/briarturn/briarturn/reservation"
 	"github.com/briarturn/briarturn/routetable"
 	"github.com/briarturn/briarturn/upstream"
 )
@@ -74,11 +75,13 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
-	Store       objectapi.Store
-	Decoder     Decoder
-	Protocol    gateway.Protocol
-	Log         logrus.FieldLogger
-	Metrics     metrics.Registry
+	// Engines gives orders over the node's connections.
+	Engines  func(*upstream.Pool) reservation.Engines
+	Store    objectapi.Store
+	Decoder  Decoder
+	Protocol gateway.Protocol
+	Log      logrus.FieldLogger
+	Metrics  metrics.Registry
 }
 
 // Node is one running entry.
@@ -136,6 +139,7 @@
 		Pool:      n.pool,
 		Placer:    placement.NewPlanner(n.ledger, incarnation, time.Now, exchange.Teller()),
 		Budget:    budget,
+		Reserver:  reservation.New(cfg.Engines(n.pool), incarnation, cfg.Log),
 		Log:       cfg.Log,
 		Metrics:   cfg.Metrics,
 	})
--- a/peering/outbox.go
+++ b/peering/outbox.go
@@ -13,9 +13,9 @@
 // may place on the same server a moment later.
 const batchTime = 5 * time.Millisecond
 
-// maxBegan bounds the begun attempts of one datagram: 16 helpers make 160 bytes of
-// one.
-const maxBegan = 6
+// maxBegan bounds the begun attempts of one datagram: 16 helpers and 16
+// holders make 300 bytes of one.
+const maxBegan = 3
 
 // outbox collects the news of this entry. It implements placement.Teller.
 type outbox struct {
@@ -112,20 +112,24 @@
 		FirstInMs:    uint32(max(w.FirstBy.Sub(now), 0).Milliseconds()),
 		Weight:       float32(w.Weight),
 		Writing:      w.Writing,
+		Holders:      w.Holders,
+		HolderTokens: uint32(w.HolderMemory),
 	}
 }
 
 func decode(owner uint64, b *wirepb.WorkBegan, now time.Time) placement.Work {
 	return placement.Work{
-		ID:         placement.WorkID{Owner: owner, Seq: b.GetSeq()},
-		Server:     b.GetServer(),
-		Helpers:    b.GetHelpers(),
-		Part:       time.Duration(b.GetPartUs()) * time.Microsecond,
-		PartTokens: int(b.GetPartTokens()),
-		Memory:     int(b.GetMemoryTokens()),
-		Pause:      time.Duration(b.GetPauseMs()) * time.Millisecond,
-		FirstBy:    now.Add(time.Duration(b.GetFirstInMs()) * time.Millisecond),
-		Weight:     float64(b.GetWeight()),
-		Writing:    b.GetWriting(),
+		ID:           placement.WorkID{Owner: owner, Seq: b.GetSeq()},
+		Server:       b.GetServer(),
+		Helpers:      b.GetHelpers(),
+		Part:         time.Duration(b.GetPartUs()) * time.Microsecond,
+		PartTokens:   int(b.GetPartTokens()),
+		Memory:       int(b.GetMemoryTokens()),
+		Pause:        time.Duration(b.GetPauseMs()) * time.Millisecond,
+		FirstBy:      now.Add(time.Duration(b.GetFirstInMs()) * time.Millisecond),
+		Weight:       float64(b.GetWeight()),
+		Writing:      b.GetWriting(),
+		Holders:      b.GetHolders(),
+		HolderMemory: int(b.GetHolderTokens()),
 	}
 }
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -95,5 +95,8 @@
 	for _, a := range s.works {
 		sum += a.Memory
 	}
+	for _, tokens := range s.holds {
+		sum += tokens
+	}
 	return sum
 }
--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -35,6 +35,7 @@
 	next       time.Duration // reading that waits for the next pass
 	nextTokens int
 	works      map[WorkID]*activeWork // that it answers
+	holds      map[WorkID]int         // tokens that it keeps for others
 	helping    int                    // parts it reads for others
 	longLoad   float64                // share of time spent on long parts, decaying
 	longAt     time.Time              // when longLoad was last brought up to date
@@ -61,6 +62,9 @@
 	}
 	a := &activeWork{Work: w, changed: now}
 	l.works[w.ID] = a
+	for _, key := range w.Holders {
+		l.serverLocked(key).holds[w.ID] = w.HolderMemory
+	}
 	s := l.serverLocked(w.Server)
 	s.works[w.ID] = a
 	if engine == nil || w.Writing {
@@ -114,6 +118,11 @@
 	if s := l.servers[a.Server]; s != nil {
 		delete(s.works, id)
 	}
+	for _, key := range a.Holders {
+		if s := l.servers[key]; s != nil {
+			delete(s.holds, id)
+		}
+	}
 }
 
 // Keep ends the attempts of an entry that it does not list, but for those that are
@@ -155,7 +164,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for key, s := range l.servers {
-		if !keep(key) && len(s.works) == 0 && s.helping == 0 {
+		if !keep(key) && len(s.works) == 0 && len(s.holds) == 0 && s.helping == 0 {
 			delete(l.servers, key)
 		}
 	}
@@ -178,7 +187,7 @@
 func (l *Ledger) serverLocked(key uint64) *serverState {
 	s := l.servers[key]
 	if s == nil {
-		s = &serverState{works: map[WorkID]*activeWork{}}
+		s = &serverState{works: map[WorkID]*activeWork{}, holds: map[WorkID]int{}}
 		l.servers[key] = s
 	}
 	return s
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -64,10 +64,13 @@
 	}
 	rand.Shuffle(len(options), func(i, j int) { options[i], options[j] = options[j], options[i] })
 	if q.Engine == nil || q.InputTokens == 0 {
-		return p.place(q, pickPlain(options, now), nil, now), true
+		return p.place(q, pickPlain(options, now), nil, nil, now), true
+	}
+	if !fitsOne(q, options) {
+		return p.placeApart(q, options, now)
 	}
 	first, helpers := pickEngines(q, options, now)
-	return p.place(q, first, helpers, now), true
+	return p.place(q, first, helpers, nil, now), true
 }
 
 // pickPlain chooses among servers of a plain service: the least requests.
@@ -155,7 +158,7 @@
 func (q Query) memory() int { return q.InputTokens + q.OutputTokens }
 
 // place notes the attempt and tells the other entries.
-func (p *Planner) place(q Query, first option, helpers []option, now time.Time) Placement {
+func (p *Planner) place(q Query, first option, helpers, holders []option, now time.Time) Placement {
 	w := Work{
 		ID:      WorkID{Owner: p.owner, Seq: p.seq.Add(1)},
 		Server:  first.key,
@@ -174,6 +177,15 @@
 			out.Helpers = append(out.Helpers, h.candidate)
 		}
 	}
+	if len(holders) > 0 {
+		w.HolderMemory = q.holderTokens(len(holders))
+		w.Memory = 0
+		out.HolderTokens = w.HolderMemory
+		for _, h := range holders {
+			w.Holders = append(w.Holders, h.key)
+			out.Holders = append(out.Holders, h.candidate)
+		}
+	}
 	p.ledger.beginLocked(w, q.Engine, now)
 	if p.tell != nil {
 		p.tell.Began(w)
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -44,10 +44,14 @@
 type Placement struct {
 	Server  Candidate
 	Helpers []Candidate
-	Urgency int // for the engine; negative: not said
-	planner *Planner
-	work    WorkID
-	key     uint64
+	// Holders keep the prompt, HolderTokens each, where no server has room for it
+	// alone; the first of them is Server. The others are among Helpers too.
+	Holders      []Candidate
+	HolderTokens int
+	Urgency      int // for the engine; negative: not said
+	planner      *Planner
+	work         WorkID
+	key          uint64
 }
 
 // End tells that the attempt is over.
@@ -71,3 +75,8 @@
 
 // Observe takes what the server says of its load.
 func (p Placement) Observe(running, waiting int) {}
+
+// NoMemory tells that the i-th holder had no room.
+func (p Placement) NoMemory(i int) {
+	p.planner.ledger.Refused(ServerKey(p.Holders[i].Instance), p.planner.clock())
+}
--- a/placement/work.go
+++ b/placement/work.go
@@ -18,11 +18,15 @@
 	// Part is how long each of them reads, and PartTokens how much.
 	Part       time.Duration
 	PartTokens int
-	Memory     int           // tokens kept at Server until the attempt ends
-	Pause      time.Duration // longest pause between events on time; 0: no stream
-	FirstBy    time.Time     // when the first token is still on time
-	Weight     float64       // what being on time is worth, beside other work
-	Writing    bool          // the first token has come
+	Memory     int // tokens kept at Server until the attempt ends
+	// Holders keep parts of a prompt that Server has no room for, HolderMemory
+	// tokens each, until the attempt ends.
+	Holders      []uint64
+	HolderMemory int
+	Pause        time.Duration // longest pause between events on time; 0: no stream
+	FirstBy      time.Time     // when the first token is still on time
+	Weight       float64       // what being on time is worth, beside other work
+	Writing      bool          // the first token has come
 }
 
 // weightTokens is the prompt that is worth as much as the fixed part of a request.
--- /dev/null
+++ b/reservation/reservation.go
@@ -0,0 +1,184 @@
+// Package reservation sets memory aside on several engines for one prompt that no
+// single engine has room for.
+//
+// Rules kept here: all or nothing, and nothing is held while it waits for more, so
+// that two prompts can't wait for each other; every reservation is released on
+// every way out, also when its caller is gone; its lease is short and renewed, so
+// that an entry that dies leaves nothing behind for long.
+package reservation
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/briarturn/briarturn/internal/sleep"
+)
+
+// Errors of an Engines. Test with errors.Is.
+const (
+	// ErrNoMemory: the engine has no room now. Nothing was reserved.
+	ErrNoMemory = errors.ConstError("engine has no free memory")
+	// ErrUnknown: no answer; the reservation may be held.
+	ErrUnknown = errors.ConstError("outcome of the order unknown")
+)
+
+const (
+	// lease is how long a reservation holds without being renewed. The platform
+	// counts memory as lost four seconds after its last use.
+	lease = 3 * time.Second
+	// renewEvery leaves two tries before the lease ends.
+	renewEvery = time.Second
+	// orderTimeout bounds one order. Engines answer within a millisecond; a lost
+	// packet is sent again after a second.
+	orderTimeout = 700 * time.Millisecond
+	// releaseTries and releasePause bound the tries of a release; the lease ends
+	// the reservation in any case.
+	releaseTries = 3
+	releasePause = 200 * time.Millisecond
+)
+
+// Engines gives orders to engines.
+type Engines interface {
+	// Reserve sets tokens aside under an id, or renews what is under it. The error
+	// is ErrNoMemory or ErrUnknown.
+	Reserve(ctx context.Context, e Engine, id string, tokens int, hold time.Duration) error
+	// Release ends a reservation; one that doesn't exist is no error.
+	Release(ctx context.Context, e Engine, id string) error
+}
+
+// Engine names an engine to an Engines.
+type Engine struct {
+	Address  string
+	Instance string
+}
+
+// Part is what one engine holds.
+type Part struct {
+	Engine Engine
+	Tokens int
+	ID     string // set by Acquire
+}
+
+// Reserver makes reservations. It is safe for concurrent use.
+type Reserver struct {
+	engines Engines
+	owner   string
+	seq     atomic.Uint64
+	log     logrus.FieldLogger
+	pending sync.WaitGroup // releases and renewals in progress
+}
+
+// New returns a Reserver whose ids begin with owner, which no other process uses.
+func New(engines Engines, owner uint64, log logrus.FieldLogger) *Reserver {
+	return &Reserver{engines: engines, owner: strconv.FormatUint(owner, 36), log: log}
+}
+
+// Held is memory on several engines. Release it.
+type Held struct {
+	Parts    []Part
+	reserver *Reserver
+	stop     context.CancelFunc
+}
+
+// Acquire reserves all parts or none. The error is that of a part that could not be
+// had; failed is its index.
+func (r *Reserver) Acquire(ctx context.Context, parts []Part) (held *Held, failed int, err error) {
+	for i := range parts {
+		parts[i].ID = r.owner + "-" + strconv.FormatUint(r.seq.Add(1), 36)
+	}
+	results := make([]error, len(parts))
+	var group errgroup.Group
+	for i := range parts {
+		group.Go(func() error {
+			results[i] = r.order(ctx, func(ctx context.Context) error { return r.reserve(ctx, &parts[i]) })
+			return nil
+		})
+	}
+	_ = group.Wait() // the errors are in results
+	for i, result := range results {
+		if result == nil {
+			continue
+		}
+		r.releaseAll(parts, results)
+		return nil, i, errors.Annotatef(result, "step reserve memory, peer %s", parts[i].Engine.Address)
+	}
+	renewing, stop := context.WithCancel(context.WithoutCancel(ctx))
+	h := &Held{Parts: parts, reserver: r, stop: stop}
+	r.pending.Go(func() { h.keep(renewing) })
+	return h, 0, nil
+}
+
+func (r *Reserver) reserve(ctx context.Context, p *Part) error {
+	return r.engines.Reserve(ctx, p.Engine, p.ID, p.Tokens, lease)
+}
+
+func (r *Reserver) order(ctx context.Context, send func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return send(ctx)
+}
+
+// releaseAll ends what a failed Acquire may hold, in the background: a part whose
+// answer was lost counts as held.
+func (r *Reserver) releaseAll(parts []Part, results []error) {
+	for i := range parts {
+		if errors.Is(results[i], ErrNoMemory) {
+			continue
+		}
+		p := parts[i]
+		r.pending.Go(func() { r.release(p) })
+	}
+}
+
+// release ends one part, and tries again where an answer is lost.
+func (r *Reserver) release(p Part) {
+	for try := range releaseTries {
+		err := r.order(context.Background(), func(ctx context.Context) error {
+			return r.engines.Release(ctx, p.Engine, p.ID)
+		})
+		if err == nil {
+			return
+		}
+		r.log.WithError(err).WithFields(logrus.Fields{"server": p.Engine.Address, "reservation": p.ID, "try": try + 1}).
+			Warn("reservation not released; its lease ends it")
+		sleep.For(context.Background(), releasePause)
+	}
+}
+
+// keep renews the parts until ctx ends, then releases them. One goroutine does
+// both: a renewal that overtakes the release would set the memory aside once more.
+func (h *Held) keep(ctx context.Context) {
+	h.renew(ctx)
+	for _, p := range h.Parts {
+		h.reserver.pending.Go(func() { h.reserver.release(p) })
+	}
+}
+
+// renew renews the parts until ctx ends. A part that can't be renewed runs out, and
+// the engine then cuts the request, which shows as a broken stream.
+func (h *Held) renew(ctx context.Context) {
+	for sleep.For(ctx, renewEvery) {
+		for i := range h.Parts {
+			p := &h.Parts[i]
+			err := h.reserver.order(ctx, func(ctx context.Context) error { return h.reserver.reserve(ctx, p) })
+			if err != nil && ctx.Err() == nil {
+				h.reserver.log.WithError(err).WithFields(logrus.Fields{"server": p.Engine.Address, "reservation": p.ID}).
+					Warn("reservation not renewed")
+			}
+		}
+	}
+}
+
+// Release ends the reservations, in the background. It may be called more than
+// once.
+func (h *Held) Release() { h.stop() }
+
+// Wait waits until all releases have ended.
+func (r *Reserver) Wait() { r.pending.Wait() }
--- a/wire/check.go
+++ b/wire/check.go
@@ -79,6 +79,7 @@
 			want(b.GetSeq() != 0, "work.began.seq"),
 			want(b.GetServer() != 0, "work.began.server"),
 			want(len(b.GetHelpers()) <= maxHelpers, "work.began.helpers"),
+			want(len(b.GetHolders()) <= maxHelpers, "work.began.holders"),
 			want(b.GetPartUs() <= maxPartMicros, "work.began.part_us"),
 			want(b.GetPauseMs() <= maxMillis, "work.began.pause_ms"),
 			want(b.GetFirstInMs() <= maxMillis, "work.began.first_in_ms"),
