Charge a part only for what others still have to lose

Streams that were late already, and prompts that could not be in time any more, still counted in full. Change: holders and readers by least loss over all numbers of both; the ledger marks streams whose pass is over their limit and keeps when waiting prompts will be read; a late stream keeps a small price and gives no company. Request lines show spread, part, forecast and harm.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/request"
 	"github.com/briarturn/briarturn/routetable"
 )
@@ -31,13 +33,14 @@
 	end       time.Time // the caller's patience or the route's timeout
 	stream    *relay    // of a stream
 
-	sends    int             // attempts of which something was sent
-	dials    int             // attempts of which nothing was sent
-	tried    map[string]bool // instances that had an attempt
-	mayRun   bool            // an attempt ended without proof that it did not run
-	held     *answer         // the last whole failure of a server, to be passed on
-	firstOut time.Time       // when the caller got the first byte
-	server   string          // address of the last attempt
+	sends    int                 // attempts of which something was sent
+	dials    int                 // attempts of which nothing was sent
+	tried    map[string]bool     // instances that had an attempt
+	mayRun   bool                // an attempt ended without proof that it did not run
+	held     *answer             // the last whole failure of a server, to be passed on
+	firstOut time.Time           // when the caller got the first byte
+	server   string              // address of the last attempt
+	placed   placement.Placement // of the last attempt
 	outcome  string
 	status   int
 }
@@ -249,6 +252,9 @@
 	refuse(e.writer, reason, e.gateway.cfg.Options.RetryAfter)
 }
 
+// harmDigits rounds the harm in the log to hundredths.
+const harmDigits = 100
+
 // log writes the one line of a request: what decided it, and how it ended.
 func (e *exchange) log() {
 	fields := logrus.Fields{
@@ -262,6 +268,12 @@
 	if e.env.Prompt.InputTokens > 0 {
 		fields["tokens"] = e.env.Prompt.InputTokens
 	}
+	if e.placed.Part > 0 {
+		fields["spread"] = 1 + len(e.placed.Helpers)
+		fields["part_ms"] = e.placed.Part.Milliseconds()
+		fields["forecast_ms"] = e.placed.Forecast.Milliseconds()
+		fields["harm"] = math.Round(e.placed.Harm*harmDigits) / harmDigits
+	}
 	if !e.firstOut.IsZero() {
 		fields["first_ms"] = e.firstOut.Sub(e.begun).Milliseconds()
 	}
--- a/placement/apart.go
+++ b/placement/apart.go
@@ -16,6 +16,9 @@
 	// apartSpread is over how many servers such a prompt is read at least: reading
 	// one takes seconds, and its servers write for others meanwhile.
 	apartSpread = 4
+	// maxHolders bounds the servers that keep one prompt: each is one more that must
+	// have room at the same moment, and an order a second.
+	maxHolders = 8
 )
 
 // free is how many tokens a server has room for, as far as the ledger knows.
@@ -39,70 +42,70 @@
 // holderTokens is what each of n servers keeps.
 func (q Query) holderTokens(n int) int { return int(math.Ceil(float64(q.memory()) / float64(n))) }
 
-// placeApart places a prompt on servers that keep it together: the fewest that have
-// room now, the roomiest first. ok is false if all of them together have not.
+// placeApart places a prompt on servers that keep it together, and perhaps more that
+// only read. Of all numbers of both it takes those with the least loss. ok is false
+// if all servers together have no room now.
 func (p *Planner) placeApart(q Query, options []option, now time.Time) (Placement, bool) {
 	for i := range options {
 		options[i].state.advance(q.Engine, now)
 	}
-	slices.SortFunc(options, func(a, b option) int { return cmp.Compare(b.free(q), a.free(q)) })
-	n := holdersNeeded(q, options)
-	if n == 0 {
-		return Placement{}, false
-	}
-	holders := slices.Clone(options[:n])
-	rest := options[n:]
-	extra := p.readersBeside(q, holders, rest, now)
-	helpers := append(slices.Clone(holders[1:]), extra...)
-	return p.place(q, holders[0], helpers, holders, now), true
-}
-
-// holdersNeeded returns the least number of the roomiest servers that have room for
-// equal shares, 0 if there is none.
-func holdersNeeded(q Query, roomiest []option) int {
-	most := min(len(roomiest), spreads[len(spreads)-1])
-	for n := 2; n <= most; n++ {
-		if roomiest[n-1].free(q) >= q.holderTokens(n) {
-			return n
-		}
-	}
-	return 0
-}
-
-// readersBeside adds servers that only read, as many as cost less than they gain.
-func (p *Planner) readersBeside(q Query, holders, rest []option, now time.Time) []option {
-	weight := weightOf(q.InputTokens)
 	whole := q.Engine.ReadTime(q.InputTokens, q.InputTokens)
-	best, bestLoss := 0, math.Inf(1)
-	var order []option
-	for n := max(apartSpread, len(holders)); n <= min(len(holders)+len(rest), spreads[len(spreads)-1]); n++ {
-		loss, ranked := spreadLoss(q, holders, rest, whole/time.Duration(n), n-len(holders), weight, now)
-		if loss < bestLoss {
-			best, bestLoss, order = n-len(holders), loss, ranked
+	best := apart{loss: math.Inf(1)}
+	for n := 2; n <= min(len(options), maxHolders); n++ {
+		for _, readers := range spreads {
+			if readers < max(n, min(apartSpread, len(options))) || readers > len(options) {
+				continue
+			}
+			if a := pickApart(q, options, n, readers, whole/time.Duration(readers), now); a.loss < best.loss {
+				best = a
+			}
 		}
 	}
-	if order == nil {
-		return nil
+	if math.IsInf(best.loss, 1) {
+		return Placement{}, false
 	}
-	return order[:best]
+	helpers := append(slices.Clone(best.holders[1:]), best.readers...)
+	return p.place(q, best.holders[0], helpers, best.holders, now), true
+}
+
+// apart is one way to keep and read a prompt on several servers.
+type apart struct {
+	holders []option // the first of them answers
+	readers []option // they only read
+	loss    float64
 }
 
-// spreadLoss is the loss of reading parts on the holders and on the cheapest more
-// of the rest, which it returns by rising cost.
-func spreadLoss(q Query, holders, rest []option, part time.Duration, more int, weight float64, now time.Time) (float64, []option) {
-	ranked := slices.Clone(rest)
+// pickApart takes the n cheapest servers that have room for their share as holders,
+// and the cheapest of the others to make up the readers.
+func pickApart(q Query, options []option, n, readers int, part time.Duration, now time.Time) apart {
+	ranked := slices.Clone(options)
 	for i := range ranked {
-		ranked[i].look(q, part, now)
+		o := &ranked[i]
+		o.look(q, part, now)
+		o.cost = o.harm + o.state.refusal(now) + firstLoss(o.forecast.ready, q.Objective, weightOf(q.InputTokens))/float64(readers)
 	}
-	slices.SortFunc(ranked, func(a, b option) int { return cmp.Compare(a.harm, b.harm) })
+	slices.SortFunc(ranked, func(a, b option) int { return cmp.Compare(a.cost, b.cost) })
+	share := q.holderTokens(n)
+	var a apart
 	var ready time.Duration
-	loss := 0.0
-	for _, o := range slices.Concat(holders, ranked[:more]) {
-		o.look(q, part, now)
+	for _, o := range ranked {
+		switch {
+		case len(a.holders) < n && o.free(q) >= share:
+			a.holders = append(a.holders, o)
+		case len(a.readers) < readers-n:
+			a.readers = append(a.readers, o)
+		default:
+			continue
+		}
+		a.loss += o.harm + o.state.refusal(now) + helperPrice
 		ready = max(ready, o.forecast.ready)
-		loss += o.harm + helperPrice
 	}
-	return loss + firstLoss(ready, q.Objective, weight), ranked
+	if len(a.holders) < n {
+		a.loss = math.Inf(1)
+		return a
+	}
+	a.loss += firstLoss(ready, q.Objective, weightOf(q.InputTokens))
+	return a
 }
 
 // look forecasts a part on the server and what it costs the others there.
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -16,6 +16,12 @@
 	firstFrom, firstTo = 0.7, 1.05
 	// firstPressure prices time to the first token within the objective.
 	firstPressure = 0.08
+	// latePressure is the price of a pass for a stream that is late already, as a
+	// share of its weight for a pass as long as its limit: its caller still waits.
+	latePressure = 0.05
+	// leaveFrom and leaveTo are the passes, as multiples of the limit, between which
+	// callers leave a stream for good.
+	leaveFrom, leaveTo = 5.0, 8.0
 	// helperPrice is the price of one more server for a prompt: every server that
 	// reads a part has its other work wait for it.
 	helperPrice = 0.02
@@ -67,12 +73,17 @@
 	total := 0.0
 	for _, a := range s.works {
 		switch {
-		case a.Writing && !a.late:
+		case a.Writing && a.late:
+			total += a.Weight * (latePressure*float64(f.pass)/float64(a.Pause) + (1-lateLoss)*ramp(f.pass, scale(a.Pause, leaveFrom), scale(a.Pause, leaveTo)))
+		case a.Writing:
 			total += pauseLoss(f.pass, a.Pause, a.Weight)
 		case !a.Writing:
-			// Whatever the pass is, the one that waits starts after it.
 			left := a.FirstBy.Sub(now)
-			total += a.Weight * lateLoss * ramp(f.delay, scale(left, firstFrom/2), left)
+			if left <= 0 {
+				continue // late already
+			}
+			ready := a.ready.Sub(now)
+			total += firstLoss(ready+f.delay, left, a.Weight) - firstLoss(ready, left, a.Weight)
 		}
 	}
 	return total
@@ -82,7 +93,7 @@
 func (s *serverState) company() int {
 	n := 0
 	for _, a := range s.works {
-		if a.Pause > 0 && a.Pause <= shortPause {
+		if a.Pause > 0 && a.Pause <= shortPause && !a.late {
 			n++
 		}
 	}
--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -23,7 +23,8 @@
 
 type activeWork struct {
 	Work
-	late    bool // a pause was over the limit, so that a further one loses nothing
+	late    bool      // a pause was over the limit, so that a further one loses nothing
+	ready   time.Time // when its prompt should be read
 	changed time.Time
 }
 
@@ -71,11 +72,13 @@
 		a.Helpers = nil
 		return
 	}
-	s.read(w, engine, now)
+	a.ready = now.Add(s.read(w, engine, now))
 	for _, key := range w.Helpers {
 		h := l.serverLocked(key)
 		h.helping++
-		h.read(w, engine, now)
+		if ready := now.Add(h.read(w, engine, now)); ready.After(a.ready) {
+			a.ready = ready
+		}
 	}
 }
 
--- a/placement/passes.go
+++ b/placement/passes.go
@@ -38,16 +38,34 @@
 	}
 }
 
-// read adds a part to the pass that can take it.
-func (s *serverState) read(w Work, e *Engine, now time.Time) {
+// read adds a part to the pass that can take it, and returns how long until it is
+// read.
+func (s *serverState) read(w Work, e *Engine, now time.Time) time.Duration {
 	s.advance(e, now)
 	s.noteLong(w.Part, now)
+	f := s.forecast(e, w.Part, now)
+	s.delay(w.ID, f)
 	if now.Before(s.passEnd) {
 		s.next += w.Part
 		s.nextTokens += w.PartTokens
-		return
+		return f.ready
+	}
+	s.passEnd = now.Add(f.ready)
+	return f.ready
+}
+
+// delay notes what a part does to the others on the server: streams whose pause it
+// makes too long have nothing more to lose, and prompts that wait are read later.
+func (s *serverState) delay(id WorkID, f forecast) {
+	for other, a := range s.works {
+		switch {
+		case other == id:
+		case a.Writing:
+			a.late = a.late || a.Pause > 0 && f.pass > a.Pause
+		default:
+			a.ready = a.ready.Add(f.delay)
+		}
 	}
-	s.passEnd = now.Add(s.begins(e) + s.writePass(e) + w.Part)
 }
 
 // begins is how long the pass in progress still takes on average where it only
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -172,6 +172,12 @@
 		w.PartTokens = q.InputTokens / n
 		w.Part = q.Engine.ReadTime(w.PartTokens, q.InputTokens)
 		w.Memory = q.memory()
+		out.Part = w.Part
+		for _, o := range append([]option{first}, helpers...) {
+			o.look(q, w.Part, now)
+			out.Forecast = max(out.Forecast, o.forecast.ready)
+			out.Harm += o.harm
+		}
 		for _, h := range helpers {
 			w.Helpers = append(w.Helpers, h.key)
 			out.Helpers = append(out.Helpers, h.candidate)
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -49,9 +49,13 @@
 	Holders      []Candidate
 	HolderTokens int
 	Urgency      int // for the engine; negative: not said
-	planner      *Planner
-	work         WorkID
-	key          uint64
+	// What the choice was made on, for the log.
+	Part     time.Duration // reading on each server
+	Forecast time.Duration // until the first token
+	Harm     float64       // what the others there were expected to lose
+	planner  *Planner
+	work     WorkID
+	key      uint64
 }
 
 // End tells that the attempt is over.
