Model the order in which a server reads parts

Change: the ledger keeps each server's queue in that order, passes take as many tokens as a pass reads, and a part is charged for every prompt that has one there.

--- a/placement/apart.go
+++ b/placement/apart.go
@@ -81,7 +81,7 @@
 	ranked := slices.Clone(options)
 	for i := range ranked {
 		o := &ranked[i]
-		o.look(q, part, now)
+		o.look(q, part, q.InputTokens/readers, true, now)
 		o.cost = o.harm + o.state.refusal(now) + firstLoss(o.forecast.ready, q.Objective, weightOf(q.InputTokens))/float64(readers)
 	}
 	slices.SortFunc(ranked, func(a, b option) int { return cmp.Compare(a.cost, b.cost) })
@@ -104,12 +104,15 @@
 		a.loss = math.Inf(1)
 		return a
 	}
+	first := a.holders[0]
+	first.look(q, part, q.InputTokens/readers, false, now)
+	ready = max(ready, first.forecast.ready)
 	a.loss += firstLoss(ready, q.Objective, weightOf(q.InputTokens))
 	return a
 }
 
 // look forecasts a part on the server and what it costs the others there.
-func (o *option) look(q Query, part time.Duration, now time.Time) {
-	o.forecast = o.state.forecast(q.Engine, part, now)
+func (o *option) look(q Query, length time.Duration, tokens int, helper bool, now time.Time) {
+	o.forecast = o.state.forecast(q.Engine, length, tokens, helper, now)
 	o.harm = o.state.harm(o.forecast, now)
 }
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -77,15 +77,23 @@
 			total += a.Weight * (latePressure*float64(f.pass)/float64(a.Pause) + (1-lateLoss)*ramp(f.pass, scale(a.Pause, leaveFrom), scale(a.Pause, leaveTo)))
 		case a.Writing:
 			total += pauseLoss(f.pass, a.Pause, a.Weight)
-		case !a.Writing:
-			left := a.FirstBy.Sub(now)
-			if left <= 0 {
-				continue // late already
-			}
-			ready := a.ready.Sub(now)
-			total += firstLoss(ready+f.delay, left, a.Weight) - firstLoss(ready, left, a.Weight)
 		}
 	}
+	return total + s.harmWaiting(f, now)
+}
+
+// harmWaiting is what a part costs the prompts that wait to be read there, each of
+// which may have several parts.
+func (s *serverState) harmWaiting(f forecast, now time.Time) float64 {
+	total := 0.0
+	for _, p := range s.queue {
+		left := p.work.FirstBy.Sub(now)
+		if left <= 0 {
+			continue // late already
+		}
+		ready := p.work.ready.Sub(now)
+		total += firstLoss(ready+f.delay, left, p.work.Weight) - firstLoss(ready, left, p.work.Weight)
+	}
 	return total
 }
 
--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -32,15 +32,13 @@
 // stride of tokens for each writer and reads what waits for it; work that comes
 // while a pass runs is read in the next.
 type serverState struct {
-	passEnd    time.Time     // of the pass that reads now
-	next       time.Duration // reading that waits for the next pass
-	nextTokens int
-	works      map[WorkID]*activeWork // that it answers
-	holds      map[WorkID]int         // tokens that it keeps for others
-	helping    int                    // parts it reads for others
-	longLoad   float64                // share of time spent on long parts, decaying
-	longAt     time.Time              // when longLoad was last brought up to date
-	refusedAt  time.Time              // when it last refused an attempt
+	passEnd   time.Time              // of the pass that reads now
+	queue     []*part                // to be read after it, in order
+	works     map[WorkID]*activeWork // that it answers
+	holds     map[WorkID]int         // tokens that it keeps for others
+	longLoad  float64                // share of time spent on long parts, decaying
+	longAt    time.Time              // when longLoad was last brought up to date
+	refusedAt time.Time              // when it last refused an attempt
 }
 
 // NewLedger returns an empty Ledger. engineOf returns the engine that a server is,
@@ -72,14 +70,30 @@
 		a.Helpers = nil
 		return
 	}
-	a.ready = now.Add(s.read(w, engine, now))
+	l.readLocked(a, s, false, engine, now)
 	for _, key := range w.Helpers {
-		h := l.serverLocked(key)
-		h.helping++
-		if ready := now.Add(h.read(w, engine, now)); ready.After(a.ready) {
-			a.ready = ready
+		l.readLocked(a, l.serverLocked(key), true, engine, now)
+	}
+}
+
+// readLocked queues a part of a work on a server and notes what that does to the
+// others there: streams whose pause it makes too long have nothing more to lose,
+// and prompts that wait are read later.
+func (l *Ledger) readLocked(a *activeWork, s *serverState, helper bool, e *Engine, now time.Time) {
+	s.advance(e, now)
+	f := s.forecast(e, a.Part, a.PartTokens, helper, now)
+	for _, other := range s.works {
+		if other.Writing {
+			other.late = other.late || other.Pause > 0 && f.pass > other.Pause
 		}
 	}
+	for _, p := range s.queue {
+		p.work.ready = p.work.ready.Add(f.delay)
+	}
+	if ready := now.Add(f.ready); ready.After(a.ready) {
+		a.ready = ready
+	}
+	s.add(&part{work: a, helper: helper, left: a.Part, tokens: a.PartTokens}, e, now)
 }
 
 // FirstToken notes that an attempt's prompt is read and its stream has begun.
@@ -92,13 +106,18 @@
 	}
 	a.Writing = true
 	a.changed = now
-	l.endHelpLocked(a)
+	l.endReadingLocked(a)
 }
 
-func (l *Ledger) endHelpLocked(a *activeWork) {
+// endReadingLocked drops what is left of a work's parts: its prompt is read, or
+// nobody waits for it.
+func (l *Ledger) endReadingLocked(a *activeWork) {
+	if s := l.servers[a.Server]; s != nil {
+		s.drop(a.ID)
+	}
 	for _, key := range a.Helpers {
 		if h := l.servers[key]; h != nil {
-			h.helping--
+			h.drop(a.ID)
 		}
 	}
 	a.Helpers = nil
@@ -117,7 +136,7 @@
 		return
 	}
 	delete(l.works, id)
-	l.endHelpLocked(a)
+	l.endReadingLocked(a)
 	if s := l.servers[a.Server]; s != nil {
 		delete(s.works, id)
 	}
@@ -167,7 +186,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for key, s := range l.servers {
-		if !keep(key) && len(s.works) == 0 && len(s.holds) == 0 && s.helping == 0 {
+		if !keep(key) && len(s.works) == 0 && len(s.holds) == 0 && len(s.queue) == 0 {
 			delete(l.servers, key)
 		}
 	}
--- a/placement/passes.go
+++ b/placement/passes.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -11,8 +12,32 @@
 	longPart = 120 * time.Millisecond
 	// longMemory is how fast the share of long reading is forgotten.
 	longMemory = 3 * time.Second
+	// idleSteps is how many steps a pass without writers takes: new work then waits
+	// for a few milliseconds only.
+	idleSteps = 2
 )
 
+// part is a prompt, or a part of one, that a server has yet to read.
+type part struct {
+	work   *activeWork
+	helper bool // read for another server
+	left   time.Duration
+	tokens int // of left
+}
+
+// cut takes up to so many tokens off the part and returns the time to read them.
+func (p *part) cut(tokens int) time.Duration {
+	if tokens >= p.tokens {
+		took := p.left
+		p.left, p.tokens = 0, 0
+		return took
+	}
+	took := time.Duration(float64(p.left) * float64(tokens) / float64(p.tokens))
+	p.left -= took
+	p.tokens -= tokens
+	return took
+}
+
 // writers returns how many streams the server writes, and their contexts together.
 func (s *serverState) writers() (n, context int) {
 	for _, a := range s.works {
@@ -30,47 +55,52 @@
 	return e.WritePass(n, context)
 }
 
-// advance lets the passes end that should have ended by now.
-func (s *serverState) advance(e *Engine, now time.Time) {
-	for s.next > 0 && !now.Before(s.passEnd) {
-		s.passEnd = s.passEnd.Add(s.writePass(e) + s.next)
-		s.next, s.nextTokens = 0, 0
+// passTokens is how many tokens one pass reads at most.
+func (s *serverState) passTokens(e *Engine, writing time.Duration) int {
+	if writing > 0 {
+		return max(1, e.Chunk) * max(1, e.Stride)
 	}
+	return max(1, e.Chunk) * idleSteps
 }
 
-// read adds a part to the pass that can take it, and returns how long until it is
-// read.
-func (s *serverState) read(w Work, e *Engine, now time.Time) time.Duration {
-	s.advance(e, now)
-	s.noteLong(w.Part, now)
-	f := s.forecast(e, w.Part, now)
-	s.delay(w.ID, f)
-	if now.Before(s.passEnd) {
-		s.next += w.Part
-		s.nextTokens += w.PartTokens
-		return f.ready
+// advance lets the passes end that should have ended by now, and begins the next
+// ones. Parts that helpers read go before a server's own, and of them the newest
+// goes first: a long part waits for every part that comes after it.
+func (s *serverState) advance(e *Engine, now time.Time) {
+	for len(s.queue) > 0 && !now.Before(s.passEnd) {
+		writing := s.writePass(e)
+		length, room := writing, s.passTokens(e, writing)
+		for len(s.queue) > 0 && room > 0 {
+			p := s.queue[0]
+			took := min(room, p.tokens)
+			length += p.cut(took)
+			room -= took
+			if p.tokens > 0 {
+				break
+			}
+			s.queue = s.queue[1:]
+		}
+		s.passEnd = s.passEnd.Add(length)
 	}
-	s.passEnd = now.Add(f.ready)
-	return f.ready
 }
 
-// delay notes what a part does to the others on the server: streams whose pause it
-// makes too long have nothing more to lose, and prompts that wait are read later.
-func (s *serverState) delay(id WorkID, f forecast) {
-	for other, a := range s.works {
-		switch {
-		case other == id:
-		case a.Writing:
-			a.late = a.late || a.Pause > 0 && f.pass > a.Pause
-		default:
-			a.ready = a.ready.Add(f.delay)
-		}
+// add queues a part. Call advance before.
+func (s *serverState) add(p *part, e *Engine, now time.Time) {
+	s.noteLong(p.left, now)
+	if !now.Before(s.passEnd) { // nothing is being read
+		s.passEnd = now.Add(s.writePass(e) / 2)
+	}
+	if p.helper {
+		s.queue = slices.Insert(s.queue, 0, p)
+		return
 	}
+	s.queue = append(s.queue, p)
 }
 
-// begins is how long the pass in progress still takes on average where it only
-// writes: half of it.
-func (s *serverState) begins(e *Engine) time.Duration { return s.writePass(e) / 2 }
+// drop removes the parts of a work, which is read or has ended.
+func (s *serverState) drop(id WorkID) {
+	s.queue = slices.DeleteFunc(s.queue, func(p *part) bool { return p.work.ID == id })
+}
 
 func (s *serverState) noteLong(part time.Duration, now time.Time) {
 	s.decayLong(now)
@@ -90,17 +120,58 @@
 // forecast is what one more part would do on a server.
 type forecast struct {
 	ready time.Duration // from now until the part is read
-	pass  time.Duration // length of the pass that reads it, which is a pause for its writers
-	delay time.Duration // for those whose prompts wait to be read
+	pass  time.Duration // length of the longest pass until then, a pause for its writers
+	delay time.Duration // for those whose parts wait to be read
 }
 
 // forecast of a part of so much reading. Call advance first.
-func (s *serverState) forecast(e *Engine, part time.Duration, now time.Time) forecast {
+func (s *serverState) forecast(e *Engine, length time.Duration, tokens int, helper bool, now time.Time) forecast {
 	writing := s.writePass(e)
+	wait := writing / 2
 	if now.Before(s.passEnd) {
-		pass := writing + s.next + part
-		return forecast{ready: s.passEnd.Sub(now) + pass, pass: pass, delay: part}
+		wait = s.passEnd.Sub(now)
+	}
+	backlog, backlogTokens := s.backlog()
+	room := s.passTokens(e, writing)
+	ahead, aheadTokens := backlog, backlogTokens
+	if helper {
+		ahead, aheadTokens = 0, 0
+	}
+	passes := 1 + (aheadTokens+tokens-1)/room
+	// The last pass reads on behind the part as far as it has room.
+	behind := s.fill(backlog-ahead, backlogTokens-aheadTokens, passes*room-aheadTokens-tokens)
+	reading := ahead + length + behind
+	perPass := reading / time.Duration(passes)
+	if passes > 1 {
+		// Full passes read alike; the first one is the longest by its tokens.
+		perPass = time.Duration(float64(reading) * float64(room) / float64(aheadTokens+tokens))
+		perPass = min(perPass, reading)
+	}
+	return forecast{
+		ready: wait + time.Duration(passes)*writing + reading,
+		pass:  writing + perPass,
+		delay: length,
+	}
+}
+
+// backlog is what waits to be read.
+func (s *serverState) backlog() (time.Duration, int) {
+	var sum time.Duration
+	tokens := 0
+	for _, p := range s.queue {
+		sum += p.left
+		tokens += p.tokens
+	}
+	return sum, tokens
+}
+
+// fill is how long a pass reads of a backlog in a room of so many tokens.
+func (s *serverState) fill(backlog time.Duration, tokens, room int) time.Duration {
+	if tokens <= 0 || room <= 0 {
+		return 0
+	}
+	if room >= tokens {
+		return backlog
 	}
-	pass := writing + part
-	return forecast{ready: s.begins(e) + pass, pass: pass, delay: part}
+	return time.Duration(float64(backlog) * float64(room) / float64(tokens))
 }
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -111,25 +111,36 @@
 // pickSpread chooses n servers for a prompt of which each reads a part.
 func pickSpread(q Query, options []option, part time.Duration, n int, now time.Time) (option, []option, float64) {
 	weight := weightOf(q.InputTokens)
-	for i := range options {
-		o := &options[i]
-		o.forecast = o.state.forecast(q.Engine, part, now)
-		o.harm = o.state.harm(o.forecast, now) + firstLoss(o.forecast.ready, q.Objective, weight)/float64(n)
-		o.cost = o.harm + o.burden(q, weight, now)
-	}
-	slices.SortFunc(options, func(a, b option) int { return cmp.Compare(a.cost, b.cost) })
-	first := options[0]
-	rest := slices.Clone(options[1:])
-	slices.SortFunc(rest, func(a, b option) int { return cmp.Compare(a.harm, b.harm) })
+	tokens := q.InputTokens / n
+	first := cheapestFirst(q, options, part, tokens, n, now)
+	rest := make([]option, 0, len(options)-1)
+	for _, o := range options {
+		if o.key == first.key {
+			continue
+		}
+		o.look(q, part, tokens, true, now)
+		o.cost = o.harm + firstLoss(o.forecast.ready, q.Objective, weight)/float64(n)
+		rest = append(rest, o)
+	}
+	slices.SortFunc(rest, func(a, b option) int { return cmp.Compare(a.cost, b.cost) })
 	helpers := rest[:n-1]
-	ready, loss := first.forecast.ready, first.cost
-	loss -= firstLoss(first.forecast.ready, q.Objective, weight) / float64(n)
+	ready, loss := first.forecast.ready, first.harm+first.burden(q, weight, now)
 	for _, h := range helpers {
 		ready = max(ready, h.forecast.ready)
-		loss += h.harm - firstLoss(h.forecast.ready, q.Objective, weight)/float64(n) + helperPrice
+		loss += h.harm + helperPrice
 	}
-	loss += firstLoss(ready, q.Objective, weight)
-	return first, helpers, loss
+	return first, helpers, loss + firstLoss(ready, q.Objective, weight)
+}
+
+// cheapestFirst chooses the server that answers.
+func cheapestFirst(q Query, options []option, part time.Duration, tokens, n int, now time.Time) option {
+	weight := weightOf(q.InputTokens)
+	for i := range options {
+		o := &options[i]
+		o.look(q, part, tokens, false, now)
+		o.cost = o.harm + o.burden(q, weight, now) + firstLoss(o.forecast.ready, q.Objective, weight)/float64(n)
+	}
+	return slices.MinFunc(options, func(a, b option) int { return cmp.Compare(a.cost, b.cost) })
 }
 
 // burden is what answering the query there costs it beside the reading.
@@ -173,8 +184,8 @@
 		w.Part = q.Engine.ReadTime(w.PartTokens, q.InputTokens)
 		w.Memory = q.memory()
 		out.Part = w.Part
-		for _, o := range append([]option{first}, helpers...) {
-			o.look(q, w.Part, now)
+		for i, o := range append([]option{first}, helpers...) {
+			o.look(q, w.Part, w.PartTokens, i > 0, now)
 			out.Forecast = max(out.Forecast, o.forecast.ready)
 			out.Harm += o.harm
 		}
