Count slots and let late requests yield; weigh company and first tokens anew

Change: the wait for a slot is part of the forecast; a request that will be late asks its server to let others go first, and isn't counted before them; a second of reading has a price for the square of the requests it delays.

--- a/placement/cost.go
+++ b/placement/cost.go
@@ -15,7 +15,7 @@
 	// firstFrom and firstTo are the same for the time to the first token.
 	firstFrom, firstTo = 0.7, 1.05
 	// firstPressure prices time to the first token within the objective.
-	firstPressure = 0.08
+	firstPressure = 0.2
 	// latePressure is the price of a pass for a stream that is late already, as a
 	// share of its weight for a pass as long as its limit: its caller still waits.
 	latePressure = 0.05
@@ -27,7 +27,7 @@
 	helperPrice = 0.02
 	// companyGain is what a short stream gains by a server that writes others like
 	// it: long parts keep away from there.
-	companyGain = 0.15
+	companyGain = 0.4
 	// companyEnough is how many such streams give all of that gain.
 	companyEnough = 6
 	// longPrice is what a short stream loses by a server whose time goes into long
@@ -35,9 +35,15 @@
 	longPrice = 1.2
 	// shortPause is the limit up to which a stream counts as short.
 	shortPause = 400 * time.Millisecond
-	// fullPrice is the price of a server without a free slot or memory: the request
+	// fullPrice is the price of a server without free memory: the request
 	// waits there for as long as a whole other request takes.
 	fullPrice = 3.0
+	// delayPrice is the price of a second of reading for the square of the requests
+	// on the server: each keeps its slot for so much longer, and the more slots are
+	// taken the sooner none is left.
+	delayPrice = 0.01
+	// slotTime is how long a request keeps its slot: some thirty passes of 60 ms.
+	slotTime = 2 * time.Second
 	// refusedPrice is the price of a server that refused an attempt just now.
 	refusedPrice = 4.0
 	// refusedMemory is how long that counts.
@@ -70,7 +76,7 @@
 
 // harm is what a part costs the others on a server.
 func (s *serverState) harm(f forecast, now time.Time) float64 {
-	total := 0.0
+	total := delayPrice * f.delay.Seconds() * float64(len(s.works)) * float64(len(s.works))
 	for _, a := range s.works {
 		switch {
 		case a.Writing && a.late:
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -138,18 +138,38 @@
 	for i := range options {
 		o := &options[i]
 		o.look(q, part, tokens, false, now)
+		o.forecast.ready += o.slotWait()
 		o.cost = o.harm + o.burden(q, weight, now) + firstLoss(o.forecast.ready, q.Objective, weight)/float64(n)
 	}
 	return slices.MinFunc(options, func(a, b option) int { return cmp.Compare(a.cost, b.cost) })
 }
 
+// before is how many requests have a slot or get one before a new one that does not
+// yield.
+func (s *serverState) before() int {
+	n := 0
+	for _, a := range s.works {
+		if a.Writing || !a.Yields {
+			n++
+		}
+	}
+	return n
+}
+
+// slotWait is how long a request waits for one of the server's slots.
+func (o *option) slotWait() time.Duration {
+	slots := max(1, o.candidate.Capacity)
+	before := o.state.before() - slots + 1
+	if before <= 0 {
+		return 0
+	}
+	return slotTime * time.Duration(before) / time.Duration(slots)
+}
+
 // burden is what answering the query there costs it beside the reading.
 func (o *option) burden(q Query, weight float64, now time.Time) float64 {
 	s := o.state
 	total := s.refusal(now)
-	if len(s.works) >= max(1, o.candidate.Capacity) {
-		total += fullPrice * weight
-	}
 	if s.memory()+q.memory() > q.Engine.MemoryTokens {
 		total += fullPrice * weight
 	}
@@ -194,6 +214,10 @@
 			out.Helpers = append(out.Helpers, h.candidate)
 		}
 	}
+	w.Yields = q.Stream && q.Engine != nil && first.slotWait()+out.Forecast > q.Objective
+	if w.Yields {
+		out.Urgency += yieldLevels
+	}
 	if len(holders) > 0 {
 		w.HolderMemory = q.holderTokens(len(holders))
 		w.Memory = 0
