--- a/peering/outbox.go
+++ b/peering/outbox.go
@@ -114,7 +114,6 @@
 		Writing:      w.Writing,
 		Holders:      w.Holders,
 		HolderTokens: uint32(w.HolderMemory),
-		Yields:       w.Yields,
 	}
 }
 
@@ -132,6 +131,5 @@
 		Writing:      b.GetWriting(),
 		Holders:      b.GetHolders(),
 		HolderMemory: int(b.GetHolderTokens()),
-		Yields:       b.GetYields(),
 	}
 }
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -25,6 +25,9 @@
 	// helperPrice is the price of one more server for a prompt: every server that
 	// reads a part has its other work wait for it.
 	helperPrice = 0.02
+	// leastPart is the shortest part that a helper is given: below it nothing is
+	// gained, and the first token waits for the slowest of more servers.
+	leastPart = 30 * time.Millisecond
 	// companyGain is what a short stream gains by a server that writes others like
 	// it: long parts keep away from there.
 	companyGain = 0.4
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -97,7 +97,7 @@
 	whole := q.Engine.ReadTime(q.InputTokens, q.InputTokens)
 	best := math.Inf(1)
 	for _, n := range spreads {
-		if n > len(options) || n > 1 && q.Engine.HopTime <= 0 {
+		if n > len(options) || n > 1 && (q.Engine.HopTime <= 0 || whole/time.Duration(n) < leastPart) {
 			break
 		}
 		f, h, loss := pickSpread(q, options, whole/time.Duration(n), n, now)
@@ -144,22 +144,10 @@
 	return slices.MinFunc(options, func(a, b option) int { return cmp.Compare(a.cost, b.cost) })
 }
 
-// before is how many requests have a slot or get one before a new one that does not
-// yield.
-func (s *serverState) before() int {
-	n := 0
-	for _, a := range s.works {
-		if a.Writing || !a.Yields {
-			n++
-		}
-	}
-	return n
-}
-
 // slotWait is how long a request waits for one of the server's slots.
 func (o *option) slotWait() time.Duration {
 	slots := max(1, o.candidate.Capacity)
-	before := o.state.before() - slots + 1
+	before := len(o.state.works) - slots + 1
 	if before <= 0 {
 		return 0
 	}
@@ -214,10 +202,6 @@
 			out.Helpers = append(out.Helpers, h.candidate)
 		}
 	}
-	w.Yields = q.Stream && q.Engine != nil && first.slotWait()+out.Forecast > q.Objective
-	if w.Yields {
-		out.Urgency += yieldLevels
-	}
 	if len(holders) > 0 {
 		w.HolderMemory = q.holderTokens(len(holders))
 		w.Memory = 0
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -26,11 +26,6 @@
 	Stream         bool
 }
 
-// yieldLevels is by how much the urgency of a request falls that will be late: it
-// lets those go first that can still be on time. All of them wait in turn otherwise,
-// and once the wait is longer than the objective every one is late.
-const yieldLevels = 4
-
 // urgencyLevel is the level for the engine's own queue: shorter objectives first.
 func (q Query) urgencyLevel() int {
 	if q.Engine == nil {
--- a/placement/work.go
+++ b/placement/work.go
@@ -27,9 +27,6 @@
 	FirstBy      time.Time     // when the first token is still on time
 	Weight       float64       // what being on time is worth, beside other work
 	Writing      bool          // the first token has come
-	// Yields: it was expected to be late when it was placed, and asked the server
-	// to let others go first.
-	Yields bool
 }
 
 // weightTokens is the prompt that is worth as much as the fixed part of a request.
