--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -33,7 +33,7 @@
 	e.gateway.tally.attempts.Inc(1)
 	response, err := e.send(ctx, place, held)
 	if err != nil {
-		return e.unanswered(ctx, err)
+		return e.unanswered(ctx, place, err)
 	}
 	defer response.Close()
 	return e.answered(ctx, place, response)
@@ -135,7 +135,7 @@
 }
 
 // unanswered follows an attempt that got no head of an answer.
-func (e *exchange) unanswered(ctx context.Context, err error) (step, Reason) {
+func (e *exchange) unanswered(ctx context.Context, place placement.Placement, err error) (step, Reason) {
 	sent := !errors.Is(err, upstream.ErrNotSent)
 	if sent {
 		e.sends++
@@ -145,6 +145,9 @@
 	if ctx.Err() == nil {
 		e.gateway.cfg.Log.WithError(err).WithField("request", e.env.ID).Info("attempt failed")
 	}
+	if sent {
+		e.suspect(ctx, place)
+	}
 	return e.after(request.Situation{Sent: sent, Deadline: ctx.Err() != nil})
 }
 
@@ -159,7 +162,7 @@
 		place.Refused()
 		return e.after(request.Situation{Refused: true, Sent: true})
 	}
-	if e.stream != nil && r.Status == http.StatusOK {
+	if e.stream != nil && r.Status == http.StatusOK && isEvents(r.Header) {
 		return e.passStream(ctx, place, r)
 	}
 	if e.stream != nil && e.stream.started {
@@ -169,6 +172,12 @@
 	return e.passAnswer(ctx, r)
 }
 
+// isEvents reports whether a body is a series of events.
+func isEvents(h http.Header) bool {
+	media, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.EqualFold(strings.TrimSpace(media), "text/event-stream")
+}
+
 // hopByHop lists the headers that concern one connection only.
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -57,6 +57,10 @@
 		return
 	}
 	defer e.gateway.bodies.Add(-int64(len(e.body)))
+	if e.poisoned() {
+		e.refuse(ReasonPoison)
+		return
+	}
 	ctx, cancel, end := deadline(e.incoming.Context(), e.begun, e.env, e.route)
 	defer cancel()
 	e.end = end
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/briarturn/briarturn/placement"
+	"github.com/briarturn/briarturn/quarantine"
 	"github.com/briarturn/briarturn/reservation"
 	"github.com/briarturn/briarturn/routetable"
 	"github.com/briarturn/briarturn/upstream"
@@ -25,6 +26,8 @@
 	Placer    Placer
 	Budget    *RetryBudget
 	Reserver  *reservation.Reserver
+	Suspects  *quarantine.Book
+	Witness   Witness
 	Options   Options
 	Log       logrus.FieldLogger
 	Metrics   metrics.Registry
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -14,6 +14,7 @@
 	broken     metrics.Counter // answers that ended early
 	overBudget metrics.Counter
 	gone       metrics.Counter // callers that left first
+	deaths     metrics.Counter // servers that died under a request
 	latency    metrics.Histogram
 }
 
@@ -37,6 +38,7 @@
 		broken:     counter("answers.broken"),
 		overBudget: counter("retries.over_budget"),
 		gone:       counter("callers.gone"),
+		deaths:     counter("servers.died"),
 		latency: metrics.GetOrRegisterHistogram("gateway.first_byte_ms", r,
 			metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
 	}
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -46,7 +46,7 @@
 		return http.StatusRequestEntityTooLarge
 	case ReasonTimeout:
 		return http.StatusGatewayTimeout
-	case ReasonUnknown, ReasonPoison:
+	case ReasonUnknown:
 		return http.StatusBadGateway
 	}
 	return http.StatusServiceUnavailable
--- /dev/null
+++ b/gateway/suspects.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/briarturn/briarturn/placement"
+	"github.com/briarturn/briarturn/quarantine"
+)
+
+// A request may crash every server that begins to run it, and its caller sends it
+// again. It shows as connections that break before the first byte of an answer, to
+// servers that then refuse connections.
+const (
+	// suspectDeaths refuses a request. Two can be chance: an outage that ends
+	// several servers also ends what was moved from one to the next.
+	suspectDeaths = 3
+	// aliveTimeout bounds the question whether a server still accepts connections.
+	aliveTimeout = 300 * time.Millisecond
+)
+
+// QuarantineOptions are those of the gateway's book.
+func QuarantineOptions() quarantine.Options {
+	o := quarantine.DefaultOptions
+	o.Deaths = suspectDeaths
+	return o
+}
+
+// Witness passes on to other entries that a request was running when a server died.
+// It must not block.
+type Witness interface {
+	Died(r quarantine.Record)
+}
+
+// fingerprint is the same for every attempt with the same caller, path and body.
+func (e *exchange) fingerprint() uint64 {
+	h := xxhash.New()
+	for _, part := range [][]byte{[]byte(e.env.Key), []byte(target(e.incoming)), e.body} {
+		// A hash never fails to take bytes; the zero parts them.
+		_, _ = h.Write(part)
+		_, _ = h.Write([]byte{0})
+	}
+	return h.Sum64()
+}
+
+// poisoned reports whether the request must not run any more.
+func (e *exchange) poisoned() bool {
+	return e.gateway.cfg.Suspects.Verdict(e.fingerprint(), time.Now()) == quarantine.Refuse
+}
+
+// suspect notes a request that got no byte of an answer if its server is gone.
+func (e *exchange) suspect(ctx context.Context, place placement.Placement) {
+	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
+	defer cancel()
+	if e.gateway.cfg.Pool.Accepts(ctx, place.Server.Address) || ctx.Err() != nil {
+		return // it lives, or nobody can tell in time
+	}
+	death := placement.ServerKey(place.Server.Instance)
+	record, news := e.gateway.cfg.Suspects.Died(e.fingerprint(), death, time.Now())
+	if !news {
+		return
+	}
+	e.gateway.tally.deaths.Inc(1)
+	e.gateway.cfg.Log.WithField("request", e.env.ID).WithField("server", place.Server.Address).
+		WithField("deaths", record.Deaths).Warn("server died under a request")
+	e.gateway.cfg.Witness.Died(record)
+}
--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -20,6 +20,7 @@
 	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/peering"
 	"github.com/briarturn/briarturn/placement"
+	"github.com/briarturn/briarturn/quarantine"
 	"github.com/briarturn/briarturn/reservation"
 	"github.com/briarturn/briarturn/routetable"
 	"github.com/briarturn/briarturn/upstream"
@@ -114,6 +115,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
 	incarnation := rand.Uint64()
+	suspects := quarantine.NewBook(gateway.QuarantineOptions())
 	budget := gateway.NewRetryBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow, assumedEntries)
 	exchange, err := peering.Start(ctx, peering.Config{
 		Name:        cfg.Name,
@@ -123,6 +125,7 @@
 		Region:      cfg.Region,
 		Store:       cfg.Store,
 		Ledger:      n.ledger,
+		Suspects:    suspects,
 		Entries:     budget.SetEntries,
 		Log:         cfg.Log,
 		Metrics:     cfg.Metrics,
@@ -139,6 +142,8 @@
 		Pool:      n.pool,
 		Placer:    placement.NewPlanner(n.ledger, incarnation, time.Now, exchange.Teller()),
 		Budget:    budget,
+		Suspects:  suspects,
+		Witness:   exchange.Witness(),
 		Reserver:  reservation.New(cfg.Engines(n.pool), incarnation, cfg.Log),
 		Log:       cfg.Log,
 		Metrics:   cfg.Metrics,
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -158,7 +158,7 @@
 			Metrics: n.cfg.Metrics,
 		},
 		Listen:   n.cfg.DatagramListen,
-		Evidence: func(list []*wirepb.Evidence) { learn(n.book, list, time.Now()) },
+		Evidence: func(list []*wirepb.Evidence) { wire.LearnEvidence(n.book, list, time.Now()) },
 		Pulls:    membership.Pulls{Config: n.pullConfig, Peers: n.pullPeers, Servers: n.pullServers},
 		Log:      n.tasks.log,
 
--- a/internal/node/entry_service.go
+++ b/internal/node/entry_service.go
@@ -6,6 +6,7 @@
 
 	"github.com/briarturn/briarturn/declared"
 	"github.com/briarturn/briarturn/membership"
+	"github.com/briarturn/briarturn/wire"
 	"github.com/briarturn/briarturn/wire/wirepb"
 )
 
@@ -61,7 +62,7 @@
 // report.
 func (s *entryService) ShareEvidence(_ context.Context, in *wirepb.EvidenceList) (*wirepb.EvidenceList, error) {
 	now := time.Now()
-	if news := learn(s.node.book, in.GetEvidence(), now); len(news) > 0 {
+	if news := wire.LearnEvidence(s.node.book, in.GetEvidence(), now); len(news) > 0 {
 		s.node.runner.AddEvidence(news)
 	}
 	return &wirepb.EvidenceList{Evidence: allEvidence(s.node.book, now)}, nil
--- a/internal/node/evidence.go
+++ b/internal/node/evidence.go
@@ -10,40 +10,13 @@
 	"github.com/briarturn/briarturn/agent"
 	"github.com/briarturn/briarturn/membership"
 	"github.com/briarturn/briarturn/quarantine"
+	"github.com/briarturn/briarturn/wire"
 	"github.com/briarturn/briarturn/wire/wirepb"
 )
 
 // shareTimeout bounds one call that passes on crash evidence.
 const shareTimeout = 2 * time.Second
 
-func wireEvidence(r quarantine.Record) *wirepb.Evidence {
-	return &wirepb.Evidence{
-		Fingerprint: r.Fingerprint,
-		Deaths:      uint32(r.Deaths),
-		Quarantined: r.Quarantined,
-		TtlMs:       uint64(max(r.TTL, 0).Milliseconds()),
-		Death:       r.Death,
-	}
-}
-
-// learn enters evidence in a book and returns what was news.
-func learn(book *quarantine.Book, list []*wirepb.Evidence, now time.Time) []*wirepb.Evidence {
-	var news []*wirepb.Evidence
-	for _, e := range list {
-		r := quarantine.Record{
-			Fingerprint: e.GetFingerprint(),
-			Death:       e.GetDeath(),
-			Deaths:      int(e.GetDeaths()),
-			Quarantined: e.GetQuarantined(),
-			TTL:         time.Duration(e.GetTtlMs()) * time.Millisecond,
-		}
-		if book.Learn(r, now) {
-			news = append(news, e)
-		}
-	}
-	return news
-}
-
 // sharedBook is an entry's book that spreads what is news. The entry that sees a
 // death hears of it before the agent's own report; if it kept that to itself,
 // the report would be no news any more and nobody would pass it on.
@@ -56,7 +29,7 @@
 func (b sharedBook) Died(fingerprint, death uint64, now time.Time) (quarantine.Record, bool) {
 	record, news := b.Book.Died(fingerprint, death, now)
 	if news {
-		b.runner.AddEvidence([]*wirepb.Evidence{wireEvidence(record)})
+		b.runner.AddEvidence([]*wirepb.Evidence{wire.EvidenceMessage(record)})
 	}
 	return record, news
 }
@@ -64,7 +37,7 @@
 func allEvidence(book *quarantine.Book, now time.Time) []*wirepb.Evidence {
 	var out []*wirepb.Evidence
 	for _, r := range book.Records(now) {
-		out = append(out, wireEvidence(r))
+		out = append(out, wire.EvidenceMessage(r))
 	}
 	return out
 }
@@ -85,7 +58,7 @@
 			n.tasks.log.WithFields(logrus.Fields{"workspace": s.Workspace, "request": s.RequestID, "entry": s.Entry}).
 				Warn("prompt quarantined: engines died under it")
 		}
-		list = append(list, wireEvidence(record))
+		list = append(list, wire.EvidenceMessage(record))
 	}
 	if len(list) == 0 {
 		return nil
@@ -98,7 +71,7 @@
 			ctx, cancel := context.WithTimeout(ctx, shareTimeout)
 			defer cancel()
 			known, err := n.dialer.ShareEvidence(ctx, addr, &wirepb.EvidenceList{Evidence: list})
-			learn(n.book, known.GetEvidence(), time.Now())
+			wire.LearnEvidence(n.book, known.GetEvidence(), time.Now())
 			return err
 		})
 	}
--- a/peering/exchange.go
+++ b/peering/exchange.go
@@ -10,9 +10,11 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/briarturn/briarturn/gateway"
 	"github.com/briarturn/briarturn/internal/sleep"
 	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/placement"
+	"github.com/briarturn/briarturn/quarantine"
 	"github.com/briarturn/briarturn/wire"
 	"github.com/briarturn/briarturn/wire/wirepb"
 )
@@ -41,6 +43,7 @@
 	Region      string
 	Store       objectapi.Store
 	Ledger      *placement.Ledger
+	Suspects    *quarantine.Book
 	// Entries is told how many entries there are, this one included.
 	Entries func(n int)
 	Log     logrus.FieldLogger
@@ -89,6 +92,9 @@
 // Teller returns what the entry's planner tells of its attempts.
 func (x *Exchange) Teller() placement.Teller { return x.outbox }
 
+// Witness returns what the entry's gateway tells of servers that died.
+func (x *Exchange) Witness() gateway.Witness { return x.outbox }
+
 // Close ends the datagrams.
 func (x *Exchange) Close() error { return errors.Trace(x.datagrams.Close()) }
 
@@ -219,6 +225,7 @@
 	for _, seq := range m.GetEnded() {
 		x.cfg.Ledger.End(placement.WorkID{Owner: owner, Seq: seq})
 	}
+	wire.LearnEvidence(x.cfg.Suspects, m.GetEvidence(), now)
 	if m.GetBeat() {
 		x.cfg.Ledger.Keep(owner, m.GetActive(), now.Add(-settleTime))
 	}
--- a/peering/outbox.go
+++ b/peering/outbox.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/briarturn/briarturn/placement"
+	"github.com/briarturn/briarturn/quarantine"
+	"github.com/briarturn/briarturn/wire"
 	"github.com/briarturn/briarturn/wire/wirepb"
 )
 
@@ -24,6 +26,7 @@
 
 	mu    sync.Mutex // guards what follows
 	began []placement.Work
+	died  []quarantine.Record
 	first []uint64
 	ended []uint64
 }
@@ -56,6 +59,14 @@
 	o.signal()
 }
 
+// Died implements gateway.Witness.
+func (o *outbox) Died(r quarantine.Record) {
+	o.mu.Lock()
+	o.died = append(o.died, r)
+	o.mu.Unlock()
+	o.signal()
+}
+
 func (o *outbox) signal() {
 	select {
 	case o.wake <- struct{}{}:
@@ -67,16 +78,20 @@
 func (o *outbox) urgent() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.began) > 0
+	return len(o.began)+len(o.died) > 0
 }
 
 // take empties the outbox into messages that fit a datagram each.
 func (o *outbox) take(now time.Time) []*wirepb.WorkNews {
 	o.mu.Lock()
-	began, first, ended := o.began, o.first, o.ended
-	o.began, o.first, o.ended = nil, nil, nil
+	began, first, ended, died := o.began, o.first, o.ended, o.died
+	o.began, o.first, o.ended, o.died = nil, nil, nil, nil
 	o.mu.Unlock()
-	return pack(o.owner, began, first, ended, now)
+	out := pack(o.owner, began, first, ended, now)
+	for _, r := range died {
+		out = append(out, &wirepb.WorkNews{Owner: o.owner, Evidence: []*wirepb.Evidence{wire.EvidenceMessage(r)}})
+	}
+	return out
 }
 
 // maxSeqs bounds the numbers of one datagram; each takes up to four bytes.
--- /dev/null
+++ b/upstream/exchange_test.go
@@ -0,0 +1,253 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+)
+
+// serve answers each connection by hand.
+func serve(t *testing.T, handle func(net.Conn, *bufio.Reader)) string {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = lis.Close() })
+	go func() {
+		for {
+			conn, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				handle(conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return lis.Addr().String()
+}
+
+func any200(int, http.Header) bool { return true }
+
+func get() *Request {
+	return &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, Mine: any200}
+}
+
+// do sends a request, reads the answer whole and returns it.
+func do(t *testing.T, p *Pool, address string, r *Request) (string, error) {
+	t.Helper()
+	response, err := p.Do(t.Context(), address, r)
+	if err != nil {
+		return "", err
+	}
+	defer response.Close()
+	body, err := io.ReadAll(response.Body)
+	return string(body), err
+}
+
+func opened(r metrics.Registry) int64 {
+	return metrics.GetOrRegisterCounter("upstream.connections.opened", r).Count()
+}
+
+// answerEach answers every request on a connection with a text.
+func answerEach(text string) func(net.Conn, *bufio.Reader) {
+	return func(conn net.Conn, in *bufio.Reader) {
+		for {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(conn, text)
+		}
+	}
+}
+
+func TestConnectionsAreKept(t *testing.T) {
+	for _, c := range []struct {
+		name, answer string
+		opened       int64
+	}{
+		{"length", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 1},
+		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", 1},
+		{"close", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", 3},
+		{"interim", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 1},
+		{"keep for no time", "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok", 3},
+		{"more behind it", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok!!", 3},
+	} {
+		r := metrics.NewRegistry()
+		p := NewPool(r)
+		address := serve(t, answerEach(c.answer))
+		for range 3 {
+			if body, err := do(t, p, address, get()); err != nil || body != "ok" {
+				t.Fatalf("%s: %q, %v", c.name, body, err)
+			}
+		}
+		if n := opened(r); n != c.opened {
+			t.Errorf("%s: %d connections, want %d", c.name, n, c.opened)
+		}
+	}
+}
+
+// Symptom: a torn answer is taken for a whole one.
+// Sequence: the server ends the connection before the answer's length or last
+// chunk.
+// Cause: an end of the connection isn't an end of the answer.
+func TestTornAnswersAreErrors(t *testing.T) {
+	for _, answer := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+	} {
+		address := serve(t, func(conn net.Conn, in *bufio.Reader) {
+			if _, err := http.ReadRequest(in); err == nil {
+				_, _ = io.WriteString(conn, answer)
+			}
+		})
+		_, err := do(t, NewPool(metrics.NewRegistry()), address, get())
+		if !errors.Is(err, ErrBroken) {
+			t.Errorf("%q: error %v", answer, err)
+		}
+	}
+}
+
+func TestNoAnswerIsBrokenAndNoConnectionIsNotSent(t *testing.T) {
+	p := NewPool(metrics.NewRegistry())
+	silent := serve(t, func(_ net.Conn, in *bufio.Reader) { _, _ = http.ReadRequest(in) })
+	if _, err := do(t, p, silent, get()); !errors.Is(err, ErrBroken) || errors.Is(err, ErrNotSent) {
+		t.Errorf("error %v", err)
+	}
+	garbage := serve(t, answerEach("what?\r\n\r\n"))
+	if _, err := do(t, p, garbage, get()); !errors.Is(err, ErrBroken) {
+		t.Errorf("error %v", err)
+	}
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = lis.Close()
+	if _, err := do(t, p, lis.Addr().String(), get()); !errors.Is(err, ErrNotSent) {
+		t.Errorf("error %v", err)
+	}
+}
+
+// Symptom: a server runs a request that nobody sent.
+// Sequence: it answers before it has read a long body, keeps the connection and
+// reads on; the next request goes out on it.
+// Cause: the rest of the body was never written, and what came next was read for it.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	r := metrics.NewRegistry()
+	p := NewPool(r)
+	address := serve(t, func(conn net.Conn, in *bufio.Reader) {
+		if _, err := in.ReadString('\n'); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n")
+		<-time.After(50 * time.Millisecond) // it reads none of the body meanwhile
+	})
+	long := &Request{
+		Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Mine: any200,
+		Body: []byte(strings.Repeat("x", 32<<20)), // more than the sockets buffer
+	}
+	for range 2 {
+		if _, err := do(t, p, address, long); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := opened(r); n != 2 {
+		t.Errorf("%d connections, want 2", n)
+	}
+}
+
+// Symptom: a request fails on a connection that the server had closed long ago.
+// Sequence: the server closes an idle connection; the next request goes out on it.
+// Cause: an idle connection isn't read, so that its end isn't seen.
+func TestClosedIdleConnectionsAreLeftAlone(t *testing.T) {
+	p := NewPool(metrics.NewRegistry())
+	closed := make(chan struct{}, 2)
+	address := serve(t, func(conn net.Conn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		_ = conn.Close()
+		closed <- struct{}{}
+	})
+	for range 2 {
+		if _, err := do(t, p, address, get()); err != nil {
+			t.Fatal(err)
+		}
+		<-closed
+	}
+}
+
+func TestEndOfTheContextClosesTheConnection(t *testing.T) {
+	ended := make(chan struct{})
+	address := serve(t, func(conn net.Conn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok")
+		_, _ = in.ReadByte()
+		close(ended)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	response, err := NewPool(metrics.NewRegistry()).Do(ctx, address, get())
+	if err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	<-ended
+	if _, err := io.ReadAll(response.Body); !errors.Is(err, ErrBroken) {
+		t.Errorf("error %v", err)
+	}
+	response.Close()
+}
+
+func TestKeepFor(t *testing.T) {
+	for value, want := range map[string]time.Duration{
+		"": defaultKeep, "timeout=5": 3 * time.Second, "max=3, Timeout=10": 6 * time.Second, "timeout=x": defaultKeep,
+	} {
+		if got := keepFor(http.Header{"Keep-Alive": {value}}); got != want {
+			t.Errorf("%q: %v, want %v", value, got, want)
+		}
+	}
+}
+
+// The head goes out as it came, but for the framing, which is the gateway's.
+func TestHeadOnTheWire(t *testing.T) {
+	got := make(chan string, 1)
+	address := serve(t, func(conn net.Conn, in *bufio.Reader) {
+		var head strings.Builder
+		for {
+			line, err := in.ReadString('\n')
+			head.WriteString(line)
+			if err != nil || line == "\r\n" {
+				break
+			}
+		}
+		got <- head.String()
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	})
+	r := &Request{
+		Method: http.MethodPost, Target: "/a%2Fb?c", Host: "h:1", Body: []byte("ab"), Mine: any200,
+		Header: http.Header{"X-A": {"1"}, "Transfer-Encoding": {"chunked"}, "Content-Length": {"9"}},
+	}
+	if _, err := do(t, NewPool(metrics.NewRegistry()), address, r); err != nil {
+		t.Fatal(err)
+	}
+	want := fmt.Sprintf("POST /a%%2Fb?c HTTP/1.1\r\nHost: h:1\r\nContent-Length: %d\r\nX-A: 1\r\n\r\n", len(r.Body))
+	if head := <-got; head != want {
+		t.Errorf("head %q, want %q", head, want)
+	}
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -70,6 +70,18 @@
 	return newConn(c), nil
 }
 
+// Accepts reports whether a server takes a new connection, which is kept for the
+// next request.
+func (p *Pool) Accepts(ctx context.Context, address string) bool {
+	c, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	p.opened.Inc(1)
+	p.put(address, newConn(c), defaultKeep)
+	return true
+}
+
 func (p *Pool) pop(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- /dev/null
+++ b/wire/evidence.go
@@ -0,0 +1,37 @@
+package wire
+
+import (
+	"time"
+
+	"github.com/briarturn/briarturn/quarantine"
+	"github.com/briarturn/briarturn/wire/wirepb"
+)
+
+// EvidenceMessage encodes a record of a quarantine.
+func EvidenceMessage(r quarantine.Record) *wirepb.Evidence {
+	return &wirepb.Evidence{
+		Fingerprint: r.Fingerprint,
+		Deaths:      uint32(r.Deaths),
+		Quarantined: r.Quarantined,
+		TtlMs:       uint64(max(r.TTL, 0).Milliseconds()),
+		Death:       r.Death,
+	}
+}
+
+// LearnEvidence enters evidence in a book and returns what was news.
+func LearnEvidence(book *quarantine.Book, list []*wirepb.Evidence, now time.Time) []*wirepb.Evidence {
+	var news []*wirepb.Evidence
+	for _, e := range list {
+		r := quarantine.Record{
+			Fingerprint: e.GetFingerprint(),
+			Death:       e.GetDeath(),
+			Deaths:      int(e.GetDeaths()),
+			Quarantined: e.GetQuarantined(),
+			TTL:         time.Duration(e.GetTtlMs()) * time.Millisecond,
+		}
+		if book.Learn(r, now) {
+			news = append(news, e)
+		}
+	}
+	return news
+}
