--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -100,6 +100,8 @@
 	ledger    *placement.Ledger
 	exchange  *peering.Exchange
 	engines   engineIndex
+
+	address, readyAddress string // as bound
 }
 
 // Start binds the addresses and begins to serve. The node answers 503 until it has
@@ -169,6 +171,7 @@
 		_ = callers.Close() // nothing was accepted on it
 		return errors.Annotatef(err, "step listen for readiness, address %s", n.cfg.ReadyListen)
 	}
+	n.address, n.readyAddress = callers.Addr().String(), ready.Addr().String()
 	n.callers = &http.Server{
 		Handler:           n.gateway,
 		ReadHeaderTimeout: headerTimeout,
@@ -190,6 +193,12 @@
 	return nil
 }
 
+// Address returns where callers are served, with the port that was bound.
+func (n *Node) Address() string { return n.address }
+
+// ReadyAddress returns where the balancer asks, with the port that was bound.
+func (n *Node) ReadyAddress() string { return n.readyAddress }
+
 func (n *Node) run(s *http.Server, lis net.Listener) {
 	if err := s.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
 		n.cfg.Log.WithError(err).WithField("address", lis.Addr().String()).Error("server ended")
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -13,7 +13,7 @@
 // deciding lists the packages that decide and do no I/O: time, randomness and
 // peers are arguments, so that others can embed them beside any transport.
 var deciding = []string{
-	"backend", "internal/table", "invariant", "quarantine", "request", "routing", "slo", "workspace",
+	"backend", "internal/table", "invariant", "placement", "quarantine", "request", "routing", "slo", "workspace",
 }
 
 // embeddable lists the other packages that stand without this project's
--- a/peering/exchange.go
+++ b/peering/exchange.go
@@ -160,7 +160,7 @@
 		}
 		// More than fit are not listed; without the mark of a whole list nobody
 		// ends what is missing.
-		if len(m.Active) > 2*maxSeqs {
+		if len(m.Active) > maxBeat {
 			m.Active, m.Beat = nil, false
 		}
 		x.sendAll(m)
--- /dev/null
+++ b/peering/exchange_test.go
@@ -0,0 +1,173 @@
+package peering
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/briarturn/briarturn/internal/quiet"
+	memory "github.com/briarturn/briarturn/internal/standin/objectapi"
+	"github.com/briarturn/briarturn/objectapi"
+	"github.com/briarturn/briarturn/placement"
+	"github.com/briarturn/briarturn/quarantine"
+	"github.com/briarturn/briarturn/wire/wirepb"
+)
+
+// entry is one end of an exchange over loopback.
+type entry struct {
+	exchange *Exchange
+	ledger   *placement.Ledger
+	suspects *quarantine.Book
+	stop     context.CancelFunc
+	entries  chan int
+}
+
+func startEntry(t *testing.T, store objectapi.Store, name string, incarnation uint64) *entry {
+	t.Helper()
+	ctx, stop := context.WithCancel(t.Context())
+	e := &entry{
+		ledger:   placement.NewLedger(func(uint64) *placement.Engine { return nil }),
+		suspects: quarantine.NewBook(quarantine.DefaultOptions),
+		stop:     stop,
+		entries:  make(chan int, 64),
+	}
+	x, err := Start(ctx, Config{
+		Name: name, Listen: "127.0.0.1:0", Incarnation: incarnation, Store: store, Ledger: e.ledger, Suspects: e.suspects,
+		Entries: func(n int) { e.entries <- n }, Log: quiet.Logger(), Metrics: metrics.NewRegistry(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.exchange = x
+	t.Cleanup(func() { stop(); _ = x.Close() })
+	return e
+}
+
+// await asks until ok, for a minute at most.
+func await(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(time.Minute); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain: %s", what)
+		}
+	}
+}
+
+// begin notes a work on an entry and tells the others, as a planner does.
+func (e *entry) begin(owner, seq uint64) placement.Work {
+	w := placement.Work{
+		ID: placement.WorkID{Owner: owner, Seq: seq}, Server: 7, Helpers: []uint64{8, 9}, Part: time.Second, PartTokens: 10,
+		Memory: 20, Pause: time.Second, Weight: 3, Holders: []uint64{7, 8}, HolderMemory: 11,
+	}
+	e.ledger.Begin(w, time.Now())
+	e.exchange.Teller().Began(w)
+	return w
+}
+
+func (e *entry) knows(owner uint64) int { return len(e.ledger.Active(owner)) }
+
+func TestEntriesHearOfEachOthersWork(t *testing.T) {
+	store := memory.NewMemory(memory.Config{})
+	a, b := startEntry(t, store, "a", 1), startEntry(t, store, "b", 2)
+	await(t, "both found each other", func() bool { return <-a.entries == 2 })
+	await(t, "both found each other", func() bool { return <-b.entries == 2 })
+	w := a.begin(1, 1)
+	await(t, "b hears what began", func() bool { return b.knows(1) == 1 })
+	if got := b.ledger.Active(1)[0]; got.Server != w.Server || got.Memory != w.Memory || got.HolderMemory != w.HolderMemory || len(got.Holders) != 2 {
+		t.Errorf("b knows %+v", got)
+	}
+	a.ledger.FirstToken(w.ID, time.Now())
+	a.exchange.Teller().FirstToken(w.ID)
+	await(t, "b hears of the first token", func() bool { return b.ledger.Active(1)[0].Writing })
+	a.ledger.End(w.ID)
+	a.exchange.Teller().Ended(w.ID)
+	await(t, "b hears of the end", func() bool { return b.knows(1) == 0 })
+}
+
+// Symptom: an entry that starts anew places its first prompts on busy engines.
+// Sequence: others have work in progress; an entry starts.
+// Cause: news tell of changes only.
+func TestNewEntryHearsOfWorkInProgress(t *testing.T) {
+	store := memory.NewMemory(memory.Config{})
+	a := startEntry(t, store, "a", 1)
+	for seq := range uint64(10) {
+		a.begin(1, seq+1)
+	}
+	b := startEntry(t, store, "b", 2)
+	await(t, "b knows all", func() bool { return b.knows(1) == 10 })
+}
+
+// Symptom: engines look busy for as long as an entry lives.
+// Sequence: the datagram that tells of an end is lost.
+// Cause: nothing makes up for a lost one. The beat does.
+func TestBeatMakesUpForLostNews(t *testing.T) {
+	store := memory.NewMemory(memory.Config{})
+	a, b := startEntry(t, store, "a", 1), startEntry(t, store, "b", 2)
+	await(t, "both found each other", func() bool { return <-a.entries == 2 })
+	w := a.begin(1, 1)
+	await(t, "b hears what began", func() bool { return b.knows(1) == 1 })
+	a.ledger.End(w.ID) // and nobody is told
+	await(t, "b notices by the beat", func() bool { return b.knows(1) == 0 })
+}
+
+func TestSilentEntrysWorkIsForgotten(t *testing.T) {
+	store := memory.NewMemory(memory.Config{})
+	a, b := startEntry(t, store, "a", 1), startEntry(t, store, "b", 2)
+	await(t, "both found each other", func() bool { return <-a.entries == 2 })
+	a.begin(1, 1)
+	await(t, "b hears what began", func() bool { return b.knows(1) == 1 })
+	a.stop()
+	await(t, "b notices the silence", func() bool { return b.knows(1) == 0 })
+}
+
+func TestDeathsAreKnownToAll(t *testing.T) {
+	store := memory.NewMemory(memory.Config{})
+	a, b := startEntry(t, store, "a", 1), startEntry(t, store, "b", 2)
+	await(t, "both found each other", func() bool { return <-a.entries == 2 })
+	for death := range uint64(quarantine.DefaultOptions.Deaths) {
+		record, _ := a.suspects.Died(5, death+1, time.Now())
+		a.exchange.Witness().Died(record)
+	}
+	await(t, "b refuses it", func() bool { return b.suspects.Verdict(5, time.Now()) == quarantine.Refuse })
+}
+
+// Symptom: an entry that restarted is not found by the others.
+// Sequence: it dies without a word and starts at another address under its name.
+// Cause: its old presence stood in the way of the new one.
+func TestRestartedEntryIsFound(t *testing.T) {
+	store := memory.NewMemory(memory.Config{})
+	a := startEntry(t, store, "a", 1)
+	old := startEntry(t, store, "b", 2)
+	await(t, "both found each other", func() bool { return <-a.entries == 2 })
+	old.stop()
+	b := startEntry(t, store, "b", 3)
+	a.begin(1, 1)
+	await(t, "the restarted one hears", func() bool { return b.knows(1) == 1 })
+}
+
+func TestPackFitsDatagrams(t *testing.T) {
+	var began []placement.Work
+	var ended []uint64
+	for seq := range uint64(300) {
+		began = append(began, placement.Work{ID: placement.WorkID{Owner: 1, Seq: seq + 1<<30}, Server: 1, Helpers: make([]uint64, 15), Holders: make([]uint64, 8)})
+		ended = append(ended, seq+1<<40)
+	}
+	messages := pack(1, began, ended, ended, time.Now())
+	total := 0
+	for _, m := range messages {
+		if n := sizeOf(m); n > 1200 {
+			t.Fatalf("%d bytes", n)
+		}
+		total += len(m.GetBegan()) + len(m.GetEnded())
+	}
+	if total != 600 {
+		t.Errorf("%d pieces of news, want 600", total)
+	}
+}
+
+func sizeOf(m *wirepb.WorkNews) int {
+	return proto.Size(&wirepb.Datagram{Body: &wirepb.Datagram_Work{Work: m}})
+}
--- a/peering/outbox.go
+++ b/peering/outbox.go
@@ -94,8 +94,13 @@
 	return out
 }
 
-// maxSeqs bounds the numbers of one datagram; each takes up to four bytes.
-const maxSeqs = 100
+const (
+	// maxSeqs bounds the numbers of one kind beside what began in a datagram of
+	// 1,200 bytes; after a million requests a day for years one takes six bytes.
+	maxSeqs = 40
+	// maxBeat bounds the numbers of a beat, which holds nothing else.
+	maxBeat = 180
+)
 
 func pack(owner uint64, began []placement.Work, first, ended []uint64, now time.Time) []*wirepb.WorkNews {
 	var out []*wirepb.WorkNews
@@ -106,9 +111,9 @@
 			m.Began = append(m.Began, encode(w, now))
 		}
 		began = began[n:]
-		n = min(len(first), maxSeqs/2)
+		n = min(len(first), maxSeqs)
 		m.FirstToken, first = first[:n], first[n:]
-		n = min(len(ended), maxSeqs/2)
+		n = min(len(ended), maxSeqs)
 		m.Ended, ended = ended[:n], ended[n:]
 		out = append(out, m)
 	}
