--- a/gateway/options.go
+++ b/gateway/options.go
@@ -9,10 +9,11 @@
 	// DefaultTimeout bounds a request whose route and caller give no time limit.
 	DefaultTimeout = 30 * time.Second
 	// DefaultKeyAge is how old the proof that the configuration is current may be
-	// for requests that need a key. Operators may expect a removed key to be
-	// refused everywhere after 5 s; a watch may be deaf for a second, which leaves
-	// half a second.
-	DefaultKeyAge = 3500 * time.Millisecond
+	// for requests that need a key. Operators expect a removed key to be refused
+	// everywhere after 5 s. The proof counts from before the store was asked and a
+	// request was sent before it is judged, so that no more than the drift of a
+	// clock has to fit in what is left.
+	DefaultKeyAge = 4500 * time.Millisecond
 	// DefaultBodyBytes bounds a body where the configuration sets no limit.
 	DefaultBodyBytes = 4 << 20
 	// DefaultBodiesBytes bounds the request bodies that are held at a time: a
