--- a/internal/dev/metrics_test.go
+++ b/internal/dev/metrics_test.go
@@ -9,8 +9,13 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/briarturn/briarturn/internal/gatewaynode"
 	"github.com/briarturn/briarturn/internal/load"
+	"github.com/briarturn/briarturn/internal/quiet"
+	standin "github.com/briarturn/briarturn/internal/standin/objectapi"
 	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/reservation"
+	"github.com/briarturn/briarturn/upstream"
 )
 
 // pageRow is one metric of docs/METRICS.md.
@@ -51,6 +56,8 @@
 		return "counter"
 	case metrics.Gauge:
 		return "gauge"
+	case metrics.Histogram:
+		return "histogram"
 	case metrics.Timer:
 		return "timer"
 	}
@@ -72,7 +79,7 @@
 		t.Fatal(err)
 	}
 	rows := readPage(t)
-	registries := append([]metrics.Registry{client}, f.Metrics...)
+	registries := append([]metrics.Registry{client, gatewayRegistry(t)}, f.Metrics...)
 	for _, b := range f.Backends {
 		registries = append(registries, b.Metrics)
 	}
@@ -99,3 +106,23 @@
 	}
 	t.Errorf("the page lacks %s, a %s", name, kind)
 }
+
+// gatewayRegistry is the registry of a gateway that has started.
+func gatewayRegistry(t *testing.T) metrics.Registry {
+	t.Helper()
+	r := metrics.NewRegistry()
+	const free = "127.0.0.1:0"
+	n, err := gatewaynode.Start(gatewaynode.Config{
+		Name: "gateway", Listen: free, ReadyListen: free, Datagram: free, AdminListen: free,
+		Grace: time.Second, RetryWindow: time.Second,
+		Store: standin.NewMemory(standin.Config{}), Protocol: platform.Protocol{},
+		Engines: func(p *upstream.Pool) reservation.Engines { return platform.NewOrders(p) },
+		Decoder: gatewaynode.Decoder{ConfigKind: platform.KindConfig, ServersKind: platform.KindServers},
+		Log:     quiet.Logger(), Metrics: r,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.Close)
+	return r
+}
