Let huge prompts wait for a moment at which they cost less; keep slots for bursts

Change: the last slots have a price; a long prompt whose harm exceeds its gain waits, for less the longer it waited; parts behind a prompt count for its first pause.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -51,7 +51,7 @@
 
 // place chooses the server among those that had no attempt yet, or among all if
 // every one had.
-func (e *exchange) place() (placement.Placement, bool) {
+func (e *exchange) place() (placement.Placement, placement.Answer) {
 	g := e.gateway
 	var candidates, had []placement.Candidate
 	now := time.Now()
@@ -80,6 +80,7 @@
 		Objective:      e.route.Objective - time.Since(e.begun),
 		PauseObjective: e.route.PauseObjective,
 		Left:           time.Until(e.end),
+		Waited:         time.Since(e.begun),
 		Urgency:        e.urgency(),
 		Stream:         e.route.Kind == routetable.Stream,
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,8 +35,8 @@
 
 // Placer chooses where an attempt runs, and hears what becomes of it.
 type Placer interface {
-	// Place chooses among candidates. ok is false if none can take it.
-	Place(q placement.Query, candidates []placement.Candidate) (p placement.Placement, ok bool)
+	// Place chooses among candidates.
+	Place(q placement.Query, candidates []placement.Candidate) (placement.Placement, placement.Answer)
 }
 
 // Gateway is the http.Handler of an entry for routed requests. It is safe for
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -86,7 +86,7 @@
 // inOrder places on the first candidate by instance, so that tests know where.
 type inOrder struct{ planner *placement.Planner }
 
-func (p inOrder) Place(q placement.Query, candidates []placement.Candidate) (placement.Placement, bool) {
+func (p inOrder) Place(q placement.Query, candidates []placement.Candidate) (placement.Placement, placement.Answer) {
 	first := -1
 	for i, c := range candidates {
 		if first < 0 || c.Instance < candidates[first].Instance {
@@ -94,7 +94,7 @@
 		}
 	}
 	if first < 0 {
-		return placement.Placement{}, false
+		return placement.Placement{}, placement.NoRoom
 	}
 	return p.planner.Place(q, candidates[first:first+1])
 }
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -23,29 +23,34 @@
 )
 
 // placeWithMemory places an attempt, and where the prompt is kept on several
-// servers reserves their memory first. It waits for memory for a bounded time.
+// servers reserves their memory first. It waits for memory for a bounded time, and
+// for a moment at which it costs the others less for as long as the placer says.
 func (e *exchange) placeWithMemory(ctx context.Context) (placement.Placement, *reservation.Held, bool) {
 	limit := max(time.Duration(memoryShare*float64(e.route.Objective))-time.Since(e.begun), memoryLeast)
 	until := time.Now().Add(limit)
 	for {
-		place, ok := e.place()
-		if ok && len(place.Holders) == 0 {
-			return place, nil, true
-		}
-		if ok {
+		place, answer := e.place()
+		if answer == placement.Placed {
 			held, err := e.reserve(ctx, place)
 			if err == nil {
 				return place, held, true
 			}
 			place.End()
 		}
-		if e.env.Prompt.InputTokens == 0 || time.Now().After(until) || !sleep.For(ctx, memoryPause) {
+		if answer != placement.Later && time.Now().After(until) {
+			return placement.Placement{}, nil, false
+		}
+		if e.env.Prompt.InputTokens == 0 || !sleep.For(ctx, memoryPause) {
 			return placement.Placement{}, nil, false
 		}
 	}
 }
 
+// reserve sets the memory of a placement aside; most need none.
 func (e *exchange) reserve(ctx context.Context, place placement.Placement) (*reservation.Held, error) {
+	if len(place.Holders) == 0 {
+		return nil, nil
+	}
 	parts := make([]reservation.Part, len(place.Holders))
 	for i, h := range place.Holders {
 		parts[i] = reservation.Part{
--- a/placement/apart.go
+++ b/placement/apart.go
@@ -42,73 +42,62 @@
 // holderTokens is what each of n servers keeps.
 func (q Query) holderTokens(n int) int { return int(math.Ceil(float64(q.memory()) / float64(n))) }
 
-// placeApart places a prompt on servers that keep it together, and perhaps more that
-// only read. Of all numbers of both it takes those with the least loss. ok is false
+// pickApart chooses servers that keep a prompt together, and perhaps more that only
+// read. Of all numbers of both it takes those with the least loss, which is infinite
 // if all servers together have no room now.
-func (p *Planner) placeApart(q Query, options []option, now time.Time) (Placement, bool) {
-	for i := range options {
-		options[i].state.advance(q.Engine, now)
-	}
+func pickApart(q Query, options []option, now time.Time) choice {
 	whole := q.Engine.ReadTime(q.InputTokens, q.InputTokens)
-	best := apart{loss: math.Inf(1)}
+	best := choice{loss: math.Inf(1)}
 	for n := 2; n <= min(len(options), maxHolders); n++ {
 		for _, readers := range spreads {
 			if readers < max(n, min(apartSpread, len(options))) || readers > len(options) {
 				continue
 			}
-			if a := pickApart(q, options, n, readers, whole/time.Duration(readers), now); a.loss < best.loss {
-				best = a
+			if c := pickHolders(q, options, n, readers, whole/time.Duration(readers), now); c.loss < best.loss {
+				best = c
 			}
 		}
 	}
-	if math.IsInf(best.loss, 1) {
-		return Placement{}, false
-	}
-	helpers := append(slices.Clone(best.holders[1:]), best.readers...)
-	return p.place(q, best.holders[0], helpers, best.holders, now), true
-}
-
-// apart is one way to keep and read a prompt on several servers.
-type apart struct {
-	holders []option // the first of them answers
-	readers []option // they only read
-	loss    float64
+	return best
 }
 
-// pickApart takes the n cheapest servers that have room for their share as holders,
-// and the cheapest of the others to make up the readers.
-func pickApart(q Query, options []option, n, readers int, part time.Duration, now time.Time) apart {
+// pickHolders takes the n cheapest servers that have room for their share as
+// holders, and the cheapest of the others to make up the readers.
+func pickHolders(q Query, options []option, n, readers int, part time.Duration, now time.Time) choice {
+	weight := weightOf(q.InputTokens)
 	ranked := slices.Clone(options)
 	for i := range ranked {
 		o := &ranked[i]
 		o.look(q, part, q.InputTokens/readers, true, now)
-		o.cost = o.harm + o.state.refusal(now) + firstLoss(o.forecast.ready, q.Objective, weightOf(q.InputTokens))/float64(readers)
+		o.cost = o.harm + o.state.refusal(now) + firstLoss(o.forecast.ready, q.Objective, weight)/float64(readers)
 	}
 	slices.SortFunc(ranked, func(a, b option) int { return cmp.Compare(a.cost, b.cost) })
 	share := q.holderTokens(n)
-	var a apart
-	var ready time.Duration
+	var c choice
+	var others []option
+	refusals := 0.0
 	for _, o := range ranked {
 		switch {
-		case len(a.holders) < n && o.free(q) >= share:
-			a.holders = append(a.holders, o)
-		case len(a.readers) < readers-n:
-			a.readers = append(a.readers, o)
+		case len(c.holders) < n && o.free(q) >= share:
+			c.holders = append(c.holders, o)
+		case len(others) < readers-n:
+			others = append(others, o)
 		default:
 			continue
 		}
-		a.loss += o.harm + o.state.refusal(now) + helperPrice
-		ready = max(ready, o.forecast.ready)
+		c.harm += o.harm
+		refusals += o.state.refusal(now)
+		c.ready = max(c.ready, o.forecast.ready)
 	}
-	if len(a.holders) < n {
-		a.loss = math.Inf(1)
-		return a
+	if len(c.holders) < n {
+		return choice{loss: math.Inf(1)}
 	}
-	first := a.holders[0]
-	first.look(q, part, q.InputTokens/readers, false, now)
-	ready = max(ready, first.forecast.ready)
-	a.loss += firstLoss(ready, q.Objective, weightOf(q.InputTokens))
-	return a
+	c.first = c.holders[0]
+	c.first.look(q, part, q.InputTokens/readers, false, now)
+	c.ready = max(c.ready, c.first.forecast.ready)
+	c.helpers = slices.Concat(c.holders[1:], others)
+	c.loss = c.harm + refusals + helperPrice*float64(readers) + firstLoss(c.ready, q.Objective, weight)
+	return c
 }
 
 // look forecasts a part on the server and what it costs the others there.
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -16,12 +16,25 @@
 	firstFrom, firstTo = 0.7, 1.05
 	// firstPressure prices time to the first token within the objective.
 	firstPressure = 0.2
+	// pressureMost bounds that pressure, in objectives: beyond, later is no worse.
+	pressureMost = 10
+	// waitFirst and waitSlope bound what a long prompt may cost the others beyond its
+	// own gain, as shares of what being late costs it: at once, and with all of its
+	// caller's time waited.
+	waitFirst, waitSlope = 0.1, 2.0
+	// waitLeft is what must be left of a caller's time for a prompt to wait.
+	waitLeft = 5 * time.Second
+	// lateReady is a first token that is late for any objective.
+	lateReady = time.Hour
 	// latePressure is the price of a pass for a stream that is late already, as a
 	// share of its weight for a pass as long as its limit: its caller still waits.
 	latePressure = 0.05
 	// leaveFrom and leaveTo are the passes, as multiples of the limit, between which
 	// callers leave a stream for good.
 	leaveFrom, leaveTo = 5.0, 8.0
+	// readingShare is the part of a pause's loss that is charged for a stream whose
+	// prompt is still read there: it may be in time to be read in the same pass.
+	readingShare = 0.6
 	// helperPrice is the price of one more server for a prompt: every server that
 	// reads a part has its other work wait for it.
 	helperPrice = 0.02
@@ -33,9 +46,12 @@
 	companyGain = 0.4
 	// companyEnough is how many such streams give all of that gain.
 	companyEnough = 6
+	// crowdPrice is the price of a server whose slots are all taken; it rises with
+	// the cube of the share that is: the last ones are wanted when a burst begins.
+	crowdPrice = 0.6
 	// longPrice is what a short stream loses by a server whose time goes into long
 	// parts, for all of its time.
-	longPrice = 1.2
+	longPrice = 0.5
 	// shortPause is the limit up to which a stream counts as short.
 	shortPause = 400 * time.Millisecond
 	// fullPrice is the price of a server without free memory: the request
@@ -74,7 +90,8 @@
 		// Late in any case: sooner is still better for the caller.
 		return weight * lateLoss * (1 + firstPressure*after.Seconds())
 	}
-	return weight * lateLoss * (ramp(after, scale(left, firstFrom), scale(left, firstTo)) + firstPressure*float64(after)/float64(left))
+	pressure := firstPressure * min(float64(after)/float64(left), pressureMost)
+	return weight * lateLoss * (ramp(after, scale(left, firstFrom), scale(left, firstTo)) + pressure)
 }
 
 // harm is what a part costs the others on a server.
@@ -86,6 +103,9 @@
 			total += a.Weight * (latePressure*float64(f.pass)/float64(a.Pause) + (1-lateLoss)*ramp(f.pass, scale(a.Pause, leaveFrom), scale(a.Pause, leaveTo)))
 		case a.Writing:
 			total += pauseLoss(f.pass, a.Pause, a.Weight)
+		case f.behind:
+			// It will write when the part is read.
+			total += readingShare * pauseLoss(f.pass, a.Pause, a.Weight)
 		}
 	}
 	return total + s.harmWaiting(f, now)
--- a/placement/passes.go
+++ b/placement/passes.go
@@ -119,9 +119,10 @@
 
 // forecast is what one more part would do on a server.
 type forecast struct {
-	ready time.Duration // from now until the part is read
-	pass  time.Duration // length of the longest pass until then, a pause for its writers
-	delay time.Duration // for those whose parts wait to be read
+	ready  time.Duration // from now until the part is read
+	pass   time.Duration // length of the longest pass until then, a pause for its writers
+	delay  time.Duration // for those whose parts wait to be read
+	behind bool          // it is read after what waits there
 }
 
 // forecast of a part of so much reading. Call advance first.
@@ -148,9 +149,10 @@
 		perPass = min(perPass, reading)
 	}
 	return forecast{
-		ready: wait + time.Duration(passes)*writing + reading,
-		pass:  writing + perPass,
-		delay: length,
+		ready:  wait + time.Duration(passes)*writing + reading,
+		pass:   writing + perPass,
+		delay:  length,
+		behind: !helper,
 	}
 }
 
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -48,11 +48,21 @@
 	cost      float64 // for an answering server: harm, and its own burdens
 }
 
-// Place chooses the servers of a query and notes the attempt in the ledger. ok is
-// false if there is no candidate.
-func (p *Planner) Place(q Query, candidates []Candidate) (Placement, bool) {
+// Answer says what became of a query.
+type Answer uint8
+
+// Answers.
+const (
+	Placed Answer = iota
+	NoRoom        // no candidate, or not enough memory on all of them together
+	Later         // it would cost the others more than it gains; ask again soon
+)
+
+// Place chooses the servers of a query and, if it is Placed, notes the attempt in
+// the ledger.
+func (p *Planner) Place(q Query, candidates []Candidate) (Placement, Answer) {
 	if len(candidates) == 0 {
-		return Placement{}, false
+		return Placement{}, NoRoom
 	}
 	now := p.clock()
 	p.ledger.mu.Lock()
@@ -64,13 +74,52 @@
 	}
 	rand.Shuffle(len(options), func(i, j int) { options[i], options[j] = options[j], options[i] })
 	if q.Engine == nil || q.InputTokens == 0 {
-		return p.place(q, pickPlain(options, now), nil, nil, now), true
+		return p.place(q, choice{first: pickPlain(options, now)}, now), Placed
 	}
-	if !fitsOne(q, options) {
-		return p.placeApart(q, options, now)
+	best := p.best(q, options, now)
+	switch {
+	case math.IsInf(best.loss, 1):
+		return Placement{}, NoRoom
+	case best.waits(q):
+		return Placement{}, Later
 	}
-	first, helpers := pickEngines(q, options, now)
-	return p.place(q, first, helpers, nil, now), true
+	return p.place(q, best, now), Placed
+}
+
+func (p *Planner) best(q Query, options []option, now time.Time) choice {
+	for i := range options {
+		options[i].state.advance(q.Engine, now)
+		options[i].state.decayLong(now)
+	}
+	if fitsOne(q, options) {
+		return pickEngines(q, options, now)
+	}
+	return pickApart(q, options, now)
+}
+
+// choice is one way to serve a query.
+type choice struct {
+	first   option
+	helpers []option // in no order, but holders first
+	holders []option // keep the prompt, first among them; empty if first alone does
+	ready   time.Duration
+	harm    float64 // expected loss of the others
+	loss    float64 // and of the query; infinite: not possible
+}
+
+// waits reports whether a long prompt had better be placed later: now the others
+// would lose more than it gains by being on time. A prompt of 400,000 tokens stops
+// every writer of its engines for a second or more; in a burst of such prompts those
+// that come last can't be on time, and what they stop could. The longer it has
+// waited, the more it may cost.
+func (c *choice) waits(q Query) bool {
+	if q.PauseObjective <= shortPause || q.Left < waitLeft {
+		return false
+	}
+	weight := weightOf(q.InputTokens)
+	gain := max(firstLoss(lateReady, q.Objective, weight)-firstLoss(c.ready, q.Objective, weight), 0)
+	waited := float64(q.Waited) / float64(q.Waited+q.Left)
+	return c.harm > gain+weight*lateLoss*(waitFirst+waitSlope*waited)
 }
 
 // pickPlain chooses among servers of a plain service: the least requests.
@@ -89,27 +138,22 @@
 }
 
 // pickEngines tries all spreads and takes the one with the least loss.
-func pickEngines(q Query, options []option, now time.Time) (first option, helpers []option) {
-	for i := range options {
-		options[i].state.advance(q.Engine, now)
-		options[i].state.decayLong(now)
-	}
+func pickEngines(q Query, options []option, now time.Time) choice {
 	whole := q.Engine.ReadTime(q.InputTokens, q.InputTokens)
-	best := math.Inf(1)
+	best := choice{loss: math.Inf(1)}
 	for _, n := range spreads {
 		if n > len(options) || n > 1 && (q.Engine.HopTime <= 0 || whole/time.Duration(n) < leastPart) {
 			break
 		}
-		f, h, loss := pickSpread(q, options, whole/time.Duration(n), n, now)
-		if loss < best {
-			best, first, helpers = loss, f, h
+		if c := pickSpread(q, options, whole/time.Duration(n), n, now); c.loss < best.loss {
+			best = c
 		}
 	}
-	return first, helpers
+	return best
 }
 
 // pickSpread chooses n servers for a prompt of which each reads a part.
-func pickSpread(q Query, options []option, part time.Duration, n int, now time.Time) (option, []option, float64) {
+func pickSpread(q Query, options []option, part time.Duration, n int, now time.Time) choice {
 	weight := weightOf(q.InputTokens)
 	tokens := q.InputTokens / n
 	first := cheapestFirst(q, options, part, tokens, n, now)
@@ -123,13 +167,13 @@
 		rest = append(rest, o)
 	}
 	slices.SortFunc(rest, func(a, b option) int { return cmp.Compare(a.cost, b.cost) })
-	helpers := rest[:n-1]
-	ready, loss := first.forecast.ready, first.harm+first.burden(q, weight, now)
-	for _, h := range helpers {
-		ready = max(ready, h.forecast.ready)
-		loss += h.harm + helperPrice
+	c := choice{first: first, helpers: rest[:n-1], ready: first.forecast.ready, harm: first.harm}
+	for _, h := range c.helpers {
+		c.ready = max(c.ready, h.forecast.ready)
+		c.harm += h.harm
 	}
-	return first, helpers, loss + firstLoss(ready, q.Objective, weight)
+	c.loss = c.harm + first.burden(q, weight, now) + helperPrice*float64(n-1) + firstLoss(c.ready, q.Objective, weight)
+	return c
 }
 
 // cheapestFirst chooses the server that answers.
@@ -161,6 +205,8 @@
 	if s.memory()+q.memory() > q.Engine.MemoryTokens {
 		total += fullPrice * weight
 	}
+	crowd := float64(len(s.works)) / float64(max(1, o.candidate.Capacity))
+	total += crowdPrice * crowd * crowd * crowd
 	if o.candidate.Cold {
 		total += coldPrice * weight
 	}
@@ -177,7 +223,8 @@
 func (q Query) memory() int { return q.InputTokens + q.OutputTokens }
 
 // place notes the attempt and tells the other entries.
-func (p *Planner) place(q Query, first option, helpers, holders []option, now time.Time) Placement {
+func (p *Planner) place(q Query, c choice, now time.Time) Placement {
+	first := c.first
 	w := Work{
 		ID:      WorkID{Owner: p.owner, Seq: p.seq.Add(1)},
 		Server:  first.key,
@@ -187,26 +234,22 @@
 	}
 	out := Placement{Server: first.candidate, Urgency: q.urgencyLevel(), planner: p, work: w.ID, key: first.key}
 	if q.Engine != nil && q.InputTokens > 0 {
-		n := 1 + len(helpers)
+		n := 1 + len(c.helpers)
 		w.PartTokens = q.InputTokens / n
 		w.Part = q.Engine.ReadTime(w.PartTokens, q.InputTokens)
 		w.Memory = q.memory()
 		out.Part = w.Part
-		for i, o := range append([]option{first}, helpers...) {
-			o.look(q, w.Part, w.PartTokens, i > 0, now)
-			out.Forecast = max(out.Forecast, o.forecast.ready)
-			out.Harm += o.harm
-		}
-		for _, h := range helpers {
+		out.Forecast, out.Harm = c.ready, c.harm
+		for _, h := range c.helpers {
 			w.Helpers = append(w.Helpers, h.key)
 			out.Helpers = append(out.Helpers, h.candidate)
 		}
 	}
-	if len(holders) > 0 {
-		w.HolderMemory = q.holderTokens(len(holders))
+	if len(c.holders) > 0 {
+		w.HolderMemory = q.holderTokens(len(c.holders))
 		w.Memory = 0
 		out.HolderTokens = w.HolderMemory
-		for _, h := range holders {
+		for _, h := range c.holders {
 			w.Holders = append(w.Holders, h.key)
 			out.Holders = append(out.Holders, h.candidate)
 		}
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -40,9 +40,9 @@
 func (f *fleet) place(t testing.TB, q Query) Placement {
 	t.Helper()
 	q.Engine = engine
-	p, ok := f.planner.Place(q, slices.Clone(f.candidates))
-	if !ok {
-		t.Fatalf("no place for %+v", q)
+	p, answer := f.planner.Place(q, slices.Clone(f.candidates))
+	if answer != Placed {
+		t.Fatalf("no place for %+v: %d", q, answer)
 	}
 	return p
 }
@@ -125,11 +125,33 @@
 		}
 	}
 	f.candidates = f.candidates[:2]
-	if _, ok := f.planner.Place(Query{Engine: engine, InputTokens: 600_000, Stream: true}, f.candidates); ok {
+	if _, answer := f.planner.Place(Query{Engine: engine, InputTokens: 600_000, Stream: true}, f.candidates); answer != NoRoom {
 		t.Error("two engines have no room for 600,000 tokens")
 	}
 }
 
+// Symptom: in a burst of long prompts every stream of the fleet pauses for seconds.
+// Sequence: all engines write short streams; a prompt comes that takes 12 s to read.
+// Cause: it was placed at once, though it could not be on time for what it cost.
+func TestHugePromptWaitsForAQuieterMoment(t *testing.T) {
+	f := newFleet(3)
+	for range 30 {
+		f.place(t, notice()).FirstToken()
+	}
+	q := review(380_000)
+	q.Engine, q.Left = engine, 15*time.Second
+	if _, answer := f.planner.Place(q, slices.Clone(f.candidates)); answer != Later {
+		t.Fatalf("answer %d, want that it waits", answer)
+	}
+	if len(f.ledger.works) != 30 {
+		t.Error("a prompt that waits is noted as work")
+	}
+	q.Waited, q.Left = 11*time.Second, 4*time.Second
+	if _, answer := f.planner.Place(q, slices.Clone(f.candidates)); answer != Placed {
+		t.Errorf("answer %d, but its caller's time runs out", answer)
+	}
+}
+
 // Symptom: an engine is counted as full though nothing runs there.
 // Sequence: a prompt on several engines ends.
 // Cause: the memory of its holders wasn't given back.
@@ -216,7 +238,7 @@
 			default:
 				q := review(rapid.IntRange(100, 500_000).Draw(rt, "tokens"))
 				q.Engine = engine
-				if p, ok := f.planner.Place(q, slices.Clone(f.candidates)); ok {
+				if p, answer := f.planner.Place(q, slices.Clone(f.candidates)); answer == Placed {
 					open = append(open, p)
 				}
 			}
@@ -239,8 +261,8 @@
 	f := newFleet(3)
 	seen := map[string]int{}
 	for range 6 {
-		p, ok := f.planner.Place(Query{}, slices.Clone(f.candidates))
-		if !ok {
+		p, answer := f.planner.Place(Query{}, slices.Clone(f.candidates))
+		if answer != Placed {
 			t.Fatal("no place")
 		}
 		seen[p.Server.Instance]++
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -22,6 +22,7 @@
 	Objective      time.Duration // what is left of it
 	PauseObjective time.Duration
 	Left           time.Duration // of the caller's time
+	Waited         time.Duration // since it came
 	Urgency        int
 	Stream         bool
 }
