Split the planner by job; drop what nothing reads; enforce the header limit

Placement's query, choice, spread and pass model stand in files of their own. The load header, the length hint and the connection cap were decoded and read by nothing: they are gone; eight idle connections a server and entry keep 22 entries under half of the cap. Headers over the configuration's limit get 431. Engines get an urgency by length and by the rank of the workspace, or else of the route. The two copies of a raw TCP server in tests are one.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -56,7 +56,7 @@
 	var candidates, had []placement.Candidate
 	now := time.Now()
 	for _, s := range g.cfg.Directory.Of(e.service.Name, now) {
-		c := placement.Candidate{Instance: s.Instance, Address: s.Address, Zone: s.Zone, Capacity: s.Capacity, Cold: now.Before(s.ColdUntil)}
+		c := placement.Candidate{Instance: s.Instance, Address: s.Address, Capacity: s.Capacity, Cold: now.Before(s.ColdUntil)}
 		if e.tried[s.Instance] {
 			had = append(had, c)
 			continue
@@ -71,23 +71,20 @@
 
 func (e *exchange) query() placement.Query {
 	return placement.Query{
-		Request:        e.env.ID,
-		Service:        e.service.Name,
 		Engine:         e.service.Engine,
 		InputTokens:    e.env.Prompt.InputTokens,
 		OutputTokens:   e.env.Prompt.OutputTokens,
-		Hint:           e.env.Prompt.Hint,
 		Objective:      e.route.Objective - time.Since(e.begun),
 		PauseObjective: e.route.PauseObjective,
 		Left:           time.Until(e.end),
 		Waited:         time.Since(e.begun),
-		Urgency:        e.urgency(),
+		Rank:           e.rank(),
 		Stream:         e.route.Kind == routetable.Stream,
 	}
 }
 
-// urgency is the rank of the request: its workspace's goes before its route's.
-func (e *exchange) urgency() int {
+// rank is that of the request: its workspace's goes before its route's.
+func (e *exchange) rank() int {
 	if e.workspace != nil && e.workspace.Ranked {
 		return e.workspace.Priority
 	}
@@ -156,9 +153,6 @@
 func (e *exchange) answered(ctx context.Context, place placement.Placement, r *upstream.Response) (step, Reason) {
 	e.sends++
 	v := e.gateway.cfg.Protocol.Judge(r.Status, r.Header)
-	if v.HasLoad {
-		place.Observe(v.Running, v.Waiting)
-	}
 	if v.NotRun {
 		place.Refused()
 		return e.after(request.Situation{Refused: true, Sent: true})
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -80,6 +80,9 @@
 		return ReasonNoConfig
 	}
 	e.revision, e.age = table.Revision(), age
+	if limit := table.Limits().HeaderBytes; limit > 0 && headerBytes(e.incoming.Header) > limit {
+		return ReasonHeader
+	}
 	stale := age > g.cfg.Options.KeyAge
 	e.route, ok = table.Route(e.incoming.Host, e.incoming.URL.EscapedPath())
 	if !ok && stale {
@@ -106,6 +109,18 @@
 	return ""
 }
 
+// headerBytes is the size of a header on the wire.
+func headerBytes(h http.Header) int {
+	const separators = len(": \r\n")
+	n := 0
+	for name, values := range h {
+		for _, value := range values {
+			n += len(name) + len(value) + separators
+		}
+	}
+	return n
+}
+
 // authorize finds the workspace. A configuration of unknown age may hold keys that
 // operators have removed: it authorizes nobody.
 func (e *exchange) authorize(table *routetable.Table, stale bool) Reason {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/briarturn/briarturn/internal/rawserver"
 	"github.com/briarturn/briarturn/routetable"
 	"github.com/briarturn/briarturn/upstream"
 )
@@ -59,6 +60,7 @@
 		{"/keyed/", "", []string{hKey, "k"}, http.StatusOK},
 		{"/safe/", "", []string{hID, ""}, http.StatusBadRequest},
 		{"/safe/", strings.Repeat("x", 64<<10+1), nil, http.StatusRequestEntityTooLarge},
+		{"/safe/", "", []string{"X-Long", strings.Repeat("x", 8<<10)}, http.StatusRequestHeaderFieldsTooLarge},
 	} {
 		r, _, err := w.ask(http.MethodPost, c.path, c.body, c.headers...)
 		wantStatus(t, r, err, c.status)
@@ -248,7 +250,7 @@
 // fails.
 func TestNothingIsResentBehindOurBack(t *testing.T) {
 	arrivals := make(chan string, 8)
-	address := rawServer(t, func(conn net.Conn, in *bufio.Reader) {
+	address := rawserver.Start(t, func(conn net.Conn, in *bufio.Reader) {
 		for i := 0; ; i++ {
 			r, err := http.ReadRequest(in)
 			if err != nil {
@@ -278,7 +280,7 @@
 // on the same connection.
 // Cause: whatever comes next was taken for the next answer.
 func TestSecondAnswerBelongsToNobody(t *testing.T) {
-	address := rawServer(t, func(conn net.Conn, in *bufio.Reader) {
+	address := rawserver.Start(t, func(conn net.Conn, in *bufio.Reader) {
 		earlier := ""
 		for {
 			r, err := http.ReadRequest(in)
@@ -339,7 +341,7 @@
 		t.Errorf("%d deaths were passed on, want %d", len(w.witness.records), suspectDeaths)
 	}
 	w.directory.Remove("next", time.Now())
-	w.directory.Put(upstream.Server{Instance: "well", Service: "s", Address: rawServer(t, func(conn net.Conn, in *bufio.Reader) {
+	w.directory.Put(upstream.Server{Instance: "well", Service: "s", Address: rawserver.Start(t, func(conn net.Conn, in *bufio.Reader) {
 		if r, err := http.ReadRequest(in); err == nil {
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", hID, r.Header.Get(hID))
 		}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -1,11 +1,9 @@
 package gateway
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -150,7 +148,7 @@
 		Revision:   revision,
 		Routes:     []routetable.Route{route("/safe/", routetable.Idempotent), route("/once/", routetable.NonIdempotent), stream, route("/whole/", routetable.Stream), keyed},
 		Services:   []routetable.Service{{Name: "s"}},
-		Limits:     routetable.Limits{BodyBytes: 64 << 10},
+		Limits:     routetable.Limits{HeaderBytes: 8 << 10, BodyBytes: 64 << 10},
 		Workspaces: []routetable.Workspace{{Name: "w"}},
 		Keys:       map[string]string{"k": "w"},
 	}
@@ -250,26 +248,3 @@
 	}
 	return b.String()
 }
-
-// rawServer serves connections by hand and returns its address.
-func rawServer(t *testing.T, serve func(net.Conn, *bufio.Reader)) string {
-	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = lis.Close() })
-	go func() {
-		for {
-			conn, err := lis.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				serve(conn, bufio.NewReader(conn))
-			}()
-		}
-	}()
-	return lis.Addr().String()
-}
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -18,7 +18,6 @@
 type Prompt struct {
 	InputTokens  int
 	OutputTokens int // at most
-	Hint         int // the caller's estimate of its output; 0: none
 }
 
 // Attempt is what one attempt adds to the caller's headers.
@@ -41,9 +40,6 @@
 type Verdict struct {
 	ID     string // of the request it answers; empty: not said
 	NotRun bool   // the server promises that the request has not run and will not
-	// Load of the server, where it tells it.
-	Running, Waiting, Slots int
-	HasLoad                 bool
 }
 
 // Protocol translates between headers and the gateway's types.
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -17,6 +17,7 @@
 	ReasonNoRoute     Reason = "no_route"
 	ReasonNoKey       Reason = "unknown_key"
 	ReasonMalformed   Reason = "malformed"
+	ReasonHeader      Reason = "header_too_large"
 	ReasonTooLarge    Reason = "body_too_large"
 	ReasonBodyLost    Reason = "body_incomplete"
 	ReasonMemory      Reason = "bodies_held"
@@ -29,7 +30,7 @@
 )
 
 var reasons = []Reason{
-	ReasonNoConfig, ReasonStaleConfig, ReasonNoRoute, ReasonNoKey, ReasonMalformed, ReasonTooLarge, ReasonBodyLost,
+	ReasonNoConfig, ReasonStaleConfig, ReasonNoRoute, ReasonNoKey, ReasonMalformed, ReasonHeader, ReasonTooLarge, ReasonBodyLost,
 	ReasonMemory, ReasonNoServer, ReasonServersFull, ReasonEnding, ReasonTimeout, ReasonUnknown, ReasonPoison,
 }
 
@@ -42,6 +43,8 @@
 		return http.StatusUnauthorized
 	case ReasonMalformed, ReasonBodyLost:
 		return http.StatusBadRequest
+	case ReasonHeader:
+		return http.StatusRequestHeaderFieldsTooLarge
 	case ReasonTooLarge:
 		return http.StatusRequestEntityTooLarge
 	case ReasonTimeout:
--- a/placement/policy.go
+++ b/placement/query.go
@@ -6,39 +6,42 @@
 type Candidate struct {
 	Instance string
 	Address  string
-	Zone     string
 	Capacity int
 	Cold     bool
 }
 
 // Query is a request to be placed.
 type Query struct {
-	Request        string
-	Service        string
 	Engine         *Engine // nil: a plain service
 	InputTokens    int
 	OutputTokens   int
-	Hint           int
 	Objective      time.Duration // what is left of it
 	PauseObjective time.Duration
 	Left           time.Duration // of the caller's time
 	Waited         time.Duration // since it came
-	Urgency        int
+	Rank           int           // of its workspace or route; 0 is first
 	Stream         bool
 }
 
-// urgencyLevel is the level for the engine's own queue: shorter objectives first.
+// Levels of urgency for the engines' own queues, where 0 is first and 9 last. Short
+// streams go before long prompts: they are soon read, and late sooner.
+const (
+	levelShort = 1
+	levelLong  = 4
+	rankLevels = 3  // levels that the rank of a workspace or a route moves
+	noUrgency  = -1 // nothing is said
+)
+
+// urgencyLevel is the level of the query for the engine's queue.
 func (q Query) urgencyLevel() int {
-	if q.Engine == nil {
-		return -1
+	if q.Engine == nil || q.InputTokens == 0 {
+		return noUrgency
 	}
-	switch {
-	case q.PauseObjective > 0 && q.PauseObjective <= shortPause:
-		return 2
-	case q.InputTokens > 0:
-		return 4
+	level := levelLong
+	if q.PauseObjective > 0 && q.PauseObjective <= shortPause {
+		level = levelShort
 	}
-	return -1
+	return level + min(max(q.Rank, 0), rankLevels)
 }
 
 // Placement is where an attempt runs.
@@ -78,9 +81,6 @@
 // Refused tells that the server did not take the attempt.
 func (p Placement) Refused() { p.planner.ledger.Refused(p.key, p.planner.clock()) }
 
-// Observe takes what the server says of its load.
-func (p Placement) Observe(running, waiting int) {}
-
 // NoMemory tells that the i-th holder had no room.
 func (p Placement) NoMemory(i int) {
 	p.planner.ledger.Refused(ServerKey(p.Holders[i].Instance), p.planner.clock())
--- /dev/null
+++ b/placement/spread.go
@@ -0,0 +1,94 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// spreads lists over how many servers a prompt may be read, the answering one
+// included; engines take no more.
+var spreads = []int{1, 2, 3, 4, 6, 8, 12, 16}
+
+// pickEngines tries all spreads and takes the one with the least loss.
+func pickEngines(q Query, options []option, now time.Time) choice {
+	whole := q.Engine.ReadTime(q.InputTokens, q.InputTokens)
+	best := choice{loss: math.Inf(1)}
+	for _, n := range spreads {
+		if n > len(options) || n > 1 && (q.Engine.HopTime <= 0 || whole/time.Duration(n) < leastPart) {
+			break
+		}
+		if c := pickSpread(q, options, whole/time.Duration(n), n, now); c.loss < best.loss {
+			best = c
+		}
+	}
+	return best
+}
+
+// pickSpread chooses n servers for a prompt of which each reads a part.
+func pickSpread(q Query, options []option, part time.Duration, n int, now time.Time) choice {
+	weight := weightOf(q.InputTokens)
+	tokens := q.InputTokens / n
+	first := cheapestFirst(q, options, part, tokens, n, now)
+	rest := make([]option, 0, len(options)-1)
+	for _, o := range options {
+		if o.key == first.key {
+			continue
+		}
+		o.look(q, part, tokens, true, now)
+		o.cost = o.harm + firstLoss(o.forecast.ready, q.Objective, weight)/float64(n)
+		rest = append(rest, o)
+	}
+	slices.SortFunc(rest, func(a, b option) int { return cmp.Compare(a.cost, b.cost) })
+	c := choice{first: first, helpers: rest[:n-1], ready: first.forecast.ready, harm: first.harm}
+	for _, h := range c.helpers {
+		c.ready = max(c.ready, h.forecast.ready)
+		c.harm += h.harm
+	}
+	c.loss = c.harm + first.burden(q, weight, now) + helperPrice*float64(n-1) + firstLoss(c.ready, q.Objective, weight)
+	return c
+}
+
+// cheapestFirst chooses the server that answers.
+func cheapestFirst(q Query, options []option, part time.Duration, tokens, n int, now time.Time) option {
+	weight := weightOf(q.InputTokens)
+	for i := range options {
+		o := &options[i]
+		o.look(q, part, tokens, false, now)
+		o.forecast.ready += o.slotWait()
+		o.cost = o.harm + o.burden(q, weight, now) + firstLoss(o.forecast.ready, q.Objective, weight)/float64(n)
+	}
+	return slices.MinFunc(options, func(a, b option) int { return cmp.Compare(a.cost, b.cost) })
+}
+
+// slotWait is how long a request waits for one of the server's slots.
+func (o *option) slotWait() time.Duration {
+	slots := max(1, o.candidate.Capacity)
+	before := len(o.state.works) - slots + 1
+	if before <= 0 {
+		return 0
+	}
+	return slotTime * time.Duration(before) / time.Duration(slots)
+}
+
+// burden is what answering the query there costs it beside the reading.
+func (o *option) burden(q Query, weight float64, now time.Time) float64 {
+	s := o.state
+	total := s.refusal(now)
+	if s.memory()+q.memory() > q.Engine.MemoryTokens {
+		total += fullPrice * weight
+	}
+	crowd := float64(len(s.works)) / float64(max(1, o.candidate.Capacity))
+	total += crowdPrice * crowd * crowd * crowd
+	if o.candidate.Cold {
+		total += coldPrice * weight
+	}
+	if q.PauseObjective > 0 && q.PauseObjective <= shortPause {
+		total += longPrice * s.longLoad
+		total -= companyGain * float64(min(s.company(), companyEnough)) / companyEnough
+	} else {
+		total += companyGain * float64(min(s.company(), companyEnough)) / companyEnough
+	}
+	return total
+}
--- a/routetable/table.go
+++ b/routetable/table.go
@@ -66,17 +66,14 @@
 
 // Service is a declared set of backend servers.
 type Service struct {
-	Name           string
-	MaxConnections int               // that one backend server accepts from all entries
-	Engine         *placement.Engine // nil for a plain service
+	Name   string
+	Engine *placement.Engine // nil for a plain service
 }
 
 // Limits bound what a caller may send. Zero is no limit.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderBytes int
+	BodyBytes   int64
 }
 
 // Workspace is who a request is accounted to.
@@ -169,15 +166,6 @@
 	return s, ok
 }
 
-// Services returns all services, in no order.
-func (t *Table) Services() []*Service {
-	out := make([]*Service, 0, len(t.services))
-	for _, s := range t.services {
-		out = append(out, s)
-	}
-	return out
-}
-
 // NeedsKey reports whether requests of the route must carry an API key.
 func (t *Table) NeedsKey(r *Route) bool { return t.needsKey && !r.Public }
 
--- a/upstream/exchange_test.go
+++ b/upstream/exchange_test.go
@@ -13,30 +13,9 @@
 
 	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
-)
 
-// serve answers each connection by hand.
-func serve(t *testing.T, handle func(net.Conn, *bufio.Reader)) string {
-	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = lis.Close() })
-	go func() {
-		for {
-			conn, err := lis.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				handle(conn, bufio.NewReader(conn))
-			}()
-		}
-	}()
-	return lis.Addr().String()
-}
+	"github.com/briarturn/briarturn/internal/rawserver"
+)
 
 func any200(int, http.Header) bool { return true }
 
@@ -88,7 +67,7 @@
 	} {
 		r := metrics.NewRegistry()
 		p := NewPool(r)
-		address := serve(t, answerEach(c.answer))
+		address := rawserver.Start(t, answerEach(c.answer))
 		for range 3 {
 			if body, err := do(t, p, address, get()); err != nil || body != "ok" {
 				t.Fatalf("%s: %q, %v", c.name, body, err)
@@ -109,7 +88,7 @@
 		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
 	} {
-		address := serve(t, func(conn net.Conn, in *bufio.Reader) {
+		address := rawserver.Start(t, func(conn net.Conn, in *bufio.Reader) {
 			if _, err := http.ReadRequest(in); err == nil {
 				_, _ = io.WriteString(conn, answer)
 			}
@@ -123,11 +102,11 @@
 
 func TestNoAnswerIsBrokenAndNoConnectionIsNotSent(t *testing.T) {
 	p := NewPool(metrics.NewRegistry())
-	silent := serve(t, func(_ net.Conn, in *bufio.Reader) { _, _ = http.ReadRequest(in) })
+	silent := rawserver.Start(t, func(_ net.Conn, in *bufio.Reader) { _, _ = http.ReadRequest(in) })
 	if _, err := do(t, p, silent, get()); !errors.Is(err, ErrBroken) || errors.Is(err, ErrNotSent) {
 		t.Errorf("error %v", err)
 	}
-	garbage := serve(t, answerEach("what?\r\n\r\n"))
+	garbage := rawserver.Start(t, answerEach("what?\r\n\r\n"))
 	if _, err := do(t, p, garbage, get()); !errors.Is(err, ErrBroken) {
 		t.Errorf("error %v", err)
 	}
@@ -148,7 +127,7 @@
 func TestEarlyAnswerEndsTheConnection(t *testing.T) {
 	r := metrics.NewRegistry()
 	p := NewPool(r)
-	address := serve(t, func(conn net.Conn, in *bufio.Reader) {
+	address := rawserver.Start(t, func(conn net.Conn, in *bufio.Reader) {
 		if _, err := in.ReadString('\n'); err != nil {
 			return
 		}
@@ -175,7 +154,7 @@
 func TestClosedIdleConnectionsAreLeftAlone(t *testing.T) {
 	p := NewPool(metrics.NewRegistry())
 	closed := make(chan struct{}, 2)
-	address := serve(t, func(conn net.Conn, in *bufio.Reader) {
+	address := rawserver.Start(t, func(conn net.Conn, in *bufio.Reader) {
 		if _, err := http.ReadRequest(in); err != nil {
 			return
 		}
@@ -193,7 +172,7 @@
 
 func TestEndOfTheContextClosesTheConnection(t *testing.T) {
 	ended := make(chan struct{})
-	address := serve(t, func(conn net.Conn, in *bufio.Reader) {
+	address := rawserver.Start(t, func(conn net.Conn, in *bufio.Reader) {
 		if _, err := http.ReadRequest(in); err != nil {
 			return
 		}
@@ -227,7 +206,7 @@
 // The head goes out as it came, but for the framing, which is the gateway's.
 func TestHeadOnTheWire(t *testing.T) {
 	got := make(chan string, 1)
-	address := serve(t, func(conn net.Conn, in *bufio.Reader) {
+	address := rawserver.Start(t, func(conn net.Conn, in *bufio.Reader) {
 		var head strings.Builder
 		for {
 			line, err := in.ReadString('\n')
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -22,8 +22,9 @@
 	// one that the server closes just as a request goes out leaves it unknown
 	// whether the request ran.
 	keepShare = 0.6
-	// idlePerServer bounds the idle connections to one server.
-	idlePerServer = 32
+	// idlePerServer bounds the idle connections to one server. A server accepts some
+	// 370 of all entries, and 22 entries with eight each leave it half of them.
+	idlePerServer = 8
 )
 
 // Pool keeps idle connections by address. It is safe for concurrent use; mu
