--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/request"
 	"github.com/briarturn/briarturn/upstream"
@@ -88,6 +90,9 @@
 		}
 		return stop, ""
 	}
+	e.gateway.cfg.Log.WithFields(logrus.Fields{
+		"request": e.env.ID, "server": e.server, "events": e.stream.events, "behind": e.stream.lastID, "deadline": ctx.Err() != nil,
+	}).Info("stream broke")
 	return e.after(request.Situation{Sent: true, Deadline: ctx.Err() != nil})
 }
 
