--- a/placement/engine.go
+++ b/placement/engine.go
@@ -20,6 +20,10 @@
 	HopTime                             time.Duration // added to a step where a prompt is spread
 }
 
+// joins reports whether engines read prompts and keep them for each other: operators
+// then declare what that costs a step.
+func (e *Engine) joins() bool { return e.HopTime > 0 }
+
 // million scales PairsTime.
 const million = 1e6
 
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -87,7 +87,7 @@
 		options[i].state.advance(q.Engine, now)
 		options[i].state.decayLong(now)
 	}
-	if fitsOne(q, options) {
+	if !q.Engine.joins() || fitsOne(q, options) {
 		return pickEngines(q, options, now)
 	}
 	return pickApart(q, options, now)
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -152,6 +152,23 @@
 	}
 }
 
+// Symptom: every long prompt is answered with a failure.
+// Sequence: a prompt that fills most of an engine; engines that don't help each other.
+// Cause: helpers were named to engines that know none.
+func TestEnginesThatDoNotJoinGetNoHelpers(t *testing.T) {
+	alone := *engine
+	alone.HopTime = 0
+	f := newFleet(4)
+	for _, tokens := range []int{100_000, 200_000, 400_000} {
+		q := review(tokens)
+		q.Engine = &alone
+		p, answer := f.planner.Place(q, slices.Clone(f.candidates))
+		if answer != Placed || len(p.Helpers)+len(p.Holders) != 0 {
+			t.Errorf("%d tokens: answer %d, %d helpers, %d holders", tokens, answer, len(p.Helpers), len(p.Holders))
+		}
+	}
+}
+
 // Symptom: an engine is counted as full though nothing runs there.
 // Sequence: a prompt on several engines ends.
 // Cause: the memory of its holders wasn't given back.
--- a/placement/spread.go
+++ b/placement/spread.go
@@ -16,7 +16,7 @@
 	whole := q.Engine.ReadTime(q.InputTokens, q.InputTokens)
 	best := choice{loss: math.Inf(1)}
 	for _, n := range spreads {
-		if n > len(options) || n > 1 && (q.Engine.HopTime <= 0 || whole/time.Duration(n) < leastPart) {
+		if n > len(options) || n > 1 && (!q.Engine.joins() || whole/time.Duration(n) < leastPart) {
 			break
 		}
 		if c := pickSpread(q, options, whole/time.Duration(n), n, now); c.loss < best.loss {
