Bound how long a caller may take to send a body and to read an answer

Cause, by reading the change: a caller that stops in the middle of its body, or reads nothing of a stream, held its request, and its body, for ever; nothing but the context was timed, and a blocked write doesn't see it. Both directions have a limit now that ends with the request (TestCallerThatReadsNothingIsCutOff hung before; TestLimitsOfOneRequestEndWithIt guards the next request on the connection). A refusal for an old configuration asks its caller back after 1 s, one of a request that kills servers after 30 s, where both said 0.3 s.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -64,6 +64,9 @@
 	ctx, cancel, end := deadline(e.incoming.Context(), e.begun, e.env, e.route)
 	defer cancel()
 	e.end = end
+	timed := http.NewResponseController(e.writer)
+	_ = timed.SetWriteDeadline(end.Add(writeSlack)) // as for reads
+	defer func() { _ = timed.SetWriteDeadline(time.Time{}) }()
 	e.run(ctx)
 	if e.status == 0 {
 		// Nobody is there to answer. Returning would have net/http send an empty
@@ -149,6 +152,11 @@
 	if g.bodies.Load() > g.cfg.Options.BodiesBytes {
 		return ReasonMemory
 	}
+	timed := http.NewResponseController(e.writer)
+	// A connection that takes no deadline is one of a test; its reads end by
+	// themselves.
+	_ = timed.SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer func() { _ = timed.SetReadDeadline(time.Time{}) }()
 	body, err := io.ReadAll(http.MaxBytesReader(e.writer, e.incoming.Body, limit))
 	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
 		return ReasonTooLarge
@@ -268,7 +276,7 @@
 	e.outcome = string(reason)
 	e.status = reason.status()
 	e.gateway.tally.refused[reason].Inc(1)
-	refuse(e.writer, reason, e.gateway.cfg.Options.RetryAfter)
+	refuse(e.writer, reason, reason.retryAfter(e.gateway.cfg.Options.RetryAfter))
 }
 
 // harmDigits rounds the harm in the log to hundredths.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -76,7 +76,7 @@
 	*w.clock = w.clock.Add(DefaultKeyAge + time.Millisecond)
 	r, _, err := w.ask(http.MethodGet, "/keyed/", "", hKey, "k")
 	wantStatus(t, r, err, http.StatusServiceUnavailable)
-	if r.Header.Get("Retry-After") != "0.30" {
+	if r.Header.Get("Retry-After") != "1.00" {
 		t.Errorf("Retry-After %q", r.Header.Get("Retry-After"))
 	}
 	r, _, err = w.ask(http.MethodGet, "/nowhere/", "")
@@ -412,3 +412,71 @@
 	r, _, err := w.ask(http.MethodPost, "/once/", "body")
 	wantStatus(t, r, err, http.StatusServiceUnavailable) // true: nothing was sent
 }
+
+// Symptom: requests stay in progress for ever, and so does their memory.
+// Sequence: a caller sends a stream's request and reads nothing of the answer.
+// Cause: a write to its connection waited without limit.
+func TestCallerThatReadsNothingIsCutOff(t *testing.T) {
+	w := newWorld(t, func(rw http.ResponseWriter, r *http.Request) {
+		rw.Header().Set("Content-Type", "text/event-stream")
+		filler := strings.Repeat("x", 64<<10)
+		for i := 1; r.Context().Err() == nil; i++ {
+			if _, err := fmt.Fprintf(rw, "id: %d\ndata: %s\n\n", i, filler); err != nil {
+				return
+			}
+		}
+	})
+	d := declared(1)
+	for i := range d.Routes {
+		d.Routes[i].Timeout = 100 * time.Millisecond
+	}
+	w.routes.Offer(routetable.New(d), *w.clock)
+	conn, err := net.Dial("tcp", w.front.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := fmt.Fprintf(conn, "POST /stream/ HTTP/1.1\r\nHost: h\r\n%s: x\r\nContent-Length: 0\r\n\r\n", hID); err != nil {
+		t.Fatal(err)
+	}
+	for w.arrivals() == "" {
+		time.Sleep(time.Millisecond)
+	}
+	for end := time.Now().Add(time.Minute); w.gateway.Running() > 0; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the request is still in progress")
+		}
+	}
+}
+
+// Symptom: a kept connection fails on its next request.
+// Sequence: two requests on one connection, the second after the first one's time.
+// Cause: the time limit of the first stayed on the connection.
+func TestLimitsOfOneRequestEndWithIt(t *testing.T) {
+	w := newWorld(t, answers("ok"))
+	d := declared(1)
+	for i := range d.Routes {
+		d.Routes[i].Timeout = time.Millisecond * 500
+	}
+	w.routes.Offer(routetable.New(d), *w.clock)
+	conn, err := net.Dial("tcp", w.front.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	in := bufio.NewReader(conn)
+	for i := range 2 {
+		if _, err := fmt.Fprintf(conn, "POST /safe/ HTTP/1.1\r\nHost: h\r\n%s: %d\r\nContent-Length: 1\r\n\r\nb", hID, i); err != nil {
+			t.Fatal(err)
+		}
+		r, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.StatusCode != http.StatusOK {
+			t.Errorf("request %d: status %d", i, r.StatusCode)
+		}
+		time.Sleep(500*time.Millisecond + writeSlack + 100*time.Millisecond)
+	}
+}
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -23,6 +23,18 @@
 	// comes from a state that passes within a second, such as a server that is
 	// full or leaving.
 	DefaultRetryAfter = 300 * time.Millisecond
+	// staleRetryAfter is the same where the configuration is too old: an outage of
+	// the store takes seconds, and other entries are asked meanwhile.
+	staleRetryAfter = time.Second
+	// poisonRetryAfter is the same for a request that kills servers: soon would only
+	// be refused again.
+	poisonRetryAfter = 30 * time.Second
+	// bodyTimeout bounds how long a caller takes to send a body; without it one that
+	// stops in the middle holds its connection and its memory for ever.
+	bodyTimeout = 10 * time.Second
+	// writeSlack is how long past the end of its time a caller's connection may still
+	// take an answer. One that reads nothing would hold the request for ever.
+	writeSlack = 2 * time.Second
 	// DefaultConnectTries is how many servers are dialled in vain for one attempt
 	// of a caller; nothing is sent to them.
 	DefaultConnectTries = 4
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -55,6 +55,17 @@
 	return http.StatusServiceUnavailable
 }
 
+// retryAfter is when a caller may come back, given when it may after most refusals.
+func (r Reason) retryAfter(usual time.Duration) time.Duration {
+	switch r {
+	case ReasonStaleConfig:
+		return staleRetryAfter
+	case ReasonPoison:
+		return poisonRetryAfter
+	}
+	return usual
+}
+
 // refusal is the body of an answer of the gateway's own.
 type refusal struct {
 	Error Reason `json:"error"`
--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"time"
 
@@ -14,7 +13,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/briarturn/briarturn/gateway"
-	"github.com/briarturn/briarturn/internal/admin"
 	"github.com/briarturn/briarturn/internal/boottime"
 	"github.com/briarturn/briarturn/internal/sleep"
 	"github.com/briarturn/briarturn/objectapi"
@@ -39,15 +37,6 @@
 	// watchBackoffMax bounds the pause between two tries while the store is away:
 	// half a second of the five in which a removed key has to be refused.
 	watchBackoffMax = 500 * time.Millisecond
-	// headerTimeout and idleTimeout bound a caller's connection. They are over
-	// what operators allow callers, so that no proper caller is cut.
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 2 * time.Minute
-	headerBytes   = 64 << 10
-	// readyAge is how old the proof of the configuration may be while the balancer
-	// is told to send callers here: three fifths of the five seconds in which a
-	// removed key has to be refused.
-	readyAge = 3 * time.Second
 	// assumedEntries is how many entries share the retry budget until more are
 	// known: a new process must not take the whole of it.
 	assumedEntries = 6
@@ -161,50 +150,6 @@
 	return n, nil
 }
 
-func (n *Node) serve() error {
-	callers, err := net.Listen("tcp", n.cfg.Listen)
-	if err != nil {
-		return errors.Annotatef(err, "step listen for callers, address %s", n.cfg.Listen)
-	}
-	ready, err := net.Listen("tcp", n.cfg.ReadyListen)
-	if err != nil {
-		_ = callers.Close() // nothing was accepted on it
-		return errors.Annotatef(err, "step listen for readiness, address %s", n.cfg.ReadyListen)
-	}
-	n.address, n.readyAddress = callers.Addr().String(), ready.Addr().String()
-	n.callers = &http.Server{
-		Handler:           n.gateway,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    headerBytes,
-		ErrorLog:          nil,
-	}
-	n.ready = &http.Server{Handler: http.HandlerFunc(n.answerReady), ReadHeaderTimeout: headerTimeout}
-	admins, err := net.Listen("tcp", n.cfg.AdminListen)
-	if err != nil {
-		_ = callers.Close() // nothing was accepted on either
-		_ = ready.Close()
-		return errors.Annotatef(err, "step listen for operators, address %s", n.cfg.AdminListen)
-	}
-	n.admin = admin.NewServer(admin.Config{Ready: n, Metrics: n.cfg.Metrics})
-	go n.run(n.callers, callers)
-	go n.run(n.ready, ready)
-	go n.run(n.admin, admins)
-	return nil
-}
-
-// Address returns where callers are served, with the port that was bound.
-func (n *Node) Address() string { return n.address }
-
-// ReadyAddress returns where the balancer asks, with the port that was bound.
-func (n *Node) ReadyAddress() string { return n.readyAddress }
-
-func (n *Node) run(s *http.Server, lis net.Listener) {
-	if err := s.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
-		n.cfg.Log.WithError(err).WithField("address", lis.Addr().String()).Error("server ended")
-	}
-}
-
 func (n *Node) watch(ctx context.Context, kind string, wait time.Duration) {
 	w := objectapi.NewWatcher(objectapi.WatcherConfig{
 		Store:      n.cfg.Store,
@@ -236,27 +181,3 @@
 		n.ledger.Forget(func(server uint64) bool { return n.engines.knows(n.directory, server) })
 	}
 }
-
-// answerReady tells the balancer whether to send callers here.
-func (n *Node) answerReady(w http.ResponseWriter, _ *http.Request) {
-	if n.Ready() != nil {
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}
-}
-
-// Ready returns nil if the node knows a configuration that was proved current a
-// short time ago, knows the backend servers, and isn't ending; else the reason.
-func (n *Node) Ready() error {
-	_, age, ok := n.routes.Table()
-	switch {
-	case !ok:
-		return errors.New("no configuration yet")
-	case age >= readyAge:
-		return errors.Errorf("configuration was last proved current %v ago", age)
-	case !n.listed.Load():
-		return errors.New("backend servers not listed yet")
-	case n.gateway.Ending():
-		return errors.New("shutting down")
-	}
-	return nil
-}
