--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
