Judge a key again before a request that waited is sent

Cause, by reading the issue's lines against the code: a long prompt may wait seconds for a moment at which it costs less; its key was judged on arrival only. The bound on removed keys counts from when the caller sent and was kept, but a request whose key is gone need not begin. It gets 401, or 503 where the configuration has grown too old; what was sent before goes on. TestKeyIsJudgedAgainAfterAWait: 200 in place of 401 without the change.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -27,6 +27,9 @@
 	if held != nil {
 		defer held.Release()
 	}
+	if reason := e.judgeAgain(); reason != "" {
+		return finish, reason
+	}
 	e.tried[place.Server.Instance] = true
 	e.server = place.Server.Address
 	e.placed = place
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -141,6 +141,24 @@
 	return ""
 }
 
+// judgeAgain authorizes a request once more right before it is first sent: its key
+// may have been removed while it waited for a server. One that was sent before goes
+// on: what has begun under a key is finished.
+func (e *exchange) judgeAgain() Reason {
+	if e.workspace == nil || e.sends > 0 {
+		return ""
+	}
+	table, age, ok := e.gateway.cfg.Routes.Table()
+	if !ok || age > e.gateway.cfg.Options.KeyAge {
+		return ReasonStaleConfig
+	}
+	ws, ok := table.Workspace(e.env.Key)
+	if !ok || ws.Name != e.workspace.Name {
+		return ReasonNoKey
+	}
+	return ""
+}
+
 // readBody reads the whole body: an attempt that did not run can then be sent to
 // another server.
 func (e *exchange) readBody() Reason {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/briarturn/briarturn/internal/rawserver"
+	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/routetable"
 	"github.com/briarturn/briarturn/upstream"
 )
@@ -88,6 +89,51 @@
 	wantStatus(t, r, err, http.StatusOK)
 }
 
+// waitOnce is a placer that lets the first question wait, and does something
+// meanwhile.
+type waitOnce struct {
+	Placer
+	meanwhile func()
+	asked     bool
+}
+
+func (p *waitOnce) Place(q placement.Query, candidates []placement.Candidate) (placement.Placement, placement.Answer) {
+	if !p.asked {
+		p.asked = true
+		p.meanwhile()
+		return placement.Placement{}, placement.Later
+	}
+	return p.Placer.Place(q, candidates)
+}
+
+// Symptom: a request runs under a key that was removed seconds before.
+// Sequence: it waits for a server; meanwhile operators remove its key, or the entry
+// loses the store for too long; then it is placed.
+// Cause: the key was judged when the request came, and not again.
+func TestKeyIsJudgedAgainAfterAWait(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		meanwhile func(*world)
+		status    int
+	}{
+		{"nothing", func(*world) {}, http.StatusOK},
+		{"removed", func(w *world) {
+			d := declared(2)
+			d.Keys = nil
+			w.routes.Offer(routetable.New(d), *w.clock)
+		}, http.StatusUnauthorized},
+		{"lost store", func(w *world) { *w.clock = w.clock.Add(time.Minute) }, http.StatusServiceUnavailable},
+	} {
+		w := newWorld(t, answers("ok")).configured()
+		w.gateway.cfg.Placer = &waitOnce{Placer: w.gateway.cfg.Placer, meanwhile: func() { c.meanwhile(w) }}
+		r, _, err := w.ask(http.MethodPost, "/keyed/", "body", hKey, "k", hPrompt, "9")
+		wantStatus(t, r, err, c.status)
+		if ran := w.arrivals() != ""; ran != (c.status == http.StatusOK) {
+			t.Errorf("%s: arrivals %q", c.name, w.arrivals())
+		}
+	}
+}
+
 func TestWhatDidNotRunGoesToAnotherServer(t *testing.T) {
 	for _, path := range []string{"/safe/", "/once/", "/stream/", "/whole/"} {
 		w := newWorld(t, refuses, answers("ok")).configured()
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -31,6 +31,7 @@
 	hInstance  = "T-Instance"
 	hNotRun    = "T-Not-Run"
 	hLastEvent = "T-Last"
+	hPrompt    = "T-Prompt"
 )
 
 type testProtocol struct{}
@@ -40,6 +41,9 @@
 	if e.ID == "" {
 		return e, errors.New("no id")
 	}
+	if tokens, err := strconv.Atoi(h.Get(hPrompt)); err == nil {
+		e.Prompt.InputTokens = tokens
+	}
 	if ms, err := strconv.Atoi(h.Get(hPatience)); err == nil {
 		e.Patience = time.Duration(ms) * time.Millisecond
 	}
