Serve metrics in the text format of scrapers

Cause: each process served its metrics as JSON in go-metrics' own form, which no scraper reads; on-call engineers collect by scraping. Change: GET /metrics of the admin address writes the text format of version 0.0.4 through prometheus/common; counters end in _total, timers are summaries in seconds. Names that differ only in characters the format lacks come once, since a scraper rejects a text with a name twice. Nothing in the repository read the JSON. Also: the test of rolling replacement says for a lost request how long it ran and whether its connection was a kept one, to tell an idle close from a cut.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -5,7 +5,8 @@
 // Rules:
 //   - GET /healthz answers 200 as long as the process answers at all.
 //   - GET /readyz answers 200 or 503 with the reason; the balancer reads it.
-//   - GET /status, /metrics and /slo answer JSON and change nothing.
+//   - GET /status and /slo answer JSON and change nothing.
+//   - GET /metrics answers the text format of metrics scrapers.
 //   - POST /drain is idempotent: asked again, it tells how far the drain is.
 //   - What a process does not provide answers 404.
 //   - /debug/pprof/ is served only where Config.Pprof says so.
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -99,7 +99,7 @@
 	r := metrics.NewRegistry()
 	metrics.GetOrRegisterCounter("requests", r).Inc(5)
 	c := serve(t, Config{Metrics: r})
-	if code, body := get(t, c, "/metrics"); code != http.StatusOK || !strings.Contains(body, `"requests":{"count":5}`) {
+	if code, body := get(t, c, "/metrics"); code != http.StatusOK || !strings.Contains(body, "briarturn_requests_total 5\n") {
 		t.Errorf("metrics %d %s", code, body)
 	}
 	if code, _ := get(t, c, "/debug/pprof/cmdline"); code != http.StatusNotFound {
--- a/internal/admin/handler.go
+++ b/internal/admin/handler.go
@@ -67,7 +67,7 @@
 		mux.HandleFunc("POST /drain", drainHandler(c.Drain))
 	}
 	if c.Metrics != nil {
-		mux.HandleFunc("GET /metrics", metricsHandler(c.Metrics))
+		mux.HandleFunc("GET /metrics", serveExposition(c.Metrics))
 	}
 	if c.Pprof {
 		handlePprof(mux)
@@ -116,14 +116,6 @@
 	}
 }
 
-func metricsHandler(r metrics.Registry) http.HandlerFunc {
-	return func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		// A write fails only if the reader is gone.
-		metrics.WriteJSONOnce(r, w)
-	}
-}
-
 func handlePprof(mux *http.ServeMux) {
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /debug/pprof/cmdline", pprof.Cmdline)
--- a/internal/dev/replace_test.go
+++ b/internal/dev/replace_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
 	"testing"
@@ -114,12 +115,15 @@
 	if n%3 == 0 {
 		req.Header.Set("Idempotency-Key", fmt.Sprintf("roll-%d-%d", caller, n))
 	}
-	resp, err := r.client.Do(req)
+	var conn httptrace.GotConnInfo
+	trace := &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { conn = c }}
+	began := time.Now()
+	resp, err := r.client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if dial, ok := errors.AsType[*net.OpError](err); ok && dial.Op == "dial" {
 		return "moved"
 	}
 	if err != nil {
-		return err.Error()
+		return fmt.Sprintf("%v after %v; connection reused %v, idle for %v", err, time.Since(began), conn.Reused, conn.IdleTime)
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
