Close spare connections with the entry that they were opened to

Symptom: TestRollingReplacementLosesNothing, with twelve fleets side by side under -race, lost 1 of some 2,200 requests in 2 of 24 runs: EOF on a connection idle for 4.3 s and 4.9 s. Cause: a caller's HTTP client keeps connections to spare that no request has come on. http.Server.Shutdown waits for a first request on these, so closing an entry took its full two seconds and then cut them, and it did so behind the back of Close, which had returned: the next entry was ready on the same address meanwhile, and the client sent it a request on the connection that was being cut. Ruled out: the limits of idle connections (2 min) and of a request's head (5 s), by the idle times seen; requests cut while they ran, by the drain that had ended. Change: connections without a request are closed at once, and closing is awaited.

--- a/internal/dev/config_bench_test.go
+++ b/internal/dev/config_bench_test.go
@@ -119,25 +119,32 @@
 	var mu sync.Mutex // guards took
 	var took []time.Duration
 	var waiting sync.WaitGroup
-	wait := func(p revisioned) {
+	var late []string // who lacks the version, and what it has
+	wait := func(name string, p revisioned) {
 		for p.ConfigRevision() < version && time.Since(start) < inForceLimit {
 			time.Sleep(5 * time.Millisecond)
 		}
 		mu.Lock()
 		defer mu.Unlock()
 		took = append(took, time.Since(start))
+		if at := p.ConfigRevision(); at < version {
+			late = append(late, fmt.Sprintf("%s at %d", name, at))
+		}
 	}
-	for _, n := range f.entries {
-		waiting.Go(func() { wait(n) })
+	for i, n := range f.entries {
+		waiting.Go(func() { wait(fmt.Sprintf("entry %d", i), n) })
 	}
 	for i, n := range f.agents {
 		if i%configPools == pool%configPools {
-			waiting.Go(func() { wait(n) })
+			waiting.Go(func() { wait(fmt.Sprintf("agent %d", i), n) })
 		}
 	}
 	waiting.Wait()
 	if last := slices.Max(took); last >= inForceLimit {
-		tb.Fatalf("version %d of pool %d is not in force everywhere after %v", version, pool, last)
+		for i, n := range f.entries {
+			late = append(late, fmt.Sprintf("entry %d has %d", i, n.ConfigRevision()))
+		}
+		tb.Fatalf("version %d of pool %d is not in force everywhere after %v: %s", version, pool, last, late)
 	}
 	return took
 }
--- a/internal/dev/kill_test.go
+++ b/internal/dev/kill_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -32,19 +33,26 @@
 
 // say sends one prompt for so many output tokens and returns the status.
 func say(ctx context.Context, target, prompt string, output int) (int, error) {
+	status, _, err := sayFor(ctx, target, prompt, output)
+	return status, err
+}
+
+// sayFor is say that returns the body too.
+func sayFor(ctx context.Context, target, prompt string, output int) (int, string, error) {
 	body := fmt.Sprintf(`{"model":"briar-pool","max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, output, prompt)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target+"/v1/chat/completions", strings.NewReader(body))
 	if err != nil {
-		return 0, err
+		return 0, "", err
 	}
 	req.Header.Set("X-Request-Timeout-Ms", "20000")
 	req.Header.Set("X-Workspace", "appointments")
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return 0, err
+		return 0, "", err
 	}
 	defer resp.Body.Close()
-	return resp.StatusCode, nil
+	answer, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(answer), err
 }
 
 // Symptom: engine after engine dies, and prompts beside them fail.
@@ -109,10 +117,13 @@
 		running.Go(func() {
 			for n := 0; load.Err() == nil; n++ {
 				began := time.Now()
-				status, err := say(t.Context(), targets[i%len(targets)], fmt.Sprintf("caller %d prompt %d", i, n), 200)
+				status, body, err := sayFor(t.Context(), targets[i%len(targets)], fmt.Sprintf("caller %d prompt %d", i, n), 200)
 				if err != nil {
 					t.Error(err)
 				}
+				if status != http.StatusOK {
+					t.Logf("status %d after %v: %s", status, time.Since(began), body)
+				}
 				mu.Lock()
 				statuses[status]++
 				slowest = max(slowest, time.Since(began))
--- a/internal/node/tasks.go
+++ b/internal/node/tasks.go
@@ -64,19 +64,27 @@
 	t.wg.Wait()
 }
 
-// serveHTTP listens on address and serves until the node closes. It returns the
-// bound address.
+// serveHTTP listens on address and serves until the node closes, which waits until
+// all connections are closed. It returns the bound address.
 func (t *tasks) serveHTTP(step, address string, srv *http.Server) (string, error) {
 	lis, err := net.Listen("tcp", address)
 	if err != nil {
 		return "", errors.Annotatef(err, "step %s, address %s", step, address)
 	}
+	spare := watchSpare(srv)
 	t.run(step, func(ctx context.Context) error {
-		stop := context.AfterFunc(ctx, func() { closeHTTP(srv) })
-		defer stop()
-		if err := srv.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
+		closed := make(chan struct{})
+		stop := context.AfterFunc(ctx, func() {
+			defer close(closed)
+			closeHTTP(srv, spare)
+		})
+		err := srv.Serve(lis)
+		if !errors.Is(err, http.ErrServerClosed) {
+			stop()
 			return errors.Trace(err)
 		}
+		// Serve returns when closing begins.
+		<-closed
 		return nil
 	})
 	return lis.Addr().String(), nil
@@ -103,7 +111,10 @@
 	return nil
 }
 
-func closeHTTP(srv *http.Server) {
+// closeHTTP closes a server's connections: those without a request at once, the
+// others when they are answered or closeTimeout has passed.
+func closeHTTP(srv *http.Server, spare *spareConns) {
+	spare.close()
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	if srv.Shutdown(ctx) != nil {
