Serve callers also where the port for metrics is taken

Cause: the port for metrics is now the same on every VM; an entry that finds it taken gave up at its start, though nothing that callers need depends on it. Change: it logs an error and goes on. TestServesCallersWithoutAPortForMetrics failed before (address already in use).

--- a/internal/gatewaynode/serve.go
+++ b/internal/gatewaynode/serve.go
@@ -43,19 +43,26 @@
 		ErrorLog:          nil,
 	}
 	n.ready = &http.Server{Handler: http.HandlerFunc(n.answerReady), ReadHeaderTimeout: headerTimeout}
-	admins, err := net.Listen("tcp", n.cfg.AdminListen)
-	if err != nil {
-		_ = callers.Close() // nothing was accepted on either
-		_ = ready.Close()
-		return errors.Annotatef(err, "step listen for operators, address %s", n.cfg.AdminListen)
-	}
-	n.admin = admin.NewServer(admin.Config{Ready: n, Metrics: n.cfg.Metrics})
 	go n.run(n.callers, callers)
 	go n.run(n.ready, ready)
-	go n.run(n.admin, admins)
+	n.serveOperators()
 	return nil
 }
 
+// serveOperators serves metrics and health. Their port is the same on every VM and
+// may be taken on one: callers are served without metrics rather than not at all,
+// and the line tells why a scraper finds nothing.
+func (n *Node) serveOperators() {
+	n.admin = admin.NewServer(admin.Config{Ready: n, Metrics: n.cfg.Metrics})
+	lis, err := net.Listen("tcp", n.cfg.AdminListen)
+	if err != nil {
+		err = errors.Annotatef(err, "step listen for operators, address %s", n.cfg.AdminListen)
+		n.cfg.Log.WithError(err).Error("no metrics are served")
+		return
+	}
+	go n.run(n.admin, lis)
+}
+
 // Address returns where callers are served, with the port that was bound.
 func (n *Node) Address() string { return n.address }
 
