Learn how slow servers are, and plan by it

Cause: a slow server fails nothing, and what the ledger knows of its work says that it is free; every prompt with a part read there waits for that part. Change: a factor for each server by which it is slower than declared. A first token that is late by 1.7 is laid to the one of its servers that longest proved nothing, also while it is still awaited; on-time first tokens and three passes as declared clear. The factor fades in 8 s, and at most 0.35 of the servers count as slow.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -133,6 +133,7 @@
 		s.longest = max(s.longest, now.Sub(s.last))
 	}
 	s.last = now
+	place.Event()
 	s.events++
 	_, err := s.e.writer.Write(event)
 	return err
--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -19,6 +19,9 @@
 	mu      sync.Mutex
 	servers map[uint64]*serverState
 	works   map[WorkID]*activeWork
+	reading map[WorkID]*activeWork    // those of works whose prompts are being read
+	judged  time.Time                 // when those were last looked at
+	slow    map[*serverState]struct{} // that were found slow, until forgotten
 }
 
 type activeWork struct {
@@ -26,6 +29,9 @@
 	late    bool      // a pause was over the limit, so that a further one loses nothing
 	ready   time.Time // when its prompt should be read
 	changed time.Time
+	begun   time.Time
+	parts   []*part  // of a work whose prompt isn't read
+	mark    passMark // of a work that writes
 }
 
 // serverState is one server's passes as the ledger expects them. A pass writes a
@@ -39,12 +45,15 @@
 	longLoad  float64                // share of time spent on long parts, decaying
 	longAt    time.Time              // when longLoad was last brought up to date
 	refusedAt time.Time              // when it last refused an attempt
+	pace      pace
+	factor    float64       // of pace when advance was last called
+	read      time.Duration // declared time of all reading done so far
 }
 
 // NewLedger returns an empty Ledger. engineOf returns the engine that a server is,
 // nil for a plain service or one that isn't known; it must not call the ledger.
 func NewLedger(engineOf func(server uint64) *Engine) *Ledger {
-	return &Ledger{engineOf: engineOf, servers: map[uint64]*serverState{}, works: map[WorkID]*activeWork{}}
+	return &Ledger{engineOf: engineOf, servers: map[uint64]*serverState{}, works: map[WorkID]*activeWork{}, reading: map[WorkID]*activeWork{}, slow: map[*serverState]struct{}{}}
 }
 
 // Begin notes an attempt. A work that is known already changes nothing.
@@ -59,7 +68,7 @@
 	if _, known := l.works[w.ID]; known {
 		return
 	}
-	a := &activeWork{Work: w, changed: now}
+	a := &activeWork{Work: w, changed: now, begun: now}
 	l.works[w.ID] = a
 	for _, key := range w.Holders {
 		l.serverLocked(key).holds[w.ID] = w.HolderMemory
@@ -70,6 +79,7 @@
 		a.Helpers = nil
 		return
 	}
+	l.reading[a.ID] = a
 	l.readLocked(a, s, false, engine, now)
 	for _, key := range w.Helpers {
 		l.readLocked(a, l.serverLocked(key), true, engine, now)
@@ -89,11 +99,15 @@
 	}
 	for _, p := range s.queue {
 		p.work.ready = p.work.ready.Add(f.delay)
+		p.ready = p.ready.Add(f.delay)
 	}
-	if ready := now.Add(f.ready); ready.After(a.ready) {
+	ready := now.Add(f.ready)
+	if ready.After(a.ready) {
 		a.ready = ready
 	}
-	s.add(&part{work: a, helper: helper, left: a.Part, tokens: a.PartTokens}, e, now)
+	p := &part{work: a, helper: helper, left: a.Part, tokens: a.PartTokens, server: s, ready: ready, factor: s.factor}
+	a.parts = append(a.parts, p)
+	s.add(p, e, now)
 }
 
 // FirstToken notes that an attempt's prompt is read and its stream has begun.
@@ -104,11 +118,24 @@
 	if a == nil || a.Writing {
 		return
 	}
+	l.judgeFirst(a, now)
 	a.Writing = true
 	a.changed = now
 	l.endReadingLocked(a)
 }
 
+// Event notes that events of a stream came, which end a pass of its server.
+func (l *Ledger) Event(id WorkID, server uint64, now time.Time) {
+	engine := l.engineOf(server)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a, s := l.works[id], l.servers[server]
+	if a == nil || s == nil || engine == nil {
+		return
+	}
+	s.notePass(&a.mark, engine, now)
+}
+
 // endReadingLocked drops what is left of a work's parts: its prompt is read, or
 // nobody waits for it.
 func (l *Ledger) endReadingLocked(a *activeWork) {
@@ -120,7 +147,8 @@
 			h.drop(a.ID)
 		}
 	}
-	a.Helpers = nil
+	delete(l.reading, a.ID)
+	a.Helpers, a.parts = nil, nil
 }
 
 // End notes the end of an attempt.
--- a/placement/passes.go
+++ b/placement/passes.go
@@ -20,12 +20,16 @@
 // part is a prompt, or a part of one, that a server has yet to read.
 type part struct {
 	work   *activeWork
-	helper bool // read for another server
-	left   time.Duration
-	tokens int // of left
+	helper bool          // read for another server
+	left   time.Duration // as declared
+	tokens int           // of left
+	server *serverState
+	ready  time.Time // when it should be read
+	factor float64   // the server's pace that ready was worked out with
 }
 
-// cut takes up to so many tokens off the part and returns the time to read them.
+// cut takes up to so many tokens off the part and returns the declared time to read
+// them.
 func (p *part) cut(tokens int) time.Duration {
 	if tokens >= p.tokens {
 		took := p.left
@@ -49,10 +53,10 @@
 	return n, context
 }
 
-// writePass is the writing part of a pass.
+// writePass is the writing part of a pass. Call advance before.
 func (s *serverState) writePass(e *Engine) time.Duration {
 	n, context := s.writers()
-	return e.WritePass(n, context)
+	return s.stretch(e.WritePass(n, context))
 }
 
 // passTokens is how many tokens one pass reads at most.
@@ -67,13 +71,16 @@
 // ones. Parts that helpers read go before a server's own, and of them the newest
 // goes first: a long part waits for every part that comes after it.
 func (s *serverState) advance(e *Engine, now time.Time) {
+	s.factor = s.pace.now(now)
 	for len(s.queue) > 0 && !now.Before(s.passEnd) {
 		writing := s.writePass(e)
 		length, room := writing, s.passTokens(e, writing)
 		for len(s.queue) > 0 && room > 0 {
 			p := s.queue[0]
 			took := min(room, p.tokens)
-			length += p.cut(took)
+			read := p.cut(took)
+			s.read += read
+			length += s.stretch(read)
 			room -= took
 			if p.tokens > 0 {
 				break
@@ -141,7 +148,7 @@
 	passes := 1 + (aheadTokens+tokens-1)/room
 	// The last pass reads on behind the part as far as it has room.
 	behind := s.fill(backlog-ahead, backlogTokens-aheadTokens, passes*room-aheadTokens-tokens)
-	reading := ahead + length + behind
+	reading := s.stretch(ahead + length + behind)
 	perPass := reading / time.Duration(passes)
 	if passes > 1 {
 		// Full passes read alike; the first one is the longest by its tokens.
@@ -151,7 +158,7 @@
 	return forecast{
 		ready:  wait + time.Duration(passes)*writing + reading,
 		pass:   writing + perPass,
-		delay:  length,
+		delay:  s.stretch(length),
 		behind: !helper,
 	}
 }
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -63,6 +63,7 @@
 	now := p.clock()
 	p.ledger.mu.Lock()
 	defer p.ledger.mu.Unlock()
+	p.ledger.judgeWaiting(now)
 	options := make([]option, len(candidates))
 	for i, c := range candidates {
 		key := ServerKey(c.Instance)
--- a/placement/query.go
+++ b/placement/query.go
@@ -78,6 +78,9 @@
 	}
 }
 
+// Event tells that an event of the stream came.
+func (p Placement) Event() { p.planner.ledger.Event(p.work, p.key, p.planner.clock()) }
+
 // Refused tells that the server did not take the attempt.
 func (p Placement) Refused() { p.planner.ledger.Refused(p.key, p.planner.clock()) }
 
