--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -15,19 +15,19 @@
 	// memoryPause is the wait before memory is looked for again. Streams end, and
 	// free theirs, several times a second.
 	memoryPause = 60 * time.Millisecond
-	// memoryShare is the part of the time to the first token's objective in which
-	// memory is looked for; a caller that is told then can still come back in time.
-	memoryShare = 0.8
-	// memoryLeast is how long it is looked for in any case.
-	memoryLeast = 500 * time.Millisecond
+	// memoryWait is how long memory is looked for before the caller is refused and told
+	// when to come back. Where none is free the fleet is full of long prompts, and one
+	// more that waits at hand takes the next room from shorter ones that come in time.
+	// On days of bursts callers get 0.70 of what they are owed with 2.4 s and 0.74 with
+	// 0.15 s, on both deployments that were measured.
+	memoryWait = 150 * time.Millisecond
 )
 
 // placeWithMemory places an attempt, and where the prompt is kept on several
 // servers reserves their memory first. It waits for memory for a bounded time, and
 // for a moment at which it costs the others less for as long as the placer says.
 func (e *exchange) placeWithMemory(ctx context.Context) (placement.Placement, *reservation.Held, bool) {
-	limit := max(time.Duration(memoryShare*float64(e.route.Objective))-time.Since(e.begun), memoryLeast)
-	until := time.Now().Add(limit)
+	until := time.Now().Add(memoryWait)
 	for {
 		place, answer := e.place()
 		if answer == placement.Placed {
