Make the gateway's limits settings

Cause: key age, body and connection limits, times to come back, connect tries and the wait for memory were constants that operators could not change or look up. Change: gateway.limits.* with checks, defaults that say where they come from, and a row each on docs/SETTINGS.md; the planner's weights stay constants beside their reasons. Shown by: TestEverySettingReachesTheNode, TestPageListsEveryKey.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -64,7 +64,7 @@
 	defer cancel()
 	e.end = end
 	timed := http.NewResponseController(e.writer)
-	_ = timed.SetWriteDeadline(end.Add(writeSlack)) // as for reads
+	_ = timed.SetWriteDeadline(end.Add(e.gateway.cfg.Options.WriteSlack)) // as for reads
 	defer func() { _ = timed.SetWriteDeadline(time.Time{}) }()
 	e.run(ctx)
 	if e.status == 0 {
@@ -173,7 +173,7 @@
 	timed := http.NewResponseController(e.writer)
 	// A connection that takes no deadline is one of a test; its reads end by
 	// themselves.
-	_ = timed.SetReadDeadline(time.Now().Add(bodyTimeout))
+	_ = timed.SetReadDeadline(time.Now().Add(g.cfg.Options.BodyTimeout))
 	defer func() { _ = timed.SetReadDeadline(time.Time{}) }()
 	body, err := io.ReadAll(http.MaxBytesReader(e.writer, e.incoming.Body, limit))
 	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
@@ -300,5 +300,5 @@
 	e.outcome = string(reason)
 	e.status = reason.status()
 	e.gateway.tally.refused[reason].Inc(1)
-	refuse(e.writer, reason, reason.retryAfter(e.gateway.cfg.Options.RetryAfter))
+	refuse(e.writer, reason, reason.retryAfter(e.gateway.cfg.Options))
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -523,6 +523,6 @@
 		if r.StatusCode != http.StatusOK {
 			t.Errorf("request %d: status %d", i, r.StatusCode)
 		}
-		time.Sleep(500*time.Millisecond + writeSlack + 100*time.Millisecond)
+		time.Sleep(500*time.Millisecond + DefaultWriteSlack + 100*time.Millisecond)
 	}
 }
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -11,23 +11,15 @@
 	"github.com/briarturn/briarturn/reservation"
 )
 
-const (
-	// memoryPause is the wait before memory is looked for again. Streams end, and
-	// free theirs, several times a second.
-	memoryPause = 60 * time.Millisecond
-	// memoryWait is how long memory is looked for before the caller is refused and told
-	// when to come back. Where none is free the fleet is full of long prompts, and one
-	// more that waits at hand takes the next room from shorter ones that come in time.
-	// On days of bursts callers get 0.70 of what they are owed with 2.4 s and 0.74 with
-	// 0.15 s, on both deployments that were measured.
-	memoryWait = 150 * time.Millisecond
-)
+// memoryPause is the wait before memory is looked for again. Streams end, and free
+// theirs, several times a second.
+const memoryPause = 60 * time.Millisecond
 
 // placeWithMemory places an attempt, and where the prompt is kept on several
 // servers reserves their memory first. It waits for memory for a bounded time, and
 // for a moment at which it costs the others less for as long as the placer says.
 func (e *exchange) placeWithMemory(ctx context.Context) (placement.Placement, *reservation.Held, bool) {
-	until := time.Now().Add(memoryWait)
+	until := time.Now().Add(e.gateway.cfg.Options.MemoryWait)
 	for {
 		place, answer := e.place()
 		if answer == placement.Placed {
--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -30,7 +30,7 @@
 	if r.Header.Get("Retry-After") == "" {
 		t.Error("the caller isn't told when to come back")
 	}
-	const looks = memoryWait/memoryPause + 2
+	const looks = DefaultMemoryWait/memoryPause + 2
 	if n := placer.asked.Load(); n > int64(looks) {
 		t.Errorf("room was looked for %d times, want %d at most", n, looks)
 	}
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -59,15 +59,15 @@
 	return http.StatusServiceUnavailable
 }
 
-// retryAfter is when a caller may come back, given when it may after most refusals.
-func (r Reason) retryAfter(usual time.Duration) time.Duration {
+// retryAfter is when a caller that was refused may come back.
+func (r Reason) retryAfter(o Options) time.Duration {
 	switch r {
 	case ReasonStaleConfig:
-		return staleRetryAfter
+		return o.StaleRetryAfter
 	case ReasonPoison:
-		return poisonRetryAfter
+		return o.PoisonRetryAfter
 	}
-	return usual
+	return o.RetryAfter
 }
 
 // refusal is the body of an answer of the gateway's own.
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -223,9 +223,15 @@
 		RetryRatio:  g.RetryRatio,
 		RetrySlack:  g.RetrySlack,
 		RetryWindow: time.Duration(g.RetryWindow),
-		Store:       store,
-		Protocol:    platform.Protocol{},
-		Engines:     func(p *upstream.Pool) reservation.Engines { return platform.NewOrders(p) },
+		Conns: gatewaynode.ConnLimits{
+			HeaderBytes:   g.Limits.HeaderBytes,
+			HeaderTimeout: time.Duration(g.Limits.HeaderTimeout),
+			IdleTimeout:   time.Duration(g.Limits.IdleTimeout),
+		},
+		Options:  gatewayOptions(&g.Limits),
+		Store:    store,
+		Protocol: platform.Protocol{},
+		Engines:  func(p *upstream.Pool) reservation.Engines { return platform.NewOrders(p) },
 		Decoder: gatewaynode.Decoder{
 			ConfigKind:  platform.KindConfig,
 			ServersKind: platform.KindServers,
@@ -237,6 +243,20 @@
 	}
 }
 
+func gatewayOptions(l *settings.GatewayLimits) gateway.Options {
+	return gateway.Options{
+		KeyAge:           time.Duration(l.KeyAge),
+		BodiesBytes:      l.BodiesBytes,
+		BodyTimeout:      time.Duration(l.BodyTimeout),
+		WriteSlack:       time.Duration(l.WriteSlack),
+		RetryAfter:       time.Duration(l.RetryAfter),
+		StaleRetryAfter:  time.Duration(l.StaleRetryAfter),
+		PoisonRetryAfter: time.Duration(l.PoisonRetryAfter),
+		ConnectTries:     l.ConnectTries,
+		MemoryWait:       time.Duration(l.MemoryWait),
+	}
+}
+
 // applyChange puts in force what can change while a process runs: where the object
 // API is. The rest holds until the next start.
 func applyChange(s *settings.Settings, store *platform.StoreClient, log logrus.FieldLogger) {
--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -64,6 +64,8 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	Conns       ConnLimits
+	Options     gateway.Options
 	// Engines gives orders over the node's connections.
 	Engines  func(*upstream.Pool) reservation.Engines
 	Store    objectapi.Store
@@ -136,6 +138,7 @@
 		Suspects:  suspects,
 		Witness:   exchange.Witness(),
 		Reserver:  reservation.New(cfg.Engines(n.pool), incarnation, cfg.Log),
+		Options:   cfg.Options,
 		Log:       cfg.Log,
 		Sampler:   cfg.Sampler,
 		Metrics:   cfg.Metrics,
--- a/internal/gatewaynode/serve.go
+++ b/internal/gatewaynode/serve.go
@@ -10,17 +10,17 @@
 	"github.com/briarturn/briarturn/internal/admin"
 )
 
-const (
-	// headerTimeout and idleTimeout bound a caller's connection. They are over
-	// what operators allow callers, so that no proper caller is cut.
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 2 * time.Minute
-	headerBytes   = 64 << 10
-	// readyAge is how old the proof of the configuration may be while the balancer
-	// is told to send callers here: three fifths of the five seconds in which a
-	// removed key has to be refused.
-	readyAge = 3 * time.Second
-)
+// readyAge is how old the proof of the configuration may be while the balancer is
+// told to send callers here: three fifths of the five seconds in which a removed key
+// has to be refused.
+const readyAge = 3 * time.Second
+
+// ConnLimits bound a caller's connection.
+type ConnLimits struct {
+	HeaderBytes   int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
 
 // serve binds the addresses and starts the servers for callers, the balancer and
 // operators.
@@ -37,12 +37,11 @@
 	n.address, n.readyAddress = callers.Addr().String(), ready.Addr().String()
 	n.callers = &http.Server{
 		Handler:           n.gateway,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    headerBytes,
-		ErrorLog:          nil,
+		ReadHeaderTimeout: n.cfg.Conns.HeaderTimeout,
+		IdleTimeout:       n.cfg.Conns.IdleTimeout,
+		MaxHeaderBytes:    n.cfg.Conns.HeaderBytes,
 	}
-	n.ready = &http.Server{Handler: http.HandlerFunc(n.answerReady), ReadHeaderTimeout: headerTimeout}
+	n.ready = &http.Server{Handler: http.HandlerFunc(n.answerReady), ReadHeaderTimeout: n.cfg.Conns.HeaderTimeout}
 	go n.run(n.callers, callers)
 	go n.run(n.ready, ready)
 	n.serveOperators()
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -5,6 +5,7 @@
 
 	"github.com/briarturn/briarturn/backend"
 	"github.com/briarturn/briarturn/config"
+	"github.com/briarturn/briarturn/gateway"
 	"github.com/briarturn/briarturn/objectapi"
 )
 
@@ -56,6 +57,11 @@
 	// DefaultRoutineLines is over four times the requests of a gateway, 11 a second;
 	// at 400 bytes a line it bounds them to 20 kB/s.
 	DefaultRoutineLines = 50
+	// A caller's connection: the limits are over what operators allow callers, so that
+	// no proper caller is cut.
+	DefaultGatewayHeader        = 64 << 10
+	DefaultGatewayHeaderTimeout = 10 * time.Second
+	DefaultGatewayIdle          = 2 * time.Minute
 )
 
 func withDefaults(role Role) *Settings {
@@ -110,5 +116,19 @@
 		RetrySlack:   DefaultRetrySlack,
 		RetryWindow:  config.Duration(DefaultRetryWindow),
 		RoutineLines: DefaultRoutineLines,
+		Limits: GatewayLimits{
+			KeyAge:           config.Duration(gateway.DefaultKeyAge),
+			BodiesBytes:      gateway.DefaultBodiesBytes,
+			BodyTimeout:      config.Duration(gateway.DefaultBodyTimeout),
+			WriteSlack:       config.Duration(gateway.DefaultWriteSlack),
+			HeaderBytes:      DefaultGatewayHeader,
+			HeaderTimeout:    config.Duration(DefaultGatewayHeaderTimeout),
+			IdleTimeout:      config.Duration(DefaultGatewayIdle),
+			RetryAfter:       config.Duration(gateway.DefaultRetryAfter),
+			StaleRetryAfter:  config.Duration(gateway.DefaultStaleRetryAfter),
+			PoisonRetryAfter: config.Duration(gateway.DefaultPoisonRetryAfter),
+			ConnectTries:     gateway.DefaultConnectTries,
+			MemoryWait:       config.Duration(gateway.DefaultMemoryWait),
+		},
 	}
 }
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -14,5 +14,22 @@
 	RetryWindow config.Duration `json:"retry_window" validate:"min=1s,max=1h"`
 	// RoutineLines bounds the log lines a second of requests that went well; the
 	// others are always written.
-	RoutineLines float64 `json:"routine_lines" validate:"gte=1,lte=100000"`
+	RoutineLines float64       `json:"routine_lines" validate:"gte=1,lte=100000"`
+	Limits       GatewayLimits `json:"limits"`
+}
+
+// GatewayLimits bound requests and connections. gateway.Options says what each is for.
+type GatewayLimits struct {
+	KeyAge           config.Duration `json:"key_age" validate:"min=100ms,max=1h"`
+	BodiesBytes      int64           `json:"bodies_bytes" validate:"gte=1048576"`
+	BodyTimeout      config.Duration `json:"body_timeout" validate:"min=100ms,max=1h"`
+	WriteSlack       config.Duration `json:"write_slack" validate:"min=100ms,max=1m"`
+	HeaderBytes      int             `json:"header_bytes" validate:"gte=4096,lte=1048576"`
+	HeaderTimeout    config.Duration `json:"header_timeout" validate:"min=100ms,max=5m"`
+	IdleTimeout      config.Duration `json:"idle_timeout" validate:"min=1s,max=1h"`
+	RetryAfter       config.Duration `json:"retry_after" validate:"min=10ms,max=1m"`
+	StaleRetryAfter  config.Duration `json:"stale_retry_after" validate:"min=10ms,max=1m"`
+	PoisonRetryAfter config.Duration `json:"poison_retry_after" validate:"min=1s,max=1h"`
+	ConnectTries     int             `json:"connect_tries" validate:"gte=1,lte=100"`
+	MemoryWait       config.Duration `json:"memory_wait" validate:"min=1ms,max=1m"`
 }
