Refuse paths that climb out of their route; count what can't be read

Symptom: GET /a/../secret was judged by the route and key of /a/ and passed on as it came, so that a server that resolves it runs what belongs to another route. Cause: the route is chosen by how the path begins, and nothing looked at its segments. Change: a path with a segment '..', encoded or not, is malformed (400). Requests that net/http refuses before a handler sees them (bad framing, broken or slow heads) get a counter, gateway.requests.unreadable; they had none.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -96,7 +98,7 @@
 	if !ok {
 		return ReasonNoRoute
 	}
-	if err != nil {
+	if err != nil || climbs(e.incoming.URL.Path) {
 		return ReasonMalformed
 	}
 	if reason := e.authorize(table, stale); reason != "" {
@@ -112,6 +114,13 @@
 	return ""
 }
 
+// climbs reports whether a path, decoded, has a segment that stands for the one above.
+// The route is chosen by how the path begins, and a server that resolves such
+// segments would run what belongs to another route, with another key.
+func climbs(path string) bool {
+	return slices.Contains(strings.Split(path, "/"), "..")
+}
+
 // headerBytes is the size of a header on the wire.
 func headerBytes(h http.Header) int {
 	const separators = len(": \r\n")
--- a/internal/gatewaynode/serve.go
+++ b/internal/gatewaynode/serve.go
@@ -41,6 +41,7 @@
 		IdleTimeout:       n.cfg.Conns.IdleTimeout,
 		MaxHeaderBytes:    n.cfg.Conns.HeaderBytes,
 	}
+	countUnreadable(n.callers, n.cfg.Metrics)
 	n.ready = &http.Server{Handler: http.HandlerFunc(n.answerReady), ReadHeaderTimeout: n.cfg.Conns.HeaderTimeout}
 	go n.run(n.callers, callers)
 	go n.run(n.ready, ready)
--- a/internal/gatewaynode/serve_test.go
+++ b/internal/gatewaynode/serve_test.go
@@ -1,6 +1,7 @@
 package gatewaynode_test
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -16,31 +17,39 @@
 	"github.com/briarturn/briarturn/upstream"
 )
 
-// Symptom: no entry starts any more on some VMs. Sequence: another process holds
-// the port for metrics, which is the same everywhere; an entry starts.
-// Cause: it gave up, though it could have served its callers.
-func TestServesCallersWithoutAPortForMetrics(t *testing.T) {
+// start starts a node with an empty store, and returns its registry.
+func start(t *testing.T, admin string, conns gatewaynode.ConnLimits) (*gatewaynode.Node, metrics.Registry) {
+	t.Helper()
 	const free = "127.0.0.1:0"
-	taken, err := net.Listen("tcp", free)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer taken.Close()
+	registry := metrics.NewRegistry()
 	n, err := gatewaynode.Start(gatewaynode.Config{
-		Name: "vm-1", Listen: free, ReadyListen: free, Datagram: free, AdminListen: taken.Addr().String(),
-		Grace: time.Second, RetryWindow: time.Second,
+		Name: "vm-1", Listen: free, ReadyListen: free, Datagram: free, AdminListen: admin,
+		Grace: time.Second, RetryWindow: time.Second, Conns: conns,
 		Store: standin.NewMemory(standin.Config{}), Protocol: platform.Protocol{},
 		Engines: func(p *upstream.Pool) reservation.Engines { return platform.NewOrders(p) },
 		Decoder: gatewaynode.Decoder{
 			ConfigKind: platform.KindConfig, ServersKind: platform.KindServers,
 			Config: platform.DecodeConfig, Server: platform.DecodeServer,
 		},
-		Log: quiet.Logger(), Metrics: metrics.NewRegistry(),
+		Log: quiet.Logger(), Metrics: registry,
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer n.Close()
+	t.Cleanup(n.Close)
+	return n, registry
+}
+
+// Symptom: no entry starts any more on some VMs. Sequence: another process holds
+// the port for metrics, which is the same everywhere; an entry starts.
+// Cause: it gave up, though it could have served its callers.
+func TestServesCallersWithoutAPortForMetrics(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	n, _ := start(t, taken.Addr().String(), gatewaynode.ConnLimits{})
 	resp, err := http.Get("http://" + n.Address() + "/")
 	if err != nil {
 		t.Fatal(err)
@@ -50,3 +59,29 @@
 		t.Errorf("status %d before a configuration", resp.StatusCode)
 	}
 }
+
+// Symptom: connections and their memory are used up by callers that send a byte now
+// and then. Sequence: a head begins and never ends. Cause: only its size was bounded.
+func TestSlowHeadIsEnded(t *testing.T) {
+	n, registry := start(t, "127.0.0.1:0", gatewaynode.ConnLimits{HeaderTimeout: 100 * time.Millisecond})
+	conn, err := net.Dial("tcp", n.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\nX-Pad: "); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(30 * time.Second))
+	answer, err := io.ReadAll(conn)
+	if err != nil {
+		t.Fatalf("the connection stays open: %v, %q", err, answer)
+	}
+	counter := metrics.GetOrRegisterCounter("gateway.requests.unreadable", registry)
+	for end := time.Now().Add(30 * time.Second); counter.Count() == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if counter.Count() != 1 {
+		t.Errorf("%d unreadable requests counted", counter.Count())
+	}
+}
