Count the gateways in CAPACITY.md

Cause: the page counted entries with agents only, and not what runs on the users' platform: gateways that tell each other of every attempt. A second copy of the silent logger is gone.

--- a/internal/capacity/compute.go
+++ b/internal/capacity/compute.go
@@ -5,6 +5,7 @@
 
 	"github.com/briarturn/briarturn/claim"
 	"github.com/briarturn/briarturn/declared"
+	"github.com/briarturn/briarturn/internal/gatewaynode"
 	"github.com/briarturn/briarturn/lease"
 	"github.com/briarturn/briarturn/membership"
 	"github.com/briarturn/briarturn/objectapi"
@@ -88,7 +89,7 @@
 	m := newModel(f, s)
 	return Page{Fleet: f.Name, Tables: []Table{
 		m.entryMessages(), m.entryCPU(), m.entryMemory(), m.entryStreams(),
-		m.agentTable(), m.storeReads(), m.storeWrites(), m.delayTable(), m.stormTable(),
+		m.agentTable(), m.storeReads(), m.storeWrites(), m.gatewayTable(), m.delayTable(), m.stormTable(),
 	}}
 }
 
@@ -278,6 +279,25 @@
 	return t
 }
 
+// gatewayTable is what gateways exchange about their attempts, and what they ask of
+// the store. They have no agents to hear from.
+func (m *model) gatewayTable() Table {
+	t := Table{Title: "Gateway: news of attempts, and the store"}
+	requests := m.Requests / float64(m.Entries)
+	streams := m.openStreams() / float64(m.Entries)
+	news := requests * m.slope(lineNewsBytes)
+	beats := m.at(lineBeatBytes, streams)
+	peer := 2 * (news + beats)
+	watches := float64(m.Entries) * gatewaynode.QuietReadsPerSecond
+	t.add(Figure{"news to one peer", news, "B/s", 0, "", "requests / entries × gateway.news.bytes", "peering.Exchange"})
+	t.add(Figure{"beats to one peer", beats, "B/s", 0, "", "gateway.beat.bytes(open streams of a gateway)", "peering.Exchange"})
+	t.add(Figure{"bytes, in and out, a peer", peer, "B/s", limitBytes, "", "2 × both", "peering.Exchange"})
+	t.add(Figure{"bytes, all gateways of a region are peers", peer * (m.region - 1), "B/s", limitBytes, "", "the same × (entries of a region - 1)", "peering.Exchange"})
+	t.add(Figure{"peers within the budget", limitBytes / peer, "gateways", 0, "", "3,000 B/s / bytes a peer: how many may share the engines that they place on", "peering.Exchange"})
+	t.add(Figure{"quiet watches of all gateways", watches, "a second", limitReads, "", "entries × watches of configuration, backend servers and gateways", "gatewaynode.Node"})
+	return t
+}
+
 // claims returns store calls a second of the claims of a share of requests.
 // Below the rates that were measured they are in proportion to the least one.
 func (m *model) claims(line string, share float64) float64 {
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -86,6 +86,7 @@
 	all = append(all, agentMeasurements()...)
 	all = append(all, streamMeasurements()...)
 	all = append(all, nodeMeasurements()...)
+	all = append(all, gatewayMeasurements()...)
 	return append(all, storeMeasurements()...)
 }
 
--- a/internal/capacity/measure_node.go
+++ b/internal/capacity/measure_node.go
@@ -3,15 +3,14 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"sync"
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/sirupsen/logrus"
 
 	"github.com/briarturn/briarturn/backend"
 	"github.com/briarturn/briarturn/internal/node"
+	"github.com/briarturn/briarturn/internal/quiet"
 	standinobjectapi "github.com/briarturn/briarturn/internal/standin/objectapi"
 	standinservice "github.com/briarturn/briarturn/internal/standin/service"
 )
@@ -36,12 +35,6 @@
 	service *standinservice.Server
 }
 
-func quiet() logrus.FieldLogger {
-	l := logrus.New()
-	l.SetOutput(io.Discard)
-	return l
-}
-
 func newNodes() *nodes {
 	return &nodes{store: standinobjectapi.NewMemory(standinobjectapi.Config{})}
 }
@@ -51,7 +44,7 @@
 		e, err := node.StartEntry(node.EntryConfig{
 			Name: fmt.Sprintf("entry-%d", i), Zone: "zone-1", Region: "region-1",
 			HTTPListen: loopback, RPCListen: loopback, DatagramListen: loopback,
-			Store: n.store, Log: quiet(),
+			Store: n.store, Log: quiet.Logger(),
 		})
 		if err != nil {
 			return errors.Trace(err)
@@ -81,7 +74,7 @@
 		}
 		a, err := node.StartAgent(node.AgentConfig{
 			Descriptor: d, BackendAddress: address, RPCListen: loopback, DatagramListen: loopback,
-			Seeds: []string{n.entries[0].RPCAddress()}, Store: n.store, Log: quiet(),
+			Seeds: []string{n.entries[0].RPCAddress()}, Store: n.store, Log: quiet.Logger(),
 		})
 		if err != nil {
 			return errors.Trace(err)
--- a/internal/capacity/names.go
+++ b/internal/capacity/names.go
@@ -47,6 +47,8 @@
 	lineClaimWrites   = "store.claim.writes"
 	lineClaimReads    = "store.claim.reads"
 	lineClaimBytes    = "store.claim.bytes"
+	lineNewsBytes     = "gateway.news.bytes"
+	lineBeatBytes     = "gateway.beat.bytes"
 )
 
 // lineNames are those that Compute needs.
@@ -61,4 +63,5 @@
 	lineStreamEntry, lineStreamAgent, lineStreamRoutine, lineCaller,
 	lineChunkCPU, lineWatchIdle, lineWatchBusy, lineStartReads,
 	lineStartWrites, lineLeaseWrites, lineClaimWrites, lineClaimReads, lineClaimBytes,
+	lineNewsBytes, lineBeatBytes,
 }
--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -43,6 +43,11 @@
 	sweepEvery = time.Second
 )
 
+// QuietReadsPerSecond is how often a node asks the store while nothing changes: each
+// watch once in its wait.
+const QuietReadsPerSecond = float64(time.Second)/float64(configWait) + float64(time.Second)/float64(serversWait) +
+	float64(time.Second)/float64(peering.PresenceWait)
+
 // Decoder translates the platform's objects.
 type Decoder struct {
 	ConfigKind  string
--- a/peering/exchange.go
+++ b/peering/exchange.go
@@ -28,9 +28,9 @@
 	// settleTime is how old an attempt must be for a beat that does not list it to
 	// end it: datagrams may overtake each other.
 	settleTime = 100 * time.Millisecond
-	// presenceWait and presenceBackoff pace the watch of the other entries, which
+	// PresenceWait and presenceBackoff pace the watch of the other entries, which
 	// change rarely.
-	presenceWait    = 10 * time.Second
+	PresenceWait    = 10 * time.Second
 	presenceBackoff = time.Second
 )
 
@@ -104,7 +104,7 @@
 		Store:      x.cfg.Store,
 		Kinds:      []string{KindGateway},
 		Sink:       r,
-		Wait:       presenceWait,
+		Wait:       PresenceWait,
 		BackoffMax: presenceBackoff,
 		Metrics:    x.cfg.Metrics,
 		Log:        x.cfg.Log,
