--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -18,6 +18,7 @@
 	"github.com/briarturn/briarturn/internal/node"
 	"github.com/briarturn/briarturn/invariant"
 	"github.com/briarturn/briarturn/objectapi"
+	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/platform"
 	"github.com/briarturn/briarturn/reservation"
 	"github.com/briarturn/briarturn/settings"
@@ -229,6 +230,7 @@
 			IdleTimeout:   time.Duration(g.Limits.IdleTimeout),
 		},
 		Options:  gatewayOptions(&g.Limits),
+		Policy:   placement.Policy(g.Placement),
 		Store:    store,
 		Protocol: platform.Protocol{},
 		Engines:  func(p *upstream.Pool) reservation.Engines { return platform.NewOrders(p) },
--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -3,6 +3,7 @@
 package gatewaynode
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -71,6 +72,7 @@
 	RetryWindow time.Duration
 	Conns       ConnLimits
 	Options     gateway.Options
+	Policy      placement.Policy // empty: placement.LeastLoss
 	// Engines gives orders over the node's connections.
 	Engines  func(*upstream.Pool) reservation.Engines
 	Store    objectapi.Store
@@ -138,7 +140,7 @@
 		Routes:    n.routes,
 		Directory: n.directory,
 		Pool:      n.pool,
-		Placer:    placement.NewPlanner(n.ledger, incarnation, time.Now, exchange.Teller()),
+		Placer:    placement.NewPlanner(n.ledger, incarnation, time.Now, exchange.Teller()).Use(cmp.Or(cfg.Policy, placement.LeastLoss)),
 		Budget:    budget,
 		Suspects:  suspects,
 		Witness:   exchange.Witness(),
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -21,7 +21,7 @@
 	// waitFirst and waitSlope bound what a long prompt may cost the others beyond its
 	// own gain, as shares of what being late costs it: at once, and with all of its
 	// caller's time waited. On days of bursts 0.05 and 0.5 give the same as twice as
-	// much on one deployment and 0.01 more on another; the next prompts come in time.
+	// much on one deployment and 0.01 more on another.
 	waitFirst, waitSlope = 0.05, 0.5
 	// waitLeft is what must be left of a caller's time for a prompt to wait.
 	waitLeft = 5 * time.Second
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -18,6 +18,7 @@
 	seq    atomic.Uint64
 	clock  func() time.Time
 	tell   Teller
+	policy Policy
 }
 
 // Teller passes on to other entries what becomes of this entry's attempts. Its
@@ -28,10 +29,16 @@
 	Ended(id WorkID)
 }
 
-// NewPlanner returns a Planner over a Ledger for the entry's incarnation owner.
-// tell may be nil.
+// NewPlanner returns a Planner with policy LeastLoss over a Ledger for the entry's
+// incarnation owner. tell may be nil.
 func NewPlanner(l *Ledger, owner uint64, clock func() time.Time, tell Teller) *Planner {
-	return &Planner{ledger: l, owner: owner, clock: clock, tell: tell}
+	return &Planner{ledger: l, owner: owner, clock: clock, tell: tell, policy: LeastLoss}
+}
+
+// Use has the Planner choose by another policy. Call it before the first Place.
+func (p *Planner) Use(policy Policy) *Planner {
+	p.policy = policy
+	return p
 }
 
 // option is one server as a choice for a query.
@@ -70,7 +77,7 @@
 		options[i] = option{candidate: c, key: key, state: p.ledger.serverLocked(key)}
 	}
 	rand.Shuffle(len(options), func(i, j int) { options[i], options[j] = options[j], options[i] })
-	if q.Engine == nil || q.InputTokens == 0 {
+	if p.policy.plain(q) {
 		return p.place(q, choice{first: pickPlain(options, now)}, now), Placed
 	}
 	best := p.best(q, options, now)
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -7,6 +7,7 @@
 	"github.com/briarturn/briarturn/config"
 	"github.com/briarturn/briarturn/gateway"
 	"github.com/briarturn/briarturn/objectapi"
+	"github.com/briarturn/briarturn/placement"
 )
 
 // Defaults of all roles.
@@ -116,6 +117,7 @@
 		RetrySlack:   DefaultRetrySlack,
 		RetryWindow:  config.Duration(DefaultRetryWindow),
 		RoutineLines: DefaultRoutineLines,
+		Placement:    string(placement.LeastLoss),
 		Limits: GatewayLimits{
 			KeyAge:           config.Duration(gateway.DefaultKeyAge),
 			BodiesBytes:      gateway.DefaultBodiesBytes,
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -14,8 +14,10 @@
 	RetryWindow config.Duration `json:"retry_window" validate:"min=1s,max=1h"`
 	// RoutineLines bounds the log lines a second of requests that went well; the
 	// others are always written.
-	RoutineLines float64       `json:"routine_lines" validate:"gte=1,lte=100000"`
-	Limits       GatewayLimits `json:"limits"`
+	RoutineLines float64 `json:"routine_lines" validate:"gte=1,lte=100000"`
+	// Placement is the policy by which servers are chosen (placement.Policy).
+	Placement string        `json:"placement" validate:"oneof=least_loss least_requests"`
+	Limits    GatewayLimits `json:"limits"`
 }
 
 // GatewayLimits bound requests and connections. gateway.Options says what each is for.
