Read the store through peers where it turns an entry away

Cause: each entry proved its configuration by the store alone. Change: package replica. An entry keeps what it last read and when that was proved; peers ask over drpc (PullConfig) from an age on that an undisturbed watch doesn't reach. A proof counts from before the question, so that time on its way never makes a state newer. Ruled out: asking from 1.5 s on (undisturbed watches reach 2.1 s, so that all asked all the time); comparing the revision of the whole store (differs between entries with the same objects). Tests: replica (rapid over clocks, suspensions and delays; a test for each way it could break), TestEntryThatTheStoreTurnsAwayFollowsThroughItsPeer.

--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -217,6 +217,7 @@
 		Listen:      s.Listen.HTTP,
 		ReadyListen: s.Listen.Ready,
 		Datagram:    s.Listen.Datagram,
+		RPC:         s.Listen.RPC,
 		AdminListen: s.Listen.Admin,
 		Zone:        s.Zone,
 		Region:      s.Region,
--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -19,6 +19,7 @@
 	"github.com/briarturn/briarturn/peering"
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/quarantine"
+	"github.com/briarturn/briarturn/replica"
 	"github.com/briarturn/briarturn/reservation"
 	"github.com/briarturn/briarturn/routetable"
 	"github.com/briarturn/briarturn/upstream"
@@ -62,6 +63,7 @@
 	Name        string
 	Listen      string // callers
 	Datagram    string // other entries
+	RPC         string // other entries' reads of the store; empty: none through each other
 	AdminListen string // metrics, health and readiness
 	Zone        string
 	Region      string
@@ -97,6 +99,7 @@
 	listed    listedFlag
 	ledger    *placement.Ledger
 	exchange  *peering.Exchange
+	replica   *replica.Replica
 	engines   engineIndex
 
 	address, readyAddress string // as bound
@@ -112,14 +115,21 @@
 		pool:      upstream.NewPool(cfg.Metrics),
 	}
 	n.ledger = placement.NewLedger(n.engineOf)
+	n.replica = replica.New((*sink)(n), boottime.Now)
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
+	rpc, err := n.servePeers(ctx)
+	if err != nil {
+		stop()
+		return nil, err
+	}
 	incarnation := rand.Uint64()
 	suspects := quarantine.NewBook(gateway.QuarantineOptions())
 	budget := gateway.NewRetryBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow, assumedEntries)
 	exchange, err := peering.Start(ctx, peering.Config{
 		Name:        cfg.Name,
 		Listen:      cfg.Datagram,
+		RPC:         rpc,
 		Incarnation: incarnation,
 		Zone:        cfg.Zone,
 		Region:      cfg.Region,
@@ -157,6 +167,7 @@
 	}
 	n.watch(ctx, cfg.Decoder.ConfigKind, configWait)
 	n.watch(ctx, cfg.Decoder.ServersKind, serversWait)
+	n.readThroughPeers(ctx)
 	go n.sweep(ctx)
 	return n, nil
 }
@@ -165,7 +176,7 @@
 	w := objectapi.NewWatcher(objectapi.WatcherConfig{
 		Store:      n.cfg.Store,
 		Kinds:      []string{kind},
-		Sink:       (*sink)(n),
+		Sink:       n.replica,
 		Lost:       n.lost,
 		Wait:       wait,
 		Interval:   watchInterval,
--- a/peering/exchange.go
+++ b/peering/exchange.go
@@ -38,6 +38,7 @@
 type Config struct {
 	Name        string // the VM's
 	Listen      string // datagrams, IP:PORT
+	RPC         string // where peers find this entry's drpc services; empty: it has none
 	Incarnation uint64
 	Zone        string
 	Region      string
@@ -80,7 +81,7 @@
 	}
 	x.datagrams = datagrams
 	own := presence{
-		Datagram: datagrams.Addr().String(), Incarnation: cfg.Incarnation, Zone: cfg.Zone, Region: cfg.Region,
+		Datagram: datagrams.Addr().String(), RPC: cfg.RPC, Incarnation: cfg.Incarnation, Zone: cfg.Zone, Region: cfg.Region,
 	}
 	go announce(ctx, cfg.Store, cfg.Name, own, cfg.Log)
 	go x.follow(ctx)
@@ -95,6 +96,19 @@
 // Witness returns what the entry's gateway tells of servers that died.
 func (x *Exchange) Witness() gateway.Witness { return x.outbox }
 
+// RPCPeers returns the addresses of the other entries' drpc services.
+func (x *Exchange) RPCPeers() []string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var out []string
+	for _, p := range x.peers {
+		if p.RPC != "" {
+			out = append(out, p.RPC)
+		}
+	}
+	return out
+}
+
 // Close ends the datagrams.
 func (x *Exchange) Close() error { return errors.Trace(x.datagrams.Close()) }
 
--- a/peering/presence.go
+++ b/peering/presence.go
@@ -22,7 +22,8 @@
 
 // presence is the value of a KindGateway object; its name is the VM's.
 type presence struct {
-	Datagram    string `json:"datagram"` // IP:PORT
+	Datagram    string `json:"datagram"`      // IP:PORT
+	RPC         string `json:"rpc,omitempty"` // IP:PORT of its drpc services, where it has any
 	Incarnation uint64 `json:"incarnation"`
 	Zone        string `json:"zone"`
 	Region      string `json:"region"`
@@ -31,7 +32,8 @@
 // Peer is another entry.
 type Peer struct {
 	Name        string
-	Address     netip.AddrPort
+	Address     netip.AddrPort // datagrams
+	RPC         string         // IP:PORT of its drpc services; empty: none
 	Incarnation uint64
 }
 
@@ -136,5 +138,5 @@
 	if err != nil {
 		return Peer{}, errors.Annotatef(err, "step read presence, peer %s", o.Name)
 	}
-	return Peer{Name: o.Name, Address: address, Incarnation: p.Incarnation}, nil
+	return Peer{Name: o.Name, Address: address, RPC: p.RPC, Incarnation: p.Incarnation}, nil
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -40,7 +40,7 @@
 type Listen struct {
 	HTTP     string `json:"http,omitempty" validate:"omitempty,addrport"`  // callers; not of an agent
 	Ready    string `json:"ready,omitempty" validate:"omitempty,addrport"` // the balancer's question; gateway only
-	RPC      string `json:"rpc,omitempty" validate:"omitempty,addrport"`   // not of a gateway
+	RPC      string `json:"rpc,omitempty" validate:"omitempty,addrport"`   // may be left out for a gateway
 	Datagram string `json:"datagram" validate:"required,addrport"`
 	Admin    string `json:"admin" validate:"required,addrport"` // metrics, health, readiness
 }
