Tell the lives of a backend server apart, and leave out what names none

Cause: a server may start again under the name that it had; it knows nothing of before. The ledger went on with the parts that the first life had to read: the server counted as busy for seconds, then as slow. And an object among the registrations that another writer had put was taken for a server if some of it could be read; one that became unreadable left its earlier content in force. Change: a registration bears its start; a later one clears what is to be read there, its pace and its refusals. Ruled out: ending the attempts too (their entries hear of it by their connections, and one that ran on elsewhere would be lost).

--- a/internal/gatewaynode/sink.go
+++ b/internal/gatewaynode/sink.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/briarturn/briarturn/objectapi"
+	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/upstream"
 )
 
@@ -64,6 +65,7 @@
 	var servers []upstream.Server
 	for _, o := range l.Objects {
 		if server, ok := s.decodeServer(o, now); ok {
+			s.noteRestart(server, now)
 			servers = append(servers, server)
 		}
 	}
@@ -83,8 +85,10 @@
 		}
 		server, ok := s.decodeServer(o, now)
 		if !ok {
+			s.directory.Remove(o.Name, now) // whatever it named, it names nothing now
 			continue
 		}
+		s.noteRestart(server, now)
 		s.directory.Put(server)
 		state := "ready"
 		if server.Draining {
@@ -94,6 +98,15 @@
 	}
 }
 
+// noteRestart forgets the work of a server that has started again under its name.
+func (s *sink) noteRestart(server upstream.Server, now time.Time) {
+	if !s.directory.Restarted(server) {
+		return
+	}
+	s.ledger.Restarted(placement.ServerKey(server.Instance), now)
+	s.logServer(server, "restarted", 0)
+}
+
 func (s *sink) logServer(server upstream.Server, state string, revision uint64) {
 	s.cfg.Log.WithFields(logrus.Fields{
 		"instance": server.Instance, "service": server.Service, "server": server.Address, "state": state, "object_revision": revision,
--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -209,6 +210,29 @@
 	l.serverLocked(server).refusedAt = now
 }
 
+// Restarted notes that a server started again under its name. What it had to read is
+// gone, and it is no slower than declared until it shows so. The attempts that it ran
+// stay until their connections tell their entries of the end. Without this the server
+// would be avoided for seconds for work that nobody does, and blamed for parts that
+// nobody reads.
+func (l *Ledger) Restarted(server uint64, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.servers[server]
+	if s == nil {
+		return
+	}
+	for _, p := range s.queue {
+		p.work.parts = slices.DeleteFunc(p.work.parts, func(q *part) bool { return q == p })
+	}
+	s.queue = nil
+	s.passEnd, s.refusedAt = time.Time{}, time.Time{}
+	s.longLoad = 0
+	s.pace = pace{}
+	s.pace.clear(now)
+	delete(l.slow, s)
+}
+
 // Forget drops servers that keep does not name and that have no work.
 func (l *Ledger) Forget(keep func(server uint64) bool) {
 	l.mu.Lock()
--- a/upstream/directory.go
+++ b/upstream/directory.go
@@ -7,7 +7,8 @@
 
 // Server is one backend server as its registration shows it.
 type Server struct {
-	Instance string // one life of the server; a restarted one has another
+	Instance string // names the server; one that starts again may keep it
+	Born     int64  // tells its lives apart: when it started, Unix ms; 0: not known
 	Service  string
 	Address  string // IP:PORT
 	Zone     string
@@ -74,6 +75,15 @@
 	d.putLocked(s)
 }
 
+// Restarted reports whether a registration is of a later life of a server than the
+// one held: it knows nothing of what was sent to it before.
+func (d *Directory) Restarted(s Server) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	held, ok := d.servers[s.Instance]
+	return ok && s.Born > held.Born && held.Born != 0
+}
+
 // Remove takes the end of a registration.
 func (d *Directory) Remove(instance string, now time.Time) {
 	d.mu.Lock()
--- a/upstream/directory_test.go
+++ b/upstream/directory_test.go
@@ -78,3 +78,23 @@
 	d.Remove("a", begin.Add(time.Hour))
 	wantServers(t, d, time.Hour)
 }
+
+// Symptom: a server that started again under its name is taken for the one that it was.
+// Sequence: it registers with a later start; an older registration is listed again.
+// Cause: only the name told servers apart.
+func TestRestartsAreToldByTheStart(t *testing.T) {
+	d := NewDirectory(grace)
+	first, second := server("a"), server("a")
+	first.Born, second.Born = 1000, 2000
+	if d.Restarted(first) {
+		t.Error("a server that nobody knew has restarted")
+	}
+	d.Put(first)
+	if d.Restarted(first) || !d.Restarted(second) {
+		t.Errorf("the same start: %v, a later one: %v; want false and true", d.Restarted(first), d.Restarted(second))
+	}
+	d.Put(second)
+	if d.Restarted(first) {
+		t.Error("an earlier start counts as a restart")
+	}
+}
