--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -439,6 +439,9 @@
 	w.gateway.RefuseStreams()
 	r, _, err = w.ask(http.MethodPost, "/stream/", "")
 	wantStatus(t, r, err, http.StatusServiceUnavailable)
+	if after := r.Header.Get("Retry-After"); after != "0.01" {
+		t.Errorf("the caller may come back after %s s; other entries have room now", after)
+	}
 	r, _, err = w.ask(http.MethodGet, "/safe/", "")
 	wantStatus(t, r, err, http.StatusOK)
 	w.gateway.RefuseAll()
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -59,11 +59,17 @@
 	return http.StatusServiceUnavailable
 }
 
+// endingRetryAfter is when a caller may come back that an entry refused at its end: at
+// once, for the balancer takes it to another entry, which has room.
+const endingRetryAfter = 10 * time.Millisecond
+
 // retryAfter is when a caller that was refused may come back.
 func (r Reason) retryAfter(o Options) time.Duration {
 	switch r {
 	case ReasonStaleConfig:
 		return o.StaleRetryAfter
+	case ReasonEnding:
+		return endingRetryAfter
 	case ReasonPoison:
 		return o.PoisonRetryAfter
 	}
