--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -33,6 +33,7 @@
 	e.tried[place.Server.Instance] = true
 	e.server = place.Server.Address
 	e.placed = place
+	e.placedAt = time.Now()
 	e.gateway.tally.attempts.Inc(1)
 	response, err := e.send(ctx, place, held)
 	if err != nil {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -41,6 +41,7 @@
 	firstOut time.Time           // when the caller got the first byte
 	server   string              // address of the last attempt
 	placed   placement.Placement // of the last attempt
+	placedAt time.Time           // when that was chosen
 	outcome  string
 	limit    string // which limit ended the attempts, if one did
 	status   int
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/briarturn/briarturn/placement"
 )
 
 // Outcomes of requests that were not refused; the others are a Reason.
@@ -50,12 +52,15 @@
 	}
 	if e.route != nil {
 		fields["route"] = e.route.Name
+		fields["objective_ms"] = e.route.Objective.Milliseconds()
 	}
 	if e.env.Prompt.InputTokens > 0 {
 		fields["tokens"] = e.env.Prompt.InputTokens
 	}
 	if e.placed.Part > 0 {
+		fields["placed_ms"] = e.placedAt.Sub(e.begun).Milliseconds()
 		fields["spread"] = 1 + len(e.placed.Helpers)
+		fields["helpers"] = addressesOf(e.placed.Helpers)
 		fields["part_ms"] = e.placed.Part.Milliseconds()
 		fields["forecast_ms"] = e.placed.Forecast.Milliseconds()
 		fields["harm"] = math.Round(e.placed.Harm*harmDigits) / harmDigits
@@ -65,6 +70,7 @@
 	}
 	if e.stream != nil {
 		fields["events"], fields["pause_ms"] = e.stream.events, e.stream.longest.Milliseconds()
+		fields["pause_limit_ms"] = e.route.PauseObjective.Milliseconds()
 	}
 	if e.limit != "" {
 		fields["limit"] = e.limit
@@ -92,3 +98,11 @@
 func (e *exchange) routine() bool {
 	return e.outcome == outcomeAnswered && e.status < http.StatusInternalServerError && e.sends <= 1
 }
+
+func addressesOf(candidates []placement.Candidate) []string {
+	out := make([]string, len(candidates))
+	for i, c := range candidates {
+		out[i] = c.Address
+	}
+	return out
+}
--- a/internal/ctl/args.go
+++ b/internal/ctl/args.go
@@ -13,6 +13,7 @@
 	Load       *loadCommand       `arg:"subcommand:load" help:"send load and report what came of it"`
 	Experiment *experimentCommand `arg:"subcommand:experiment" help:"compare policies under the same load"`
 	Explain    *explainCommand    `arg:"subcommand:explain" help:"tell from log files why a request ended as it did"`
+	Summary    *summaryCommand    `arg:"subcommand:summary" help:"tell from log files how requests ended, by length, time and server"`
 	Capacity   *capacityCommand   `arg:"subcommand:capacity" help:"work out what each role needs, from measured slopes"`
 
 	Platform string        `arg:"--platform,env:BRIARTURN_PLATFORM" placeholder:"URL" help:"the platform's object API"`
@@ -29,7 +30,7 @@
 // Epilogue implements arg.Epilogued.
 func (*arguments) Epilogue() string {
 	text := "Examples:\n"
-	for _, name := range []string{"apply", "get", "watch", "status", "drain", "report", "load", "experiment", "explain", "capacity"} {
+	for _, name := range []string{"apply", "get", "watch", "status", "drain", "report", "load", "experiment", "explain", "summary", "capacity"} {
 		text += examples[name]
 	}
 	return text + `
@@ -52,6 +53,8 @@
 	"experiment": "  briarturnctl experiment -f experiment.json --json\n",
 	"explain": "  briarturnctl explain c17-000042.1 front-*.log\n" +
 		"  zcat front-*.log.gz | briarturnctl explain c17-000042.1 -\n",
+	"summary": "  briarturnctl summary front-*.log\n" +
+		"  briarturnctl summary --window 10s --json front-*.log\n",
 	"capacity": "  briarturnctl capacity --measure > docs/capacity-slopes.json\n" +
 		"  briarturnctl capacity --slopes docs/capacity-slopes.json --page docs/CAPACITY.md\n",
 }
@@ -119,6 +122,11 @@
 	Files   []string `arg:"positional,required" placeholder:"FILE" help:"logs of gateways, in any order; - reads standard input"`
 }
 
+type summaryCommand struct {
+	Window time.Duration `arg:"--window" default:"2s" help:"length of the stretches of time that are told apart"`
+	Files  []string      `arg:"positional,required" placeholder:"FILE" help:"logs of gateways, in any order; - reads standard input"`
+}
+
 type experimentCommand struct {
 	File string `arg:"-f,--file,required" help:"JSON: fleet, seconds, seed, cases of policy, target, mix, factor"`
 }
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -12,13 +12,9 @@
 
 // explain tells from log files why a request ended as it did.
 func (t *tool) explain() error {
-	var lines []explain.Line
-	for _, name := range t.args.Explain.Files {
-		more, err := t.readLog(name)
-		if err != nil {
-			return errors.Trace(err)
-		}
-		lines = append(lines, more...)
+	lines, err := t.readLogs(t.args.Explain.Files)
+	if err != nil {
+		return err
 	}
 	report, err := explain.Request(lines, t.args.Explain.Request)
 	if err != nil {
@@ -27,6 +23,19 @@
 	return t.print(report, func(w io.Writer) error { return writeExplained(w, report) })
 }
 
+// readLogs reads files as one log.
+func (t *tool) readLogs(names []string) ([]explain.Line, error) {
+	var lines []explain.Line
+	for _, name := range names {
+		more, err := t.readLog(name)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		lines = append(lines, more...)
+	}
+	return lines, nil
+}
+
 // readLog reads one file. What is no line of a log is told on standard error: a
 // cause may stand there.
 func (t *tool) readLog(name string) ([]explain.Line, error) {
--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -105,6 +105,8 @@
 		return t.capacity(ctx)
 	case a.Explain != nil:
 		return t.explain()
+	case a.Summary != nil:
+		return t.summary()
 	case a.Experiment != nil:
 		return t.experiment(ctx)
 	}
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -46,6 +46,10 @@
 	PauseMS    int64  `json:"pause_ms,omitempty"`
 	Events     int64  `json:"events,omitempty"`
 
+	Tokens       int64 `json:"tokens,omitempty"`
+	ObjectiveMS  int64 `json:"objective_ms,omitempty"`
+	PauseLimitMS int64 `json:"pause_limit_ms,omitempty"`
+
 	Text string `json:"-"` // as it was logged
 }
 
--- a/placement/apart.go
+++ b/placement/apart.go
@@ -64,7 +64,7 @@
 // pickHolders takes the n cheapest servers that have room for their share as
 // holders, and the cheapest of the others to make up the readers.
 func pickHolders(q Query, options []option, n, readers int, part time.Duration, now time.Time) choice {
-	weight := weightOf(q.InputTokens)
+	weight := WeightOf(q.InputTokens)
 	ranked := slices.Clone(options)
 	for i := range ranked {
 		o := &ranked[i]
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -21,8 +21,8 @@
 	if q.PauseObjective <= shortPause || q.Left < waitLeft {
 		return false
 	}
-	weight := weightOf(q.InputTokens)
+	weight := WeightOf(q.InputTokens)
 	gain := max(firstLoss(lateReady, q.Objective, weight)-firstLoss(c.ready, q.Objective, weight), 0)
 	waited := float64(q.Waited) / float64(q.Waited+q.Left)
-	return c.harm > gain+weight*lateLoss*(waitFirst+waitSlope*waited)
+	return c.harm > gain+weight*LateLoss*(waitFirst+waitSlope*waited)
 }
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -91,17 +91,17 @@
 		return 0
 	}
 	share := float64(pass) / float64(limit)
-	return weight * lateLoss * (ramp(pass, scale(limit, pauseFrom), scale(limit, pauseTo)) + pausePressure*share*share)
+	return weight * LateLoss * (ramp(pass, scale(limit, pauseFrom), scale(limit, pauseTo)) + pausePressure*share*share)
 }
 
 // firstLoss is what a first token after so long costs, with the objective left.
 func firstLoss(after, left time.Duration, weight float64) float64 {
 	if left <= 0 {
 		// Late in any case: sooner is still better for the caller.
-		return weight * lateLoss * (1 + firstPressure*after.Seconds())
+		return weight * LateLoss * (1 + firstPressure*after.Seconds())
 	}
 	pressure := firstPressure * min(float64(after)/float64(left), pressureMost)
-	return weight * lateLoss * (ramp(after, scale(left, firstFrom), scale(left, firstTo)) + pressure)
+	return weight * LateLoss * (ramp(after, scale(left, firstFrom), scale(left, firstTo)) + pressure)
 }
 
 // harm is what a part costs the others on a server.
@@ -110,7 +110,7 @@
 	for _, a := range s.works {
 		switch {
 		case a.Writing && a.late:
-			total += a.Weight * (latePressure*float64(f.pass)/float64(a.Pause) + (1-lateLoss)*ramp(f.pass, scale(a.Pause, leaveFrom), scale(a.Pause, leaveTo)))
+			total += a.Weight * (latePressure*float64(f.pass)/float64(a.Pause) + (1-LateLoss)*ramp(f.pass, scale(a.Pause, leaveFrom), scale(a.Pause, leaveTo)))
 		case a.Writing:
 			total += pauseLoss(f.pass, a.Pause, a.Weight)
 		case f.behind:
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -127,7 +127,7 @@
 		Server:  first.key,
 		Pause:   q.PauseObjective,
 		FirstBy: now.Add(q.Objective),
-		Weight:  weightOf(q.InputTokens),
+		Weight:  WeightOf(q.InputTokens),
 	}
 	out := Placement{Server: first.candidate, Urgency: q.urgencyLevel(), planner: p, work: w.ID, key: first.key}
 	if q.Engine != nil && q.InputTokens > 0 {
--- a/placement/spread.go
+++ b/placement/spread.go
@@ -28,7 +28,7 @@
 
 // pickSpread chooses n servers for a prompt of which each reads a part.
 func pickSpread(q Query, options []option, part time.Duration, n int, now time.Time) choice {
-	weight := weightOf(q.InputTokens)
+	weight := WeightOf(q.InputTokens)
 	tokens := q.InputTokens / n
 	first := cheapestFirst(q, options, part, tokens, n, now)
 	rest := make([]option, 0, len(options)-1)
@@ -54,7 +54,7 @@
 
 // cheapestFirst chooses the server that answers.
 func cheapestFirst(q Query, options []option, part time.Duration, tokens, n int, now time.Time) option {
-	weight := weightOf(q.InputTokens)
+	weight := WeightOf(q.InputTokens)
 	for i := range options {
 		o := &options[i]
 		o.look(q, part, tokens, false, now)
--- a/placement/work.go
+++ b/placement/work.go
@@ -34,13 +34,13 @@
 // near what their owners give for them.
 const weightTokens = 10_000
 
-// weightOf estimates what being on time is worth from the size of a prompt, since
+// WeightOf estimates what being on time is worth from the size of a prompt, since
 // operators declare no worth.
-func weightOf(tokens int) float64 { return 1 + float64(tokens)/weightTokens }
+func WeightOf(tokens int) float64 { return 1 + float64(tokens)/weightTokens }
 
-// lateLoss is the part of the weight that is lost by being late: late answers earn
+// LateLoss is the part of the weight that is lost by being late: late answers earn
 // about a quarter.
-const lateLoss = 0.75
+const LateLoss = 0.75
 
 // ramp rises from 0 at from to 1 at to.
 func ramp(x, from, to time.Duration) float64 {
