Let the largest prompts wait while reading is scarce

Reading grows with the square of a prompt, so that the largest give least for it. Change: a price on reading time that rises with what waits to be read on all servers; a long prompt waits at its entry while price and harm are over its gain. The planner's shuffle can be seeded so that a play repeats.

--- a/placement/choice.go
+++ b/placement/choice.go
@@ -12,17 +12,17 @@
 	loss    float64 // and of the query; infinite: not possible
 }
 
-// waits reports whether a long prompt had better be placed later: now the others
-// would lose more than it gains by being on time. A prompt of 400,000 tokens stops
-// every writer of its engines for a second or more; in a burst of such prompts those
-// that come last can't be on time, and what they stop could. The longer it has
-// waited, the more it may cost.
-func (c *choice) waits(q Query) bool {
+// waits reports whether a long prompt had better be placed later: now the others,
+// and those that come while its reading keeps servers busy (price), would lose more
+// than it gains by being on time. A prompt of 400,000 tokens stops every writer of its
+// engines for a second or more; in a burst of such prompts those that come last can't
+// be on time, and what they stop could. The longer it has waited, the more it may cost.
+func (c *choice) waits(q Query, price float64) bool {
 	if q.PauseObjective <= shortPause || q.Left < waitLeft {
 		return false
 	}
 	weight := WeightOf(q.InputTokens)
 	gain := max(firstLoss(lateReady, q.Objective, weight)-firstLoss(c.ready, q.Objective, weight), 0)
 	waited := float64(q.Waited) / float64(q.Waited+q.Left)
-	return c.harm > gain+weight*LateLoss*(waitFirst+waitSlope*waited)
+	return c.harm+price > gain+weight*LateLoss*(waitFirst+waitSlope*waited)
 }
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -19,6 +19,9 @@
 	clock  func() time.Time
 	tell   Teller
 	policy Policy
+	// shuffle orders the servers before a choice, so that entries that choose at the
+	// same moment don't all take the first of those that are alike. Tests seed it.
+	shuffle func(n int, swap func(i, j int))
 }
 
 // Teller passes on to other entries what becomes of this entry's attempts. Its
@@ -32,7 +35,7 @@
 // NewPlanner returns a Planner with policy LeastLoss over a Ledger for the entry's
 // incarnation owner. tell may be nil.
 func NewPlanner(l *Ledger, owner uint64, clock func() time.Time, tell Teller) *Planner {
-	return &Planner{ledger: l, owner: owner, clock: clock, tell: tell, policy: LeastLoss}
+	return &Planner{ledger: l, owner: owner, clock: clock, tell: tell, policy: LeastLoss, shuffle: rand.Shuffle}
 }
 
 // Use has the Planner choose by another policy. Call it before the first Place.
@@ -76,7 +79,7 @@
 		key := ServerKey(c.Instance)
 		options[i] = option{candidate: c, key: key, state: p.ledger.serverLocked(key)}
 	}
-	rand.Shuffle(len(options), func(i, j int) { options[i], options[j] = options[j], options[i] })
+	p.shuffle(len(options), func(i, j int) { options[i], options[j] = options[j], options[i] })
 	if p.policy.plain(q) {
 		return p.place(q, choice{first: pickPlain(options, now)}, now), Placed
 	}
@@ -84,7 +87,7 @@
 	switch {
 	case math.IsInf(best.loss, 1):
 		return Placement{}, NoRoom
-	case best.waits(q):
+	case best.waits(q, readingPrice(q, options, now)):
 		return Placement{}, Later
 	}
 	return p.place(q, best, now), Placed
