Let two entries of a zone read the store, and the others through them

Change: the first two of a zone by a hash of those that were heard lately read; the others ask them each 300 ms, and take up their own watch as soon as their state is older than an undisturbed reader lets it get. objectapi.Watcher can put a watch off. Ruled out: a lease for readers (needs the store when it is least there).

--- a/internal/capacity/compute.go
+++ b/internal/capacity/compute.go
@@ -288,13 +288,13 @@
 	news := requests * m.slope(lineNewsBytes)
 	beats := m.at(lineBeatBytes, streams)
 	peer := 2 * (news + beats)
-	watches := float64(m.Entries) * gatewaynode.QuietReadsPerSecond
+	watches := gatewaynode.QuietReadsPerSecond(m.Entries, m.Zones)
 	t.add(Figure{"news to one peer", news, "B/s", 0, "", "requests / entries × gateway.news.bytes", "peering.Exchange"})
 	t.add(Figure{"beats to one peer", beats, "B/s", 0, "", "gateway.beat.bytes(open streams of a gateway)", "peering.Exchange"})
 	t.add(Figure{"bytes, in and out, a peer", peer, "B/s", limitBytes, "", "2 × both", "peering.Exchange"})
 	t.add(Figure{"bytes, all gateways of a region are peers", peer * (m.region - 1), "B/s", limitBytes, "", "the same × (entries of a region - 1)", "peering.Exchange"})
 	t.add(Figure{"peers within the budget", limitBytes / peer, "gateways", 0, "", "3,000 B/s / bytes a peer: how many may share the engines that they place on", "peering.Exchange"})
-	t.add(Figure{"quiet watches of all gateways", watches, "a second", limitReads, "", "entries × watches of configuration, backend servers and gateways", "gatewaynode.Node"})
+	t.add(Figure{"quiet watches of all gateways", watches, "a second", limitReads, "", "readers of each zone × watches of configuration and backend servers, and entries × that of gateways", "peering.Exchange.Readers"})
 	return t
 }
 
--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -45,10 +45,14 @@
 	sweepEvery = time.Second
 )
 
-// QuietReadsPerSecond is how often a node asks the store while nothing changes: each
-// watch once in its wait.
-const QuietReadsPerSecond = float64(time.Second)/float64(configWait) + float64(time.Second)/float64(serversWait) +
-	float64(time.Second)/float64(peering.PresenceWait)
+// QuietReadsPerSecond returns how often the entries of a fleet ask the store together
+// while nothing changes, each watch once in its wait: the readers of each availability
+// zone for configuration and servers, every entry for its peers.
+func QuietReadsPerSecond(entries, zones int) float64 {
+	readers := min(entries, zones*peering.ReadersPerZone)
+	perReader := float64(time.Second)/float64(configWait) + float64(time.Second)/float64(serversWait)
+	return float64(readers)*perReader + float64(entries)*float64(time.Second)/float64(peering.PresenceWait)
+}
 
 // Decoder translates the platform's objects.
 type Decoder struct {
@@ -178,6 +182,7 @@
 		Kinds:      []string{kind},
 		Sink:       n.replica,
 		Lost:       n.lost,
+		Hold:       n.leavesStore,
 		Wait:       wait,
 		Interval:   watchInterval,
 		BackoffMax: watchBackoffMax,
--- a/internal/gatewaynode/peers.go
+++ b/internal/gatewaynode/peers.go
@@ -16,10 +16,31 @@
 	// configPullAge and serversPullAge are the ages from which peers are asked. A proof
 	// counts from before its watch began to wait, and the next one comes a wait later:
 	// undisturbed, it grows to two waits and what two calls take.
-	configPullAge  = 2*configWait + 300*time.Millisecond
-	serversPullAge = 2*serversWait + 300*time.Millisecond
+	configPullAge  = 2*configWait + 500*time.Millisecond
+	serversPullAge = 2*serversWait + 500*time.Millisecond
 )
 
+// leavesStore reports whether this entry leaves a kind to its peers now: others of its
+// zone read the store, and what they tell is new enough. As soon as it isn't, the entry
+// asks the store itself, whoever was to do so.
+func (n *Node) leavesStore(kind string) bool {
+	if own, _ := n.exchange.Readers(); own {
+		return false
+	}
+	limit := configPullAge
+	if kind == n.cfg.Decoder.ServersKind {
+		limit = serversPullAge
+	}
+	age, ok := n.replica.Age(kind)
+	return ok && age < limit
+}
+
+// readers returns the peers to ask, and whether to leave the store to them.
+func (n *Node) readers() (always bool, addresses []string) {
+	own, addresses := n.exchange.Readers()
+	return !own, addresses
+}
+
 // servePeers answers other entries' reads until ctx ends, and returns the address
 // that was bound; it is empty where none is set.
 func (n *Node) servePeers(ctx context.Context) (string, error) {
@@ -55,7 +76,7 @@
 			{Kind: n.cfg.Decoder.ServersKind, Age: serversPullAge},
 		},
 		Asker:   dialer,
-		Peers:   n.exchange.RPCPeers,
+		Peers:   n.readers,
 		Clock:   boottime.Now,
 		Log:     n.cfg.Log,
 		Metrics: n.cfg.Metrics,
--- a/objectapi/watcher.go
+++ b/objectapi/watcher.go
@@ -32,6 +32,10 @@
 	DefaultWatchBackoffMax = 3 * time.Second
 )
 
+// holdPoll is how often a watch that is put off looks whether it still is: a tenth of
+// the second by which a state may then be older.
+const holdPoll = 100 * time.Millisecond
+
 // watchBackoffInitial is the first wait after a failure.
 const watchBackoffInitial = 100 * time.Millisecond
 
@@ -52,7 +56,11 @@
 	Sink  Sink
 	// Lost, if set, is told when the store stops answering for a kind; the next
 	// call of the Sink for the kind says that it answers again.
-	Lost     func(kind string)
+	Lost func(kind string)
+	// Hold, if set, is asked before each watch of a kind: while it is true the watch
+	// waits, because the sink is kept current in another way. The first watch after that
+	// doesn't wait for a change, so that it soon tells how things are.
+	Hold     func(kind string) bool
 	Wait     time.Duration
 	Interval time.Duration
 	// BackoffMax bounds the wait between two tries while the store is away.
@@ -108,6 +116,7 @@
 	kind    string
 	after   uint64
 	failing bool
+	held    bool // the last watch was put off
 }
 
 func (w *Watcher) follow(ctx context.Context, k *kindWatch) {
@@ -149,9 +158,22 @@
 	return nil
 }
 
+// hold waits while the kind is kept current in another way.
+func (k *kindWatch) hold(ctx context.Context) {
+	k.held = false
+	for k.config.Hold != nil && k.config.Hold(k.kind) && sleep.For(ctx, holdPoll) {
+		k.held = true
+	}
+}
+
 func (k *kindWatch) watch(ctx context.Context) error {
+	k.hold(ctx)
+	wait := k.config.Wait
+	if k.held {
+		wait = 0
+	}
 	asked := k.config.Clock()
-	l, err := k.config.Store.Watch(ctx, k.kind, k.after, k.config.Wait)
+	l, err := k.config.Store.Watch(ctx, k.kind, k.after, wait)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/objectapi/watcher_test.go
+++ b/objectapi/watcher_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -181,3 +182,40 @@
 		}
 	})
 }
+
+// Symptom: an entry learns of a change late though nobody tells it any more.
+// Sequence: a watch is put off because a peer keeps the kind current; the peer is gone;
+// a change was made meanwhile.
+// Cause: the watch was never taken up again, or waited for one more change first.
+func TestWatchThatIsPutOffGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := standin.NewMemory(standin.Config{})
+		s := newMirror()
+		var held atomic.Bool
+		held.Store(true)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		w := objectapi.NewWatcher(objectapi.WatcherConfig{
+			Store: m, Kinds: []string{"A"}, Sink: s, Hold: func(string) bool { return held.Load() },
+		})
+		go func() {
+			defer close(done)
+			w.Run(ctx)
+		}()
+		time.Sleep(time.Second)
+		if _, err := m.Create(ctx, "A", "x", json.RawMessage(`1`)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Minute)
+		if n := len(s.copy()["A"]); n != 0 {
+			t.Errorf("%d objects came by a watch that was put off", n)
+		}
+		held.Store(false)
+		time.Sleep(time.Second)
+		if n := len(s.copy()["A"]); n != 1 {
+			t.Errorf("%d objects a second after the watch was to go on, want 1", n)
+		}
+		cancel()
+		<-done
+	})
+}
--- a/peering/exchange.go
+++ b/peering/exchange.go
@@ -96,19 +96,6 @@
 // Witness returns what the entry's gateway tells of servers that died.
 func (x *Exchange) Witness() gateway.Witness { return x.outbox }
 
-// RPCPeers returns the addresses of the other entries' drpc services.
-func (x *Exchange) RPCPeers() []string {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	var out []string
-	for _, p := range x.peers {
-		if p.RPC != "" {
-			out = append(out, p.RPC)
-		}
-	}
-	return out
-}
-
 // Close ends the datagrams.
 func (x *Exchange) Close() error { return errors.Trace(x.datagrams.Close()) }
 
--- a/peering/presence.go
+++ b/peering/presence.go
@@ -34,6 +34,7 @@
 	Name        string
 	Address     netip.AddrPort // datagrams
 	RPC         string         // IP:PORT of its drpc services; empty: none
+	Zone        string
 	Incarnation uint64
 }
 
@@ -138,5 +139,5 @@
 	if err != nil {
 		return Peer{}, errors.Annotatef(err, "step read presence, peer %s", o.Name)
 	}
-	return Peer{Name: o.Name, Address: address, RPC: p.RPC, Incarnation: p.Incarnation}, nil
+	return Peer{Name: o.Name, Address: address, RPC: p.RPC, Zone: p.Zone, Incarnation: p.Incarnation}, nil
 }
--- a/replica/puller.go
+++ b/replica/puller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -44,7 +43,9 @@
 	Replica *Replica
 	Kinds   []Followed
 	Asker   Asker
-	Peers   func() []string // addresses of the peers that answer
+	// Peers returns the addresses of the peers that answer, the best first, and whether
+	// to ask them however new a kind is: for an entry that leaves the object API to them.
+	Peers   func() (always bool, addresses []string)
 	Clock   boottime.Clock
 	Log     logrus.FieldLogger
 	Metrics metrics.Registry
@@ -79,11 +80,10 @@
 
 // renew asks peers for a kind that is old, or unknown, until one knows better.
 func (p *Puller) renew(ctx context.Context, f Followed) {
-	if p.fresh(f) {
+	always, peers := p.cfg.Peers()
+	if !always && p.fresh(f) {
 		return
 	}
-	peers := p.cfg.Peers()
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, address := range peers[:min(len(peers), pullPeers)] {
 		p.pull(ctx, address, f.Kind)
 		if p.fresh(f) {
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -69,7 +69,7 @@
 		addresses = append(addresses, address)
 	}
 	NewPuller(PullerConfig{
-		Replica: e.replica, Asker: p, Peers: func() []string { return addresses }, Clock: e.clock,
+		Replica: e.replica, Asker: p, Peers: func() (bool, []string) { return false, addresses }, Clock: e.clock,
 		Log: quiet.Logger(), Metrics: metrics.NewRegistry(),
 	}).renew(t.Context(), Followed{Kind: kind, Age: 2 * time.Second})
 }
