Revert the closing of kept connections at an entry's end; keep the early return

Cause: net/http counts a connection as idle until the head of its next request is read to its end, so that closing the idle ones cuts a request that is being read, and the closing was repeated each 50 ms. Change: reverted; a refusal for an entry's end still says to come back after 10 ms, so that a caller loses a retry and a few milliseconds.

--- a/internal/gatewaynode/end.go
+++ b/internal/gatewaynode/end.go
@@ -54,7 +54,6 @@
 
 func (n *Node) advance(passed time.Duration) {
 	if passed >= refuseStreamsAfter {
-		n.closeIdle()
 		n.gateway.RefuseStreams()
 	}
 	if passed >= n.cfg.Grace-refuseBefore {
@@ -62,12 +61,6 @@
 	}
 }
 
-// closeIdle closes the connections of callers that are between two requests. The
-// balancer sends no new ones here by then, so that what those callers ask next reaches
-// another entry at once; on the kept connection it would be refused, which costs them
-// a retry and most of a short prompt's objective.
-func (n *Node) closeIdle() { n.callers.SetKeepAlivesEnabled(false) }
-
 func (n *Node) cut() error {
 	left := n.gateway.Running()
 	if left == 0 {
