--- a/internal/gatewaynode/peers.go
+++ b/internal/gatewaynode/peers.go
@@ -78,7 +78,6 @@
 		Asker:   dialer,
 		Peers:   n.readers,
 		Clock:   boottime.Now,
-		Log:     n.cfg.Log,
 		Metrics: n.cfg.Metrics,
 	})
 	go func() {
--- a/replica/puller.go
+++ b/replica/puller.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
-	"github.com/sirupsen/logrus"
 
 	"github.com/briarturn/briarturn/internal/boottime"
 	"github.com/briarturn/briarturn/internal/sleep"
@@ -14,9 +13,11 @@
 )
 
 const (
-	// pullEvery is how often the ages are looked at: two tries within the 0.7 s between
-	// the age from which a configuration is asked for and that at which an entry leaves
-	// the balancer.
+	// pullEvery is how often peers are asked where they stand in for the object API, and
+	// how often the ages are looked at elsewhere: one try in the half second between the
+	// age from which a configuration is asked for and that at which an entry leaves the
+	// balancer, and a change is known a sixth of the two seconds in which it has to be in
+	// force later than by a watch.
 	pullEvery = 300 * time.Millisecond
 	// pullTimeout bounds one question. Peers answer in milliseconds out of memory;
 	// one that is gone must not cost the time in which another could answer.
@@ -47,7 +48,6 @@
 	// to ask them however new a kind is: for an entry that leaves the object API to them.
 	Peers   func() (always bool, addresses []string)
 	Clock   boottime.Clock
-	Log     logrus.FieldLogger
 	Metrics metrics.Registry
 }
 
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -10,7 +10,6 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/briarturn/briarturn/internal/boottime"
-	"github.com/briarturn/briarturn/internal/quiet"
 	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/wire/wirepb"
 )
@@ -70,7 +69,7 @@
 	}
 	NewPuller(PullerConfig{
 		Replica: e.replica, Asker: p, Peers: func() (bool, []string) { return false, addresses }, Clock: e.clock,
-		Log: quiet.Logger(), Metrics: metrics.NewRegistry(),
+		Metrics: metrics.NewRegistry(),
 	}).renew(t.Context(), Followed{Kind: kind, Age: 2 * time.Second})
 }
 
