Have the sampler's test begin when the queue's writer is stuck

Cause: a fault of the test. The queue's writer takes its first line whenever it is scheduled; in the middle of the test's hundred lines it let one more pass, which took over the count of those left out before, and the last check saw the rest only. Change: a first line is written and taken before the hundred; all checks are as they were.

--- a/internal/logqueue/sampler_test.go
+++ b/internal/logqueue/sampler_test.go
@@ -1,6 +1,9 @@
 package logqueue
 
-import "testing"
+import (
+	"runtime"
+	"testing"
+)
 
 // Symptom: the line of a refusal is missing from the log of a busy hour.
 // Sequence: requests succeed faster than their lines are read; one is refused.
@@ -9,6 +12,12 @@
 	out := &stuck{release: make(chan struct{})}
 	q := New(out, 10)
 	s := NewSampler(q, 1e9)
+	// The queue's writer takes one line and is stuck with it. Taken in the middle of what
+	// follows, it would let one more pass, which takes over the count of those before.
+	_, _ = q.Write([]byte("taken\n"))
+	for len(q.lines) > 0 {
+		runtime.Gosched()
+	}
 	for range 100 {
 		if _, ok := s.Allow(); ok {
 			_, _ = q.Write([]byte("well\n"))
