Tell what becomes of reserved memory, and whether a prompt uses it

Logs could not tell apart what the incident's hypotheses say: a prompt that a silent engine never begins and one that is still being read look alike from the gateway. The lines now name the reservations, how long they were held and whether the prompt came to use them; where no token comes for 3 s the engines are asked. Two metrics count the same. What is decided is unchanged.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -11,7 +11,6 @@
 
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/request"
-	"github.com/briarturn/briarturn/reservation"
 	"github.com/briarturn/briarturn/routetable"
 	"github.com/briarturn/briarturn/upstream"
 )
@@ -19,28 +18,25 @@
 // attempt sends the request to one server and, if there is one, passes its answer
 // on.
 func (e *exchange) attempt(ctx context.Context) (step, Reason) {
-	place, held, ok := e.placeWithMemory(ctx)
+	run, ok := e.placeWithMemory(ctx)
 	if !ok {
 		return finish, e.noServer()
 	}
-	defer place.End()
-	if held != nil {
-		defer held.Release()
-	}
+	defer run.end()
 	if reason := e.judgeAgain(); reason != "" {
 		return finish, reason
 	}
-	e.tried[place.Server.Instance] = true
-	e.server = place.Server.Address
-	e.placed = place
+	e.tried[run.Server.Instance] = true
+	e.server = run.Server.Address
+	e.placed = run.Placement
 	e.placedAt = time.Now()
 	e.gateway.tally.attempts.Inc(1)
-	response, err := e.send(ctx, place, held)
+	response, err := e.send(ctx, run)
 	if err != nil {
-		return e.unanswered(ctx, place, err)
+		return e.unanswered(ctx, run, err)
 	}
 	defer response.Close()
-	return e.answered(ctx, place, response)
+	return e.answered(ctx, run, response)
 }
 
 func (e *exchange) noServer() Reason {
@@ -95,13 +91,13 @@
 	return e.route.Priority
 }
 
-func (e *exchange) send(ctx context.Context, place placement.Placement, held *reservation.Held) (*upstream.Response, error) {
+func (e *exchange) send(ctx context.Context, run *run) (*upstream.Response, error) {
 	header := endToEnd(e.incoming.Header)
 	a := Attempt{
 		Patience:    time.Until(e.end),
-		Instance:    place.Server.Instance,
+		Instance:    run.Server.Instance,
 		LastEventID: e.env.LastEventID,
-		Urgency:     place.Urgency,
+		Urgency:     run.Urgency,
 	}
 	if e.workspace != nil {
 		a.Workspace = e.workspace.Name
@@ -109,9 +105,9 @@
 	if e.stream != nil && e.stream.lastID != "" {
 		a.LastEventID = e.stream.lastID
 	}
-	a.Helpers = helpersOf(place, held)
+	a.Helpers = helpersOf(run.Placement, run.memory)
 	e.gateway.cfg.Protocol.Encode(header, a)
-	return e.gateway.cfg.Pool.Do(ctx, place.Server.Address, &upstream.Request{
+	return e.gateway.cfg.Pool.Do(ctx, run.Server.Address, &upstream.Request{
 		Method: e.incoming.Method,
 		Target: target(e.incoming),
 		Host:   e.incoming.Host,
@@ -137,34 +133,34 @@
 }
 
 // unanswered follows an attempt that got no head of an answer.
-func (e *exchange) unanswered(ctx context.Context, place placement.Placement, err error) (step, Reason) {
+func (e *exchange) unanswered(ctx context.Context, run *run, err error) (step, Reason) {
 	sent := !errors.Is(err, upstream.ErrNotSent)
 	if sent {
 		e.sends++
 	} else {
 		e.dials++
-		place.Refused("")
+		run.Refused("")
 	}
 	if ctx.Err() == nil {
 		e.gateway.cfg.Log.WithError(err).WithField("request", e.env.ID).Info("attempt failed")
 	}
 	if sent {
-		e.suspect(ctx, place)
+		e.suspect(ctx, run.Placement)
 	}
 	return e.after(request.Situation{Sent: sent, Deadline: ctx.Err() != nil})
 }
 
 // answered follows the head of an answer.
-func (e *exchange) answered(ctx context.Context, place placement.Placement, r *upstream.Response) (step, Reason) {
+func (e *exchange) answered(ctx context.Context, run *run, r *upstream.Response) (step, Reason) {
 	e.sends++
 	v := e.gateway.cfg.Protocol.Judge(r.Status, r.Header)
 	if v.NotRun {
-		place.Refused(v.AtFault)
+		run.Refused(v.AtFault)
 		e.logRefused(r.Status, v.AtFault)
 		return e.after(request.Situation{Refused: true, Sent: true})
 	}
 	if e.stream != nil && r.Status == http.StatusOK && isEvents(r.Header) {
-		return e.passStream(ctx, place, r)
+		return e.passStream(ctx, run, r)
 	}
 	if e.stream != nil && e.stream.started {
 		// The head is out; a failure to go on can't be passed on.
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -18,22 +18,22 @@
 // placeWithMemory places an attempt, and where the prompt is kept on several
 // servers reserves their memory first. It waits for memory for a bounded time, and
 // for a moment at which it costs the others less for as long as the placer says.
-func (e *exchange) placeWithMemory(ctx context.Context) (placement.Placement, *reservation.Held, bool) {
+func (e *exchange) placeWithMemory(ctx context.Context) (*run, bool) {
 	until := time.Now().Add(e.gateway.cfg.Options.MemoryWait)
 	for {
 		place, answer := e.place()
 		if answer == placement.Placed {
 			held, err := e.reserve(ctx, place)
 			if err == nil {
-				return place, held, true
+				return &run{Placement: place, memory: held}, true
 			}
 			place.End()
 		}
 		if answer != placement.Later && time.Now().After(until) {
-			return placement.Placement{}, nil, false
+			return nil, false
 		}
 		if e.env.Prompt.InputTokens == 0 || !sleep.For(ctx, memoryPause) {
-			return placement.Placement{}, nil, false
+			return nil, false
 		}
 	}
 }
@@ -50,14 +50,14 @@
 			Tokens: place.HolderTokens,
 		}
 	}
-	held, failed, err := e.gateway.cfg.Reserver.Acquire(ctx, parts)
-	log := e.gateway.cfg.Log.WithFields(logrus.Fields{"request": e.env.ID, "holders": len(parts), "tokens_each": place.HolderTokens})
+	held, failed, err := e.gateway.cfg.Reserver.Acquire(ctx, e.env.ID, parts)
 	if err != nil {
 		place.NoMemory(failed)
-		log.WithError(err).Info("memory not reserved")
+		e.gateway.cfg.Log.WithError(err).WithFields(logrus.Fields{
+			"request": e.env.ID, "holders": len(parts), "tokens_each": place.HolderTokens,
+		}).Info("memory not reserved")
 		return nil, err
 	}
-	log.Info("memory reserved")
 	return held, nil
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -10,7 +10,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/request"
 	"github.com/briarturn/briarturn/upstream"
 )
@@ -38,7 +37,7 @@
 func newRelay(e *exchange) *relay { return &relay{e: e, buffer: make([]byte, eventRead)} }
 
 // passStream passes a stream on to its end or its break.
-func (e *exchange) passStream(ctx context.Context, place placement.Placement, r *upstream.Response) (step, Reason) {
+func (e *exchange) passStream(ctx context.Context, run *run, r *upstream.Response) (step, Reason) {
 	s := e.stream
 	s.pending = s.pending[:0]
 	if s.started {
@@ -48,7 +47,7 @@
 		n, err := r.Body.Read(s.buffer)
 		if n > 0 {
 			s.pending = append(s.pending, s.buffer[:n]...)
-			sent, writeErr := s.forward(r, place)
+			sent, writeErr := s.forward(r, run)
 			if writeErr != nil {
 				e.outcome = outcomeGone
 				return stop, ""
@@ -97,7 +96,7 @@
 }
 
 // forward gives the caller the whole events in pending that it hasn't got yet.
-func (s *relay) forward(r *upstream.Response, place placement.Placement) (sent bool, err error) {
+func (s *relay) forward(r *upstream.Response, run *run) (sent bool, err error) {
 	for {
 		end := eventEnd(s.pending)
 		if end < 0 {
@@ -106,7 +105,7 @@
 		event := s.pending[:end]
 		id, has := eventID(event)
 		if !has || isNewer(id, s.lastID) {
-			if err := s.write(event, r, place); err != nil {
+			if err := s.write(event, r, run); err != nil {
 				return sent, err
 			}
 			if has {
@@ -122,18 +121,18 @@
 	return false, nil
 }
 
-func (s *relay) write(event []byte, r *upstream.Response, place placement.Placement) error {
+func (s *relay) write(event []byte, r *upstream.Response, run *run) error {
 	now := time.Now()
 	if !s.started {
 		s.begin(r)
 	}
 	if s.events == 0 {
-		place.FirstToken()
+		run.FirstToken()
 	} else {
 		s.longest = max(s.longest, now.Sub(s.last))
 	}
 	s.last = now
-	place.Event()
+	run.event()
 	s.events++
 	_, err := s.e.writer.Write(event)
 	return err
--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -158,7 +158,7 @@
 		Budget:    budget,
 		Suspects:  suspects,
 		Witness:   exchange.Witness(),
-		Reserver:  reservation.New(cfg.Engines(n.pool), incarnation, cfg.Log),
+		Reserver:  reservation.New(cfg.Engines(n.pool), incarnation, cfg.Log, cfg.Metrics),
 		Options:   cfg.Options,
 		Log:       cfg.Log,
 		Sampler:   cfg.Sampler,
--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
@@ -44,6 +45,17 @@
 	releasePause = 200 * time.Millisecond
 )
 
+// Use is what an engine says of a reservation.
+type Use string
+
+// Uses of a reservation.
+const (
+	UseUnknown Use = "unknown" // the engine didn't say
+	Unused     Use = "unused"  // reserved, and no prompt has begun to fill it
+	InUse      Use = "in_use"  // a prompt is kept in it, or being read into it
+	NotHeld    Use = "not_held"
+)
+
 // Engines gives orders to engines.
 type Engines interface {
 	// Reserve sets tokens aside under an id, or renews what is under it. The error
@@ -51,6 +63,9 @@
 	Reserve(ctx context.Context, e Engine, id string, tokens int, hold time.Duration) error
 	// Release ends a reservation; one that doesn't exist is no error.
 	Release(ctx context.Context, e Engine, id string) error
+	// Use tells whether a reservation is in use, as of some hundred milliseconds ago.
+	// With an error it is UseUnknown.
+	Use(ctx context.Context, e Engine, id string) (Use, error)
 }
 
 // Engine names an engine to an Engines.
@@ -72,24 +87,19 @@
 	owner   string
 	seq     atomic.Uint64
 	log     logrus.FieldLogger
+	tally   tally
 	pending sync.WaitGroup // releases and renewals in progress
 }
 
 // New returns a Reserver whose ids begin with owner, which no other process uses.
-func New(engines Engines, owner uint64, log logrus.FieldLogger) *Reserver {
-	return &Reserver{engines: engines, owner: strconv.FormatUint(owner, 36), log: log}
-}
-
-// Held is memory on several engines. Release it.
-type Held struct {
-	Parts    []Part
-	reserver *Reserver
-	stop     context.CancelFunc
+func New(engines Engines, owner uint64, log logrus.FieldLogger, r metrics.Registry) *Reserver {
+	return &Reserver{engines: engines, owner: strconv.FormatUint(owner, 36), log: log, tally: newTally(r)}
 }
 
 // Acquire reserves all parts or none. The error is that of a part that could not be
-// had; failed is its index.
-func (r *Reserver) Acquire(ctx context.Context, parts []Part) (held *Held, failed int, err error) {
+// had; failed is its index. Lines about the reservations carry request, the id of the
+// request that they are for.
+func (r *Reserver) Acquire(ctx context.Context, request string, parts []Part) (held *Held, failed int, err error) {
 	for i := range parts {
 		parts[i].ID = r.owner + "-" + strconv.FormatUint(r.seq.Add(1), 36)
 	}
@@ -109,10 +119,7 @@
 		r.releaseAll(parts, results)
 		return nil, i, errors.Annotatef(result, "step reserve memory, peer %s", parts[i].Engine.Address)
 	}
-	renewing, stop := context.WithCancel(context.WithoutCancel(ctx))
-	h := &Held{Parts: parts, reserver: r, stop: stop}
-	r.pending.Go(func() { h.keep(renewing) })
-	return h, 0, nil
+	return r.hold(context.WithoutCancel(ctx), request, parts), 0, nil
 }
 
 func (r *Reserver) reserve(ctx context.Context, p *Part) error {
@@ -152,33 +159,5 @@
 	}
 }
 
-// keep renews the parts until ctx ends, then releases them. One goroutine does
-// both: a renewal that overtakes the release would set the memory aside once more.
-func (h *Held) keep(ctx context.Context) {
-	h.renew(ctx)
-	for _, p := range h.Parts {
-		h.reserver.pending.Go(func() { h.reserver.release(p) })
-	}
-}
-
-// renew renews the parts until ctx ends. A part that can't be renewed runs out, and
-// the engine then cuts the request, which shows as a broken stream.
-func (h *Held) renew(ctx context.Context) {
-	for sleep.For(ctx, renewEvery) {
-		for i := range h.Parts {
-			p := &h.Parts[i]
-			err := h.reserver.order(ctx, func(ctx context.Context) error { return h.reserver.reserve(ctx, p) })
-			if err != nil && ctx.Err() == nil {
-				h.reserver.log.WithError(err).WithFields(logrus.Fields{"server": p.Engine.Address, "reservation": p.ID}).
-					Warn("reservation not renewed")
-			}
-		}
-	}
-}
-
-// Release ends the reservations, in the background. It may be called more than
-// once.
-func (h *Held) Release() { h.stop() }
-
 // Wait waits until all releases have ended.
 func (r *Reserver) Wait() { r.pending.Wait() }
--- a/reservation/reservation_test.go
+++ b/reservation/reservation_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/briarturn/briarturn/internal/quiet"
 )
@@ -52,6 +53,15 @@
 	return nil
 }
 
+func (e *engines) Use(_ context.Context, engine Engine, id string) (Use, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, ok := e.held[engine.Address+"/"+id]; !ok {
+		return NotHeld, nil
+	}
+	return Unused, nil
+}
+
 func (e *engines) live() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -82,8 +92,8 @@
 func TestHeldUntilReleased(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := newEngines(100)
-		r := New(e, 1, quiet.Logger())
-		held, _, err := r.Acquire(t.Context(), parts(60))
+		r := New(e, 1, quiet.Logger(), metrics.NewRegistry())
+		held, _, err := r.Acquire(t.Context(), "request", parts(60))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -107,8 +117,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		e := newEngines(100)
 		e.room["b"] = 10
-		r := New(e, 1, quiet.Logger())
-		_, failed, err := r.Acquire(t.Context(), parts(60))
+		r := New(e, 1, quiet.Logger(), metrics.NewRegistry())
+		_, failed, err := r.Acquire(t.Context(), "request", parts(60))
 		if !errors.Is(err, ErrNoMemory) || failed != 1 {
 			t.Errorf("part %d failed: %v", failed, err)
 		}
@@ -128,8 +138,8 @@
 		e := newEngines(100)
 		e.lose["c"] = 1
 		e.failures = 2
-		r := New(e, 1, quiet.Logger())
-		if _, _, err := r.Acquire(t.Context(), parts(60)); !errors.Is(err, ErrUnknown) {
+		r := New(e, 1, quiet.Logger(), metrics.NewRegistry())
+		if _, _, err := r.Acquire(t.Context(), "request", parts(60)); !errors.Is(err, ErrUnknown) {
 			t.Errorf("error %v", err)
 		}
 		r.Wait()
@@ -161,8 +171,8 @@
 func TestNothingIsRenewedAfterTheRelease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := newEngines(100)
-		r := New(e, 1, quiet.Logger())
-		held, _, err := r.Acquire(t.Context(), parts(60))
+		r := New(e, 1, quiet.Logger(), metrics.NewRegistry())
+		held, _, err := r.Acquire(t.Context(), "request", parts(60))
 		if err != nil {
 			t.Fatal(err)
 		}
