End an attempt whose reserved memory no engine uses

Cause: an attempt had no limit of its own. One that a silent engine had taken lasted as long as its caller's patience, twelve seconds and more, and so did the memory that was reserved for it on engines that were well; a goroutine renewed it every second without asking whether anybody used it. Class: a resource that is held across a wait for another party, bounded by nothing but a third one's patience.

The change: where no token comes for 1.6 s the engines are asked whether a prompt has begun to use the memory. When two in a row say that none has, the attempt ends, its memory is released, its server counts as one that refuses, and the request goes to another one where the route, the shared budget and the caller's time allow it. What is in use is left alone, however long it takes to read.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/request"
@@ -31,6 +32,18 @@
 	e.placed = run.Placement
 	e.placedAt = time.Now()
 	e.gateway.tally.attempts.Inc(1)
+	bounded, cancel := run.context(ctx)
+	defer cancel()
+	next, reason := e.exchangeWith(bounded, run)
+	if notBegun(bounded) {
+		e.givenUp(run)
+	}
+	return next, reason
+}
+
+// exchangeWith sends the request to the server of a run and, if there is one, passes
+// its answer on.
+func (e *exchange) exchangeWith(ctx context.Context, run *run) (step, Reason) {
 	response, err := e.send(ctx, run)
 	if err != nil {
 		return e.unanswered(ctx, run, err)
@@ -39,6 +52,17 @@
 	return e.answered(ctx, run, response)
 }
 
+// givenUp follows a run that was ended because it had not begun. Its server counts as
+// one that refuses: what is placed there next would wait like this one.
+func (e *exchange) givenUp(run *run) {
+	run.Refused("")
+	e.gateway.tally.givenUp.Inc(1)
+	e.gateway.cfg.Log.WithFields(logrus.Fields{
+		"request": e.env.ID, "server": e.server, "waited_ms": time.Since(e.placedAt).Milliseconds(),
+		"forecast_ms": run.Forecast.Milliseconds(),
+	}).Info("attempt given up, not begun")
+}
+
 func (e *exchange) noServer() Reason {
 	if e.mayRun {
 		return ReasonUnknown
@@ -147,7 +171,7 @@
 	if sent {
 		e.suspect(ctx, run.Placement)
 	}
-	return e.after(request.Situation{Sent: sent, Deadline: ctx.Err() != nil})
+	return e.after(request.Situation{Sent: sent, Deadline: timeUp(ctx)})
 }
 
 // answered follows the head of an answer.
@@ -164,7 +188,7 @@
 	}
 	if e.stream != nil && e.stream.started {
 		// The head is out; a failure to go on can't be passed on.
-		return e.after(request.Situation{Sent: true, Deadline: ctx.Err() != nil})
+		return e.after(request.Situation{Sent: true, Deadline: timeUp(ctx)})
 	}
 	return e.passAnswer(ctx, r)
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -10,6 +10,7 @@
 	refused    map[Reason]metrics.Counter // fixed after newTally
 	attempts   metrics.Counter
 	again      metrics.Counter // sends beyond the first
+	givenUp    metrics.Counter // ended because they had not begun
 	resumed    metrics.Counter
 	broken     metrics.Counter // answers that ended early
 	overBudget metrics.Counter
@@ -34,6 +35,7 @@
 		refused:    map[Reason]metrics.Counter{},
 		attempts:   counter("attempts"),
 		again:      counter("attempts.again"),
+		givenUp:    counter("attempts.given_up"),
 		resumed:    counter("streams.resumed"),
 		broken:     counter("answers.broken"),
 		overBudget: counter("retries.over_budget"),
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -90,9 +90,9 @@
 		return stop, ""
 	}
 	e.gateway.cfg.Log.WithFields(logrus.Fields{
-		"request": e.env.ID, "server": e.server, "events": e.stream.events, "behind": e.stream.lastID, "deadline": ctx.Err() != nil,
+		"request": e.env.ID, "server": e.server, "events": e.stream.events, "behind": e.stream.lastID, "deadline": timeUp(ctx),
 	}).Info("stream broke")
-	return e.after(request.Situation{Sent: true, Deadline: ctx.Err() != nil})
+	return e.after(request.Situation{Sent: true, Deadline: timeUp(ctx)})
 }
 
 // forward gives the caller the whole events in pending that it hasn't got yet.
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -212,8 +212,8 @@
 
 // attempts counts what became of a request's attempts.
 func (r *Report) attempts() string {
-	return fmt.Sprintf("attempts that failed %d, were refused %d, broke %d", r.count(messageFailed),
-		r.count(messageRefused)+r.count(messageNoMemory), r.count(messageStreamBroke)+r.count(messageAnswerBroke)+r.count(messageServerFailed))
+	return fmt.Sprintf("attempts that failed %d, were refused %d, were given up before they began %d, broke %d", r.count(messageFailed),
+		r.count(messageRefused)+r.count(messageNoMemory), r.count(messageGivenUp), r.count(messageStreamBroke)+r.count(messageAnswerBroke)+r.count(messageServerFailed))
 }
 
 func (r *Report) count(message string) int {
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -16,6 +16,7 @@
 	messageFailed       = "attempt failed"
 	messageRefused      = "attempt refused"
 	messageNoMemory     = "memory not reserved"
+	messageGivenUp      = "attempt given up, not begun"
 	messageStreamBroke  = "stream broke"
 	messageAnswerBroke  = "answer broke"
 	messageServerFailed = "server failed"
--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -22,12 +22,15 @@
 	"github.com/briarturn/briarturn/internal/sleep"
 )
 
-// Errors of an Engines. Test with errors.Is.
+// Errors of a reservation. Test with errors.Is.
 const (
 	// ErrNoMemory: the engine has no room now. Nothing was reserved.
 	ErrNoMemory = errors.ConstError("engine has no free memory")
 	// ErrUnknown: no answer; the reservation may be held.
 	ErrUnknown = errors.ConstError("outcome of the order unknown")
+	// ErrUnused: no prompt has begun to use the memory in time. It is the cause of
+	// the end of a Held's Context.
+	ErrUnused = errors.ConstError("reserved memory is not used")
 )
 
 const (
--- a/reservation/reservation_test.go
+++ b/reservation/reservation_test.go
@@ -20,7 +20,9 @@
 	held     map[string]time.Time // by address and id, when the lease ends
 	lose     map[string]int       // answers to lose, by address
 	orders   int
-	failures int // releases whose answers are lost
+	failures int              // releases whose answers are lost
+	uses     map[string][]Use // what is said next of a reservation, by address; then InUse
+	asked    []string         // addresses, in order
 }
 
 func (e *engines) Reserve(_ context.Context, engine Engine, id string, tokens int, hold time.Duration) error {
@@ -56,10 +58,19 @@
 func (e *engines) Use(_ context.Context, engine Engine, id string) (Use, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.asked = append(e.asked, engine.Address)
 	if _, ok := e.held[engine.Address+"/"+id]; !ok {
 		return NotHeld, nil
 	}
-	return Unused, nil
+	next := e.uses[engine.Address]
+	if len(next) == 0 {
+		return InUse, nil
+	}
+	e.uses[engine.Address] = next[1:]
+	if next[0] == UseUnknown {
+		return UseUnknown, errors.New("no answer")
+	}
+	return next[0], nil
 }
 
 func (e *engines) live() int {
