Tell the first token of each attempt, not of the stream alone

Found while looking for the incident's cause elsewhere: a stream that goes on at another server never told that its prompt was read there, so that every entry's ledger kept it among the prompts that are overdue and laid that to the server until the stream ended.

--- a/gateway/run.go
+++ b/gateway/run.go
@@ -36,15 +36,23 @@
 func timeUp(ctx context.Context) bool { return ctx.Err() != nil && !notBegun(ctx) }
 
 // event takes an event of the stream. The first one of each run, not of the stream
-// alone, tells that its memory is in use: a resumed stream is read again by others.
+// alone, tells that its prompt is read and its memory in use: a resumed stream is read
+// again by other servers, which else would count as slow until its end.
 func (r *run) event() {
-	if !r.writes && r.memory != nil {
-		r.memory.FirstToken()
+	if !r.writes {
+		r.writes = true
+		r.firstToken()
 	}
-	r.writes = true
 	r.Event()
 }
 
+func (r *run) firstToken() {
+	r.FirstToken()
+	if r.memory != nil {
+		r.memory.FirstToken()
+	}
+}
+
 // end gives back what the attempt took.
 func (r *run) end() {
 	r.End()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -126,9 +126,7 @@
 	if !s.started {
 		s.begin(r)
 	}
-	if s.events == 0 {
-		run.FirstToken()
-	} else {
+	if s.events > 0 {
 		s.longest = max(s.longest, now.Sub(s.last))
 	}
 	s.last = now
