Break the check of freed memory without a race against the agent

The test posts a prompt to the engine behind the system's back, waits until it sees memory taken, and then hangs the engine. The agent, as it should, cancels a run that it doesn't know: in a run of the same steps with a line every 20 ms the memory was taken at 21 ms and free again at 205 ms, with agent.orphans 1. On a busy machine the test looked only after that.

Ruled out: the engine's slowness (its first step is planned before the test looks), a refused prompt (no answer, no refusal counted).

--- a/internal/chaos/broken_test.go
+++ b/internal/chaos/broken_test.go
@@ -67,13 +67,12 @@
 	},
 	checkMemory: func(t *testing.T, b *bench) {
 		e := b.fleet.Backends[0].Engine
-		e.Slow(1000)
+		e.HangWithRun()
 		var status atomic.Int64
 		go func() { status.Store(int64(post(e, "/v1/chat/completions", "stuck.1", enginePrompt))) }()
 		if !within(t.Context(), time.Minute, func() bool { return e.Counters().UsedMemory > 0 }) {
 			t.Errorf("the engine runs nothing; the prompt was answered %d (0: not yet), %+v", status.Load(), e.Counters())
 		}
-		e.Hang()
 		t.Cleanup(e.Recover)
 	},
 	checkLedger: func(t *testing.T, b *bench) {
--- a/internal/standin/engine/fault.go
+++ b/internal/standin/engine/fault.go
@@ -98,6 +98,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sched.slow = 1
+	s.hangNext = false
 	s.unfreezeLocked()
 	if !s.dead || s.closed {
 		return
@@ -125,11 +126,23 @@
 func (s *Server) Hang() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.hangLocked()
+}
+
+func (s *Server) hangLocked() {
 	if s.frozen == nil {
 		s.frozen = make(chan struct{})
 	}
 }
 
+// HangWithRun is Hang from the moment at which the next run is admitted, so that its
+// memory stays taken: before, an agent may cancel a run that it doesn't know.
+func (s *Server) HangWithRun() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hangNext = true
+}
+
 // Pause is Hang for d, as of a process that is not scheduled.
 func (s *Server) Pause(d time.Duration) {
 	s.Hang()
--- a/internal/standin/engine/fault_test.go
+++ b/internal/standin/engine/fault_test.go
@@ -98,6 +98,32 @@
 // Symptom: after a stream broke, the caller has words twice or not at all.
 // Sequence: an engine dies after k chunks, another goes on from there.
 // Cause: the second starts at another chunk than the first ended with.
+func TestEngineThatHangsWithARunKeepsItsMemory(t *testing.T) {
+	s, c := start(t, fast())
+	s.HangWithRun()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		// It ends with the engine's recovery and its cancellation; either is fine.
+		if st, err := c.Run(t.Context(), long("kept")); err == nil {
+			_, _, _ = collect(st, 1)
+			_ = st.Close()
+		}
+	}()
+	eventually(t, "the run is admitted", func() bool { return s.Counters().UsedMemory > 0 })
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if err := c.Cancel(ctx, "kept"); err == nil {
+		t.Error("a hanging engine took an order")
+	}
+	if s.Counters().UsedMemory == 0 {
+		t.Error("the memory is free")
+	}
+	s.Recover()
+	<-ended
+	eventually(t, "the memory is free", func() bool { return s.Counters().UsedMemory == 0 })
+}
+
 func TestResumeOnAnotherEngine(t *testing.T) {
 	const prompt, output = "the whole competition", 41
 	first, c1 := start(t, fast())
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -44,6 +44,7 @@
 	boot     uint64
 	dead     bool
 	frozen   chan struct{} // closed when the hang or pause ends; nil if none
+	hangNext bool          // hang when a run is next admitted
 	died     chan struct{} // closed when the engine dies
 	counters Counters
 	http     *http.Server
@@ -231,6 +232,10 @@
 		return nil, 0, false, s.frozen
 	}
 	cost, busy = s.sched.begin()
+	if s.hangNext && len(s.sched.running) > 0 {
+		s.hangNext = false
+		s.hangLocked()
+	}
 	return s.sched, cost, busy, nil
 }
 
