Bind datagrams to a port of their own

TestConfigNeverRevertsThroughOutages failed in 8 of 320 runs, 40 side by side with -race, always the same way: one agent at revision 0 twenty seconds after the last change, both entries current. With the agent's log kept and printed, it knows both its homes, logged no failed pull and is not isolated: what entries send it never arrives. Cause: gnet binds UDP sockets so that they share ports, so that the kernel gives one port to two processes of a fleet now and then (3, 2 and 6 ports of 600 sockets) and deals out what either is sent. The same would befall two processes whose settings name one port, with no error at start.

Change: a port is bound alone first, and then handed to gnet; in one process nobody else binds meanwhile.

Ruled out: lost announcements (each report's answer offers the version again), the machine (one agent of 56, the others within a second), pulls that failed (logged).

--- a/wire/datagrams.go
+++ b/wire/datagrams.go
@@ -63,7 +63,25 @@
 	close  sync.Once
 }
 
-// ListenDatagrams binds the address and begins to call the handler.
+// binding is held while a port is chosen and bound.
+var binding sync.Mutex
+
+// freePort returns the address with a port that nobody is bound to, or an error if
+// somebody is. gnet binds datagram sockets so that they share ports: the kernel would
+// give one port to two processes, or bind both to the one in their settings, and deal
+// out among them what either is sent. Each then hears a part or nothing, and nobody
+// sees an error.
+func freePort(address string) (string, error) {
+	alone, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	free := alone.LocalAddr().String()
+	return free, errors.Trace(alone.Close())
+}
+
+// ListenDatagrams binds the address and begins to call the handler. It is an error if
+// another socket is bound to it.
 func ListenDatagrams(cfg DatagramConfig) (*Datagrams, error) {
 	if cfg.Log == nil {
 		cfg.Log = quiet.Logger()
@@ -74,10 +92,16 @@
 	if _, err := netip.ParseAddrPort(cfg.Address); err != nil {
 		return nil, errors.Annotatef(err, "step bind datagrams, address %q", cfg.Address)
 	}
+	binding.Lock()
+	defer binding.Unlock()
+	address, err := freePort(cfg.Address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "step bind datagrams, address %s", cfg.Address)
+	}
 	d := &Datagrams{counts: newDatagramCounts(cfg.Metrics), fault: cfg.Fault, done: make(chan error, 1)}
 	events := &datagramEvents{handler: cfg.Handler, counts: d.counts, boot: make(chan gnet.Engine, 1)}
 	go func() {
-		d.done <- gnet.Run(events, "udp://"+cfg.Address,
+		d.done <- gnet.Run(events, "udp://"+address,
 			gnet.WithLogger(gnetLog{cfg.Log}),
 			gnet.WithReadBufferCap(datagramReadBuffer))
 	}()
