Go on asking engines that don't say whether memory is used

Found on reading the change: the index of the engine to ask went below zero after two rounds without a word, which ends the process; the new case of the test, three engines that never say, panics before (index out of range) and asks 13 times in nine seconds after.

--- a/internal/gatewaynode/peers_test.go
+++ b/internal/gatewaynode/peers_test.go
@@ -89,7 +89,7 @@
 // 4.3 to 5.3 s after it; one whose last news was of second 27.46 took the next at
 // 31.96, 4.5 s later.
 func TestZoneWhoseReadersAreTurnedAwayHearsOfAChange(t *testing.T) {
-	const drain = 3 * time.Second // in which entries have to leave a server alone
+	const drain = 3 * time.Second       // in which entries have to leave a server alone
 	const step = 130 * time.Millisecond // out of step with all that is periodic
 	for begins := time.Duration(0); begins < 4*time.Second; begins += step {
 		synctest.Test(t, func(t *testing.T) {
--- a/reservation/use.go
+++ b/reservation/use.go
@@ -32,10 +32,10 @@
 		return
 	}
 	unused := 0
-	for i := len(h.Parts) - 1; !h.used.Load(); i-- {
+	for question := 0; !h.used.Load(); question++ {
 		// From the last on: the first is the one that may be silent altogether.
-		part := h.Parts[(i+len(h.Parts))%len(h.Parts)]
-		switch h.ask(ctx, part) {
+		last := len(h.Parts) - 1
+		switch h.ask(ctx, h.Parts[last-question%len(h.Parts)]) {
 		case InUse:
 			h.used.Store(true)
 			return
--- a/reservation/use_test.go
+++ b/reservation/use_test.go
@@ -32,6 +32,7 @@
 		{"begun", nil, false, []string{"c"}},
 		{"one report lags", map[string][]Use{"c": late}, false, []string{"c", "b"}},
 		{"an engine that doesn't say", map[string][]Use{"a": late, "b": late, "c": silent}, true, []string{"c", "b", "a"}},
+		{"nobody says", map[string][]Use{"a": silent, "b": silent, "c": silent}, false, []string{"c", "b", "a", "c", "b", "a", "c", "b", "a", "c", "b", "a", "c"}},
 		{"the answering one doesn't say", map[string][]Use{"a": silent, "b": {Unused, InUse}, "c": silent}, false, []string{"c", "b", "a", "c", "b"}},
 	} {
 		synctest.Test(t, func(t *testing.T) {
@@ -94,11 +95,13 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		e.mu.Lock()
 		e.during = func() {
 			if len(e.asked) == unusedAnswers {
 				held.FirstToken()
 			}
 		}
+		e.mu.Unlock()
 		ctx, cancel := held.Context(t.Context())
 		defer cancel()
 		time.Sleep(lease)
