--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -4,7 +4,8 @@
 // Rules kept here: all or nothing, and nothing is held while it waits for more, so
 // that two prompts can't wait for each other; every reservation is released on
 // every way out, also when its caller is gone; its lease is short and renewed, so
-// that an entry that dies leaves nothing behind for long.
+// that an entry that dies leaves nothing behind for long; and its owner is told where
+// no prompt begins to use it, so that a silent engine keeps nothing for long either.
 package reservation
 
 import (
--- a/reservation/use.go
+++ b/reservation/use.go
@@ -17,8 +17,9 @@
 	useExpected = 1600 * time.Millisecond
 	// useAgain is the pause between two questions. Reports are 200 ms old.
 	useAgain = 300 * time.Millisecond
-	// unusedAnswers is how many engines in a row must say that nothing has begun: of
-	// the reports of one prompt some tell of its beginning later than others.
+	// unusedAnswers is how many answers must say that nothing has begun, while none says
+	// the opposite: of the engines of one prompt some report its beginning later than
+	// others. Engines that don't answer count for neither.
 	unusedAnswers = 2
 )
 
