Count calls of the object API by what they were for

Cause: calls were counted by method only (platform.calls.watch and so on), so that nobody could tell whether a fleet's calls come from its steady watches, from woken ones, from starts or from retries.

Change: a call carries its reason (start, follow, take_up, gap, retry, announce); the client counts kind, reason and what came of it in platform.calls_for, and logs a line of each call at level debug. briarturnctl summary prints them as a table from the logs of all processes.

Ruled out: labels by caller name in the client, which would count a watch that is woken and one that waits in vain as the same.

--- a/internal/ctl/summary.go
+++ b/internal/ctl/summary.go
@@ -38,7 +38,21 @@
 			return err
 		}
 	}
-	return nil
+	return writeCalls(w, s.Calls)
+}
+
+// writeCalls prints what the object API was asked for, where the logs tell it.
+func writeCalls(w io.Writer, rows []explain.CallRow) error {
+	if len(rows) == 0 {
+		return nil
+	}
+	var cells [][]string
+	for _, r := range rows {
+		cells = append(cells, []string{
+			r.Kind, r.Call, r.Reason, r.Outcome, strconv.Itoa(r.Calls), strconv.Itoa(r.Nodes), strconv.Itoa(r.Most),
+		})
+	}
+	return table.Write(w, []string{"object API, kind", "call", "reason", "outcome", "calls", "nodes", "most of one"}, cells)
 }
 
 // writeRows prints one table: of each row the share of its requests that ended each
--- a/internal/daemon/mapping_test.go
+++ b/internal/daemon/mapping_test.go
@@ -52,7 +52,7 @@
 		t.Fatal(err)
 	}
 	_, json := log.Formatter.(*logrus.JSONFormatter)
-	e := effects{Store: storeConfig(s, nil), Drain: drainLimit(s), Level: log.Level, JSON: json}
+	e := effects{Store: storeConfig(s, nil, nil), Drain: drainLimit(s), Level: log.Level, JSON: json}
 	e.Sampler = samplerOf(s, nil)
 	switch s.Role {
 	case settings.RoleEntry:
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -96,7 +96,7 @@
 // start starts the role of the settings and returns it with its drain limit.
 func start(s *settings.Settings, log logrus.FieldLogger, sampler gateway.Sampler, hangups *reloader) (runner, time.Duration, error) {
 	registry := metrics.NewRegistry()
-	store, err := platform.NewStoreClient(storeConfig(s, registry))
+	store, err := platform.NewStoreClient(storeConfig(s, log, registry))
 	if err != nil {
 		return nil, 0, errors.Annotatef(err, "step start, peer %s", s.Platform.Address)
 	}
@@ -115,13 +115,14 @@
 	return r, drainLimit(s), err
 }
 
-func storeConfig(s *settings.Settings, r metrics.Registry) platform.StoreConfig {
+func storeConfig(s *settings.Settings, log logrus.FieldLogger, r metrics.Registry) platform.StoreConfig {
 	return platform.StoreConfig{
 		BaseURL:         s.Platform.Address,
 		CallTimeout:     time.Duration(s.Platform.CallTimeout),
 		ReadsPerSecond:  s.Platform.ReadsPerSecond,
 		WritesPerSecond: s.Platform.WritesPerSecond,
 		Metrics:         r,
+		Log:             log,
 	}
 }
 
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -22,6 +22,7 @@
 	messageServerFailed = "server failed"
 	messageLost         = "watch of the object API lost"
 	messageResumed      = "watch of the object API resumed"
+	messageCall         = "object API call" // at level debug
 )
 
 // Line is one line of a log. Fields that only some lines have are zero in others.
@@ -35,6 +36,9 @@
 	Request string    `json:"request,omitempty"`
 	Server  string    `json:"server,omitempty"`
 
+	Call   string `json:"call,omitempty"`   // of the object API
+	Reason string `json:"reason,omitempty"` // of that call
+
 	Outcome    string `json:"outcome,omitempty"`
 	Limit      string `json:"limit,omitempty"`
 	Status     int    `json:"status,omitempty"`
--- a/internal/explain/summary.go
+++ b/internal/explain/summary.go
@@ -47,6 +47,8 @@
 	Classes []Row   `json:"classes"` // by length of the prompt
 	Windows []Row   `json:"windows"` // by when they came
 	Servers []Row   `json:"servers"` // by the server that answered, of those that had one
+	// Calls are those of the object API, most first; empty unless processes log at debug.
+	Calls []CallRow `json:"calls,omitempty"`
 }
 
 // Summarize counts the requests of a log. Those with keys that nobody holds are left
@@ -69,6 +71,7 @@
 	s.Classes = classes.rows(byLoss)
 	s.Windows = windows.rows(func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
 	s.Servers = servers.rows(byLoss)
+	s.Calls = countCalls(lines)
 	return s
 }
 
--- a/objectapi/watcher.go
+++ b/objectapi/watcher.go
@@ -116,7 +116,8 @@
 	kind    string
 	after   uint64
 	failing bool
-	held    bool // the last watch was put off
+	held    bool   // the last watch was put off
+	reason  Reason // of the next call
 }
 
 func (w *Watcher) follow(ctx context.Context, k *kindWatch) {
@@ -124,20 +125,22 @@
 	wait.InitialInterval = watchBackoffInitial
 	wait.MaxInterval = w.config.BackoffMax
 	step := k.list
+	k.reason = ReasonStart
 	for ctx.Err() == nil {
 		err := step(ctx)
 		switch {
 		case err == nil:
 			k.noteState(nil)
 			wait.Reset()
-			step = k.watch
+			step, k.reason = k.watch, ReasonFollow
 			sleep.For(ctx, w.config.Interval)
 		case errors.Is(err, ErrGap):
 			w.gaps.Inc(1)
-			step = k.list
+			step, k.reason = k.list, ReasonGap
 			sleep.For(ctx, wait.NextBackOff())
 		case ctx.Err() == nil:
 			k.noteState(err)
+			k.reason = ReasonRetry
 			sleep.For(ctx, wait.NextBackOff())
 		}
 	}
@@ -145,7 +148,7 @@
 
 func (k *kindWatch) list(ctx context.Context) error {
 	asked := k.config.Clock()
-	l, err := k.config.Store.List(ctx, k.kind, "")
+	l, err := k.config.Store.List(WithReason(ctx, k.reason), k.kind, "")
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -170,10 +173,10 @@
 	k.hold(ctx)
 	wait := k.config.Wait
 	if k.held {
-		wait = 0
+		wait, k.reason = 0, ReasonTakeUp
 	}
 	asked := k.config.Clock()
-	l, err := k.config.Store.Watch(ctx, k.kind, k.after, wait)
+	l, err := k.config.Store.Watch(WithReason(ctx, k.reason), k.kind, k.after, wait)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/peering/presence.go
+++ b/peering/presence.go
@@ -46,6 +46,7 @@
 		log.WithError(err).Error("presence can't be encoded")
 		return
 	}
+	ctx = objectapi.WithReason(ctx, objectapi.ReasonAnnounce)
 	for {
 		err := put(ctx, store, name, data)
 		if err == nil {
