Have entries say who they are at their start

Cause: an entry that starts knows the others from one list of the object API; they know of it some half second later, through their readers (before: by a watch of their own, 10 ms to 0.5 s). Until then nobody tells it anything: it takes itself for alone, reads the object API for itself and places prompts on servers that the others keep busy. After 41 of 68 entries were killed that is when all their callers come at once.

Change: for 2 s after its start an entry says with each beat who it is; those that didn't know it send it all attempts that go on. Its own word stands until the list has it.

--- a/peering/exchange.go
+++ b/peering/exchange.go
@@ -60,19 +60,28 @@
 	heard     metrics.Counter
 	failed    metrics.Counter
 
-	mu    sync.Mutex           // guards what follows
-	peers []Peer               // in order of rank
-	last  map[uint64]time.Time // by incarnation, when an entry was last heard
+	own     presence // set before the goroutines begin that use it
+	started time.Time
+	greeted chan struct{} // holds one token while a peer's own word isn't taken yet
+
+	mu     sync.Mutex // guards what follows
+	listed []Peer     // by the object API
+	hellos map[string]introduced
+	peers  []Peer               // of both, in order of rank
+	last   map[uint64]time.Time // by incarnation, when an entry was last heard
 }
 
 // Start binds the datagram address and begins to exchange until ctx ends.
 func Start(ctx context.Context, cfg Config) (*Exchange, error) {
 	x := &Exchange{
-		cfg:    cfg,
-		outbox: newOutbox(cfg.Incarnation),
-		heard:  metrics.GetOrRegisterCounter("peering.news.heard", cfg.Metrics),
-		failed: metrics.GetOrRegisterCounter("peering.news.send_failed", cfg.Metrics),
-		last:   map[uint64]time.Time{},
+		cfg:     cfg,
+		outbox:  newOutbox(cfg.Incarnation),
+		heard:   metrics.GetOrRegisterCounter("peering.news.heard", cfg.Metrics),
+		failed:  metrics.GetOrRegisterCounter("peering.news.send_failed", cfg.Metrics),
+		last:    map[uint64]time.Time{},
+		hellos:  map[string]introduced{},
+		greeted: make(chan struct{}, 1),
+		started: time.Now(),
 	}
 	x.roster = newRoster(cfg.Name, cfg.Log, x.setPeers)
 	datagrams, err := wire.ListenDatagrams(wire.DatagramConfig{
@@ -82,13 +91,14 @@
 		return nil, errors.Annotate(err, "step start exchange with peers")
 	}
 	x.datagrams = datagrams
-	own := presence{
+	x.own = presence{
 		Datagram: datagrams.Addr().String(), RPC: cfg.RPC, Incarnation: cfg.Incarnation, Zone: cfg.Zone, Region: cfg.Region,
 		LinkMbps: cfg.LinkMbps,
 	}
-	go announce(ctx, cfg.Store, cfg.Name, own, x.roster, cfg.Log)
+	go announce(ctx, cfg.Store, cfg.Name, x.own, x.roster, cfg.Log)
 	go x.send(ctx)
 	go x.beat(ctx)
+	go x.welcome(ctx)
 	return x, nil
 }
 
@@ -104,29 +114,27 @@
 // Roster returns the sink that is to be told of the objects of KindGateway.
 func (x *Exchange) Roster() objectapi.Sink { return x.roster }
 
-// setPeers takes the entries that are there, and tells those that are new of all
-// attempts that go on.
-func (x *Exchange) setPeers(peers []Peer) {
-	slices.SortFunc(peers, compareRank)
+// setPeers takes the entries that the object API lists.
+func (x *Exchange) setPeers(listed []Peer) {
+	x.mu.Lock()
+	x.listed = listed
+	x.mu.Unlock()
+	x.update(time.Now())
+}
+
+// update puts together who the peers are, and greets those that are new.
+func (x *Exchange) update(now time.Time) {
 	x.mu.Lock()
 	known := map[uint64]bool{}
 	for _, p := range x.peers {
 		known[p.Incarnation] = true
 	}
+	peers := withHellos(x.listed, x.hellos, now)
+	slices.SortFunc(peers, compareRank)
 	x.peers = peers
 	x.mu.Unlock()
 	x.cfg.Entries(len(peers) + 1)
-	now := time.Now()
-	all := pack(x.cfg.Incarnation, x.cfg.Ledger.Active(x.cfg.Incarnation), nil, nil, now)
-	for _, p := range peers {
-		if known[p.Incarnation] {
-			continue
-		}
-		x.cfg.Log.WithFields(logrus.Fields{"peer": p.Name, "address": p.Address.String()}).Info("peer found")
-		for _, m := range all {
-			x.sendTo(p.Address, m)
-		}
-	}
+	x.greet(slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return known[p.Incarnation] }), now)
 }
 
 // send passes news on as it comes.
@@ -157,6 +165,7 @@
 		if len(m.Active) > maxBeat {
 			m.Active, m.Beat = nil, false
 		}
+		m.Hello = x.hello(time.Now())
 		x.sendAll(m)
 		x.forgetSilent(time.Now())
 	}
@@ -210,6 +219,9 @@
 	x.mu.Lock()
 	x.last[owner] = now
 	x.mu.Unlock()
+	if h := m.GetHello(); h != nil {
+		x.hearHello(h, now)
+	}
 	for _, b := range m.GetBegan() {
 		x.cfg.Ledger.Begin(decode(owner, b, now), now)
 	}
--- a/peering/exchange_test.go
+++ b/peering/exchange_test.go
@@ -101,6 +101,58 @@
 	await(t, "b knows all", func() bool { return b.knows(1) == 10 })
 }
 
+// Symptom: an entry that starts places its first prompts on busy engines, for half a
+// second. Sequence: others have work in progress; an entry starts that has listed them;
+// the object API tells them of it later. Cause: until then nobody sends it anything.
+func TestStartedEntryIsToldByThoseThatItKnows(t *testing.T) {
+	store := memory.NewMemory(memory.Config{})
+	a := startEntry(t, store, "a", 1)
+	await(t, "a is listed", func() bool {
+		l, err := store.List(t.Context(), KindGateway, "")
+		return err == nil && len(l.Objects) == 1
+	})
+	for seq := range uint64(10) {
+		a.begin(1, seq+1)
+	}
+	listed, err := store.List(t.Context(), KindGateway, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	// What b writes of itself goes to another store, so that a hears of it from b alone.
+	b := startEntry(t, memory.NewMemory(memory.Config{}), "b", 2)
+	b.exchange.Roster().Snapshot(KindGateway, listed)
+	await(t, "b knows all", func() bool { return b.knows(1) == 10 })
+	await(t, "a counts b", func() bool { return <-a.entries == 2 })
+}
+
+// Symptom: an entry's news go to a process that is gone. Sequence: it says who it is;
+// the object API lists it in an earlier life, then in that one, then in a later one.
+// Cause: the list, or the own word, always goes first.
+func TestOwnWordStandsUntilTheListHasIt(t *testing.T) {
+	now := time.Now()
+	life := func(incarnation uint64) Peer { return Peer{Name: "b", Incarnation: incarnation} }
+	hellos := map[string]introduced{"b": {peer: life(2), at: now}}
+	for i, step := range []struct {
+		listed []Peer
+		after  time.Duration
+		want   uint64
+	}{
+		{nil, 0, 2},
+		{[]Peer{life(1)}, time.Second, 2},
+		{[]Peer{life(2)}, 2 * time.Second, 2},
+		{[]Peer{life(3)}, 3 * time.Second, 3},
+	} {
+		got := withHellos(step.listed, hellos, now.Add(step.after))
+		if len(got) != 1 || got[0].Incarnation != step.want {
+			t.Errorf("step %d: %+v, want incarnation %d", i, got, step.want)
+		}
+	}
+	hellos["c"] = introduced{peer: Peer{Name: "c", Incarnation: 9}, at: now}
+	if got := withHellos(nil, hellos, now.Add(helloKept+time.Second)); len(got) != 0 || len(hellos) != 0 {
+		t.Errorf("kept for ever: %+v", got)
+	}
+}
+
 // Symptom: engines look busy for as long as an entry lives.
 // Sequence: the datagram that tells of an end is lost.
 // Cause: nothing makes up for a lost one. The beat does.
--- a/wire/check.go
+++ b/wire/check.go
@@ -71,7 +71,7 @@
 }
 
 func checkWork(w *wirepb.WorkNews) error {
-	if err := firstOf(want(w.GetOwner() != 0, "work.owner"), checkEvidence(w.GetEvidence())); err != nil {
+	if err := firstOf(want(w.GetOwner() != 0, "work.owner"), checkEvidence(w.GetEvidence()), checkPeer(w)); err != nil {
 		return err
 	}
 	for _, b := range w.GetBegan() {
@@ -92,6 +92,22 @@
 	return nil
 }
 
+// checkPeer checks whom an entry says that it is; its news bear the same incarnation.
+func checkPeer(w *wirepb.WorkNews) error {
+	p := w.GetHello()
+	if p == nil {
+		return nil
+	}
+	return firstOf(
+		want(validName(p.GetName()), "work.hello.name"),
+		want(p.GetZone() == "" || validName(p.GetZone()), "work.hello.zone"),
+		want(p.GetRegion() == "" || validName(p.GetRegion()), "work.hello.region"),
+		want(p.GetIncarnation() == w.GetOwner(), "work.hello.incarnation"),
+		want(validAddress(p.GetDatagramAddress()), "work.hello.datagram_address"),
+		want(p.GetRpcAddress() == "" || validAddress(p.GetRpcAddress()), "work.hello.rpc_address"),
+	)
+}
+
 func checkReport(r *wirepb.Report) error {
 	load := r.GetLoad()
 	return firstOf(
