Turn the store away between steps of a test, not beside them

Cause: TestZoneWhoseOnlyReaderIsTurnedAwayHearsOfAChange set its fault while watches read it; -race refused the test, which passed without. Ruled out: a race in the entries. Conclusion: the check is as it was.

--- a/internal/gatewaynode/peers_test.go
+++ b/internal/gatewaynode/peers_test.go
@@ -151,6 +151,7 @@
 			z.join(ctx, "reader", reader, peering.Readers{Own: true, Far: []string{"elsewhere"}})
 			other := z.join(ctx, "other", store, peering.Readers{Near: []string{"reader"}, Far: []string{"elsewhere"}})
 			time.Sleep(20*time.Second + begins)
+			synctest.Wait()
 			reader.away = true
 			if _, err := store.Create(ctx, testKind, "last before", json.RawMessage("{}")); err != nil {
 				t.Fatal(err)
