--- a/placement/collision.go
+++ b/placement/collision.go
@@ -19,7 +19,7 @@
 	sightDelay = 5 * time.Millisecond
 	// collisionPrice is what a choice loses for each other that was made in that time.
 	// 0.05 to 0.2 give 0.96 to 0.98 of short prompts in time in the play above; 0.2 costs
-	// long prompts 0.015 where both come, since short ones stand on more servers then.
+	// 0.02 of all that is owed where long ones come too, as short ones stand on more servers.
 	collisionPrice = 0.1
 	// collisionMost bounds it: with 0.4 short streams leave the servers that others like
 	// them are on, and each long prompt stops some of them.
