--- a/placement/due_test.go
+++ b/placement/due_test.go
@@ -48,3 +48,13 @@
 		}
 	}
 }
+
+// Symptom: every request to a plain service is answered with nothing. Sequence: a request
+// with a limit of time is placed on a plain service. Cause: the time to write its answer was
+// asked of an engine that it doesn't have.
+func TestPlainServiceHasNoTimeToWrite(t *testing.T) {
+	q := Query{Objective: 200 * time.Millisecond, Left: 1200 * time.Millisecond}
+	if d := q.due(); d.end != q.Left {
+		t.Errorf("%v left of %v", d.end, q.Left)
+	}
+}
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -54,7 +54,11 @@
 	return int(math.Ceil(float64(tokens) / float64(max(1, e.Chunk))))
 }
 
-// writeTime is how long writing so many tokens takes an engine that does nothing else.
+// writeTime is how long writing so many tokens takes an engine that does nothing else; 0
+// for a plain service.
 func (e *Engine) writeTime(tokens int) time.Duration {
+	if e == nil {
+		return 0
+	}
 	return time.Duration(tokens) * e.StepTime
 }
