Refuse at once what by its forecast can't be served in its caller's time

Cause: no answer of the planner says that it is too late; whatever waited was placed. Change: TooLate where the best way's forecast is past twice what is left of the caller's time for its first token; the gateway refuses with no_time, not_run, and a Retry-After of the seconds by which it would be late. Twice, because forecasts of long prompts are off by seconds both ways: some that would be refused at once times still come. Tests first: TestPromptThatCannotBeInTimeIsNotPlaced, TestRequestThatCannotBeInTimeIsRefusedAtOnce.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -67,6 +67,9 @@
 	if e.mayRun {
 		return ReasonUnknown
 	}
+	if e.tooLate > 0 {
+		return ReasonNoTime
+	}
 	if e.sends > 0 {
 		return ReasonServersFull
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -42,6 +42,7 @@
 	server   string              // address of the last attempt
 	placed   placement.Placement // of the last attempt
 	placedAt time.Time           // when that was chosen
+	tooLate  time.Duration       // forecast of a first token past the caller's time, else 0
 	outcome  string
 	limit    string // which limit ended the attempts, if one did
 	status   int
@@ -310,5 +311,15 @@
 	e.outcome = string(reason)
 	e.status = reason.status()
 	e.gateway.tally.refused[reason].Inc(1)
-	refuse(e.writer, reason, reason.retryAfter(e.gateway.cfg.Options))
+	refuse(e.writer, reason, e.retryAfter(reason))
+}
+
+// retryAfter is when the caller may come back. One whose answer would have come too late by
+// some seconds finds servers that are less busy by as much.
+func (e *exchange) retryAfter(reason Reason) time.Duration {
+	after := reason.retryAfter(e.gateway.cfg.Options)
+	if reason == ReasonNoTime {
+		after = max(after, e.tooLate-time.Until(e.end))
+	}
+	return after
 }
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -17,7 +17,8 @@
 
 // placeWithMemory places an attempt, and where the prompt is kept on several
 // servers reserves their memory first. It waits for memory for a bounded time, and
-// for a moment at which it costs the others less for as long as the placer says.
+// for a moment at which it costs the others less for as long as the placer says. A request
+// whose answer can't come in its caller's time is given up at once.
 func (e *exchange) placeWithMemory(ctx context.Context) (*run, bool) {
 	until := time.Now().Add(e.gateway.cfg.Options.MemoryWait)
 	for {
@@ -29,6 +30,10 @@
 			}
 			place.End()
 		}
+		if answer == placement.TooLate {
+			e.tooLate = place.Forecast
+			return nil, false
+		}
 		if answer != placement.Later && time.Now().After(until) {
 			return nil, false
 		}
--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"net/http"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/briarturn/briarturn/placement"
 )
@@ -35,3 +38,33 @@
 		t.Errorf("room was looked for %d times, want %d at most", n, looks)
 	}
 }
+
+// late says of every request that its answer would come too late.
+type late struct{ asked atomic.Int64 }
+
+func (l *late) Place(placement.Query, []placement.Candidate) (placement.Placement, placement.Answer) {
+	l.asked.Add(1)
+	return placement.Placement{Forecast: time.Minute}, placement.TooLate
+}
+
+// Symptom: a caller waits for fifteen seconds and gets nothing, and so do those beside it.
+// Sequence: a prompt comes whose first token is forecast for long after its caller's time.
+// Cause: it was held, and placed in the end, though that couldn't be of use.
+func TestRequestThatCannotBeInTimeIsRefusedAtOnce(t *testing.T) {
+	w := newWorld(t, answers("ok")).configured()
+	placer := &late{}
+	w.gateway.cfg.Placer = placer
+	r, body, err := w.ask(http.MethodPost, "/stream/", "body", hPrompt, "300000", hPatience, "5000")
+	wantStatus(t, r, err, http.StatusServiceUnavailable)
+	if !strings.Contains(body, string(ReasonNoTime)) || !strings.Contains(body, "not_run") {
+		t.Errorf("body %q", body)
+	}
+	const excess = 55 // seconds that a minute is beyond its patience
+	if after, err := strconv.ParseFloat(r.Header.Get("Retry-After"), 64); err != nil || after < excess {
+		t.Errorf("Retry-After %q, want %d s or more", r.Header.Get("Retry-After"), excess)
+	}
+	if n := placer.asked.Load(); n != 1 {
+		t.Errorf("it was asked %d times for a place", n)
+	}
+	w.wantArrivals("")
+}
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -24,6 +24,7 @@
 	ReasonMemory      Reason = "bodies_held"
 	ReasonNoServer    Reason = "no_server"
 	ReasonServersFull Reason = "servers_refused"
+	ReasonNoTime      Reason = "no_time"
 	ReasonEnding      Reason = "ending"
 	ReasonTimeout     Reason = "timeout"
 	ReasonUnknown     Reason = "outcome_unknown"
@@ -32,7 +33,7 @@
 
 var reasons = []Reason{
 	ReasonNoConfig, ReasonStaleConfig, ReasonNoRoute, ReasonNoKey, ReasonMalformed, ReasonHeader, ReasonTooLarge, ReasonBodyLost,
-	ReasonMemory, ReasonNoServer, ReasonServersFull, ReasonEnding, ReasonTimeout, ReasonUnknown, ReasonPoison,
+	ReasonMemory, ReasonNoServer, ReasonServersFull, ReasonNoTime, ReasonEnding, ReasonTimeout, ReasonUnknown, ReasonPoison,
 }
 
 // Reasons returns every Reason.
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -123,6 +123,9 @@
 	"servers_refused": func(_ Line, r *Report) string {
 		return "every server tried refused; " + r.attempts()
 	},
+	"no_time": func(end Line, _ *Report) string {
+		return fmt.Sprintf("by the forecast, %d ms, its answer would have come long after its caller's time", end.ForecastMS)
+	},
 	"outcome_unknown": func(_ Line, r *Report) string {
 		return "an attempt ended without proof that it had not run; " + r.attempts()
 	},
--- a/placement/due_test.go
+++ b/placement/due_test.go
@@ -58,3 +58,31 @@
 		t.Errorf("%v left of %v", d.end, q.Left)
 	}
 }
+
+// Symptom: a prompt of 900,000 tokens is read for 9 s by eight servers, which stops all that
+// they write, and its caller has left before it is read.
+// Sequence: servers that have much to read; a prompt whose forecast is far beyond what its
+// caller has left, and one that has just enough.
+// Cause: whatever waited until little of its time was left was placed then.
+func TestPromptThatCannotBeInTimeIsNotPlaced(t *testing.T) {
+	f := newFleet(3)
+	q := review(380_000)
+	q.Engine = engine
+	alone, answer := f.planner.Place(withLeft(q, 15*time.Second), slices.Clone(f.candidates))
+	if answer != Placed {
+		t.Fatalf("answer %d with all of its time left", answer)
+	}
+	alone.End()
+	if p, answer := f.planner.Place(withLeft(q, alone.Forecast/2), slices.Clone(f.candidates)); answer != TooLate || p.Forecast < alone.Forecast/2 {
+		t.Errorf("answer %d with half of its forecast left, forecast %v", answer, p.Forecast)
+	}
+	if len(f.ledger.works) != 0 {
+		t.Error("a prompt that isn't placed is noted as work")
+	}
+}
+
+// withLeft returns a query with so much of its caller's time left.
+func withLeft(q Query, left time.Duration) Query {
+	q.Left = left
+	return q
+}
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -59,9 +59,10 @@
 
 // Answers.
 const (
-	Placed Answer = iota
-	NoRoom        // no candidate, or not enough memory on all of them together
-	Later         // it would cost the others more than it gains; ask again soon
+	Placed  Answer = iota
+	NoRoom         // no candidate, or not enough memory on all of them together
+	Later          // it would cost the others more than it gains; ask again soon
+	TooLate        // its answer would come after its caller's time; Forecast says when
 )
 
 // Place chooses the servers of a query and, if it is Placed, notes the attempt in
@@ -87,6 +88,8 @@
 	switch {
 	case math.IsInf(best.loss, 1):
 		return Placement{}, NoRoom
+	case q.due().past(best.ready):
+		return Placement{Forecast: best.ready}, TooLate
 	case best.waits(q, readingPrice(q, options, now)):
 		return Placement{}, Later
 	}
--- a/placement/play_test.go
+++ b/placement/play_test.go
@@ -180,6 +180,10 @@
 		q.Left = 0
 	}
 	placed, answer := e.planner.Place(q, slices.Clone(f.options))
+	if answer == TooLate {
+		c.gaveUp = true
+		return
+	}
 	if answer != Placed {
 		f.after(retryPlace, func() { f.try(e, c) })
 		return
