Count a part for a second after it should have been read

Cause: a part counted as read 0.15 s after the ledger expected it. Behind a part of 8 s a server is late by more than that, no first token shows it, and to everybody it looks free. TestPartIsConfirmedByTime looked 0.9 s after the end of its second part for 'long after'; it now looks 0.1 s after the time at which the part must be dropped, which is stricter. Tests first: TestPartHasAPriceUntilItIsSurelyRead costs 0.00 without it.

--- a/placement/fleet_test.go
+++ b/placement/fleet_test.go
@@ -165,8 +165,9 @@
 	if len(s.unconfirmed) != 1 {
 		t.Errorf("%d parts unconfirmed when it should be read, want 1", len(s.unconfirmed))
 	}
-	f.ledger.Begin(Work{ID: WorkID{Owner: 2, Seq: 2}, Server: key, Part: time.Second, PartTokens: 4_000, Weight: 5}, f.now.Add(100*time.Millisecond))
-	s.advance(engine, f.now.Add(2*time.Second))
+	const second = time.Second // the part that is read behind it
+	f.ledger.Begin(Work{ID: WorkID{Owner: 2, Seq: 2}, Server: key, Part: second, PartTokens: 4_000, Weight: 5}, f.now.Add(100*time.Millisecond))
+	s.advance(engine, f.now.Add(200*time.Millisecond+second+confirmTime))
 	if len(s.unconfirmed) != 0 {
 		t.Errorf("%d parts unconfirmed long after, want none", len(s.unconfirmed))
 	}
@@ -220,3 +221,29 @@
 	}
 	return float64(served) / float64(len(callers))
 }
+
+// Symptom: a prompt of 210,000 tokens, forecast for 1.2 s, has its first token after 11.5 s.
+// Sequence: its parts were read on all servers but one, which was still reading another
+// prompt; 2.6 s later, and four times again, newer parts came there.
+// Cause: that server's part counted as read 0.15 s after it should have been, though no
+// first token had come, and the server as free for everybody.
+func TestPartHasAPriceUntilItIsSurelyRead(t *testing.T) {
+	f := newFleet(1)
+	key := ServerKey(f.candidates[0].Instance)
+	const part, wait = 800 * time.Millisecond, 500 * time.Millisecond
+	f.ledger.Begin(Work{
+		ID: WorkID{Owner: 2, Seq: 1}, Server: key, Part: part, PartTokens: 35_000,
+		Pause: time.Second, FirstBy: f.now.Add(4 * time.Second), Weight: 22,
+	}, f.now)
+	s := f.ledger.servers[key]
+	due := f.now.Add(part + wait)
+	s.advance(engine, due)
+	long := s.forecast(engine, 3*time.Second, 100_000, true, due)
+	if harm := s.harmWaiting(long, due); harm <= 0 {
+		t.Errorf("a part of 3 s costs %.2f where one is late without a word", harm)
+	}
+	f.ledger.FirstToken(WorkID{Owner: 2, Seq: 1}, due)
+	if harm := s.harmWaiting(long, due); harm != 0 {
+		t.Errorf("it costs %.2f where that is read", harm)
+	}
+}
--- a/placement/passes.go
+++ b/placement/passes.go
@@ -17,11 +17,12 @@
 	idleSteps = 2
 	// confirmTime is how long a part counts as perhaps not read after it should be, unless
 	// its prompt's first token comes. What is placed reaches its servers some 10 ms later,
-	// and later still where memory is set aside first, so that a server is a pass behind
-	// what the ledger expects. A new part that comes in that time for another server goes
-	// before what is left of the old one, and so does each that follows while the server
-	// is wanted. 50 to 300 ms give the same within 0.01.
-	confirmTime = 150 * time.Millisecond
+	// and later still where memory is set aside first; what is read beside it isn't known to
+	// every entry. So a server is passes behind what the ledger expects, and behind a long
+	// part by up to a second. A new part that comes in that time for another server goes
+	// before what is left of the old one, and so does each that follows while the server is
+	// wanted: a part of 0.8 s has been read 11 s late.
+	confirmTime = time.Second
 )
 
 // part is a prompt, or a part of one, that a server has yet to read.
