--- a/gateway/options.go
+++ b/gateway/options.go
@@ -42,8 +42,7 @@
 	DefaultConnectTries = 4
 	// DefaultMemoryWait: where no memory is free the fleet is full of long prompts, and
 	// one more that waits at hand takes the next room from shorter ones that come in
-	// time. On days of bursts callers get 0.70 of what they are owed with 2.4 s and
-	// 0.74 with 0.15 s, on both deployments that were measured.
+	// time.
 	DefaultMemoryWait = 150 * time.Millisecond
 )
 
--- a/peering/readers.go
+++ b/peering/readers.go
@@ -14,8 +14,7 @@
 const (
 	// ReadersPerZone is how many entries of an availability zone read the object API; the
 	// others read through them. Each entry asks some two times a second, which at 430
-	// entries would be half of the 2,000 reads a second that the object API does, and on
-	// a day of 60 s with 28 entries cost 3 in 100 of what callers got.
+	// entries would be half of the 2,000 reads a second that the object API does.
 	ReadersPerZone = 1
 	// LeastReaders is how many entries of a region read it at least. The first may be
 	// turned away and the second die without a gap.
--- a/placement/collision.go
+++ b/placement/collision.go
@@ -10,19 +10,16 @@
 // so that those that choose meanwhile take the same server: its last slot twice, or two
 // prompts read in one pass where one was weighed. So a choice is left to chance among
 // servers that are alike but for less than what such collisions cost, and the more
-// prompts others place the more servers count as alike. In plays of 68 entries before 135
-// servers with 480 short prompts a second 0.97 of them are in time, and 0.91 where each
-// entry takes the best; with 13 a second at 5 entries nothing changes.
+// prompts others place the more servers count as alike.
 const (
 	// sightDelay is how long after a choice other entries know of it: two links, the
 	// batch that it waits for and the receiver's turn.
 	sightDelay = 5 * time.Millisecond
-	// collisionPrice is what a choice loses for each other that was made in that time.
-	// 0.05 to 0.2 give 0.96 to 0.98 of short prompts in time in the play above; 0.2 costs
-	// 0.02 of all that is owed where long ones come too, as short ones stand on more servers.
+	// collisionPrice is what a choice loses for each other that was made in that time. A
+	// higher one has short prompts stand on more servers, where long ones stop them.
 	collisionPrice = 0.1
-	// collisionMost bounds it: with 0.4 short streams leave the servers that others like
-	// them are on, and each long prompt stops some of them.
+	// collisionMost bounds it: it stays below what a short stream gains by others like it,
+	// or each long prompt would stop some of them.
 	collisionMost = 0.25
 	// arrivalMemory is how fast the rate of choices is forgotten.
 	arrivalMemory = time.Second
--- a/placement/congestion.go
+++ b/placement/congestion.go
@@ -8,12 +8,11 @@
 // former and worth three. If all are begun as they come, all are read side by side and
 // all are late, their memory is taken meanwhile, and further ones find no room. With a
 // price on reading time the largest wait until there is less to read, or until their
-// callers' time runs short. On 50 days with trouble callers got 0.720 of what they were
-// owed in place of 0.708, and more for prompts of every length.
+// callers' time runs short.
 const (
 	// readingWorth is the price of a second of reading where it is scarce: what the
 	// longest of usual prompts gain by it. One of 133,000 tokens gains 10.7 by being on
-	// time and takes 1.9 s. 3 to 20 give within 0.005 of the same.
+	// time and takes 1.9 s.
 	readingWorth = 5.0
 	// scarceFrom and scarceTo bound the reading that waits for each server in the mean
 	// between which its price rises from nothing: below the former a prompt that comes
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -14,8 +14,7 @@
 	pausePressure = 0.03
 	// waitFirst and waitSlope bound what a long prompt may cost the others beyond its
 	// own gain, as shares of what being late costs it: at once, and with all of its
-	// caller's time waited. On days of bursts 0.05 and 0.5 give the same as twice as
-	// much on one deployment and 0.01 more on another.
+	// caller's time waited.
 	waitFirst, waitSlope = 0.05, 0.5
 	// waitLeft is what must be left of a caller's time for a prompt to wait.
 	waitLeft = 5 * time.Second
@@ -30,8 +29,7 @@
 	readingShare = 0.6
 	// othersFactor is what the others' expected loss counts beside the query's own: a pass
 	// that stops their streams for too long also keeps their slots and their memory for
-	// as long, and more come while it lasts than are known. On 50 days with trouble
-	// callers got 0.725 of what they were owed with 1.5, 0.720 with 1 and 0.722 with 2.5.
+	// as long, and more come while it lasts than are known.
 	othersFactor = 1.5
 	// helperPrice is the price of one more server for a prompt: every server that
 	// reads a part has its other work wait for it.
@@ -48,8 +46,6 @@
 	// share that is to crowdPower, so that only the last slots have a price: they are
 	// wanted when a burst begins. With a price that half full servers have too, short
 	// streams spread over more servers than need be, and each long prompt stops some.
-	// With 12 in place of 3, 100 streams stand on 8 servers in place of 10, and callers
-	// got 0.704 of what they were owed in place of 0.690 over 50 days with trouble.
 	crowdPrice = 0.6
 	crowdPower = 12
 	// longPrice is what a short stream loses by a server whose time goes into long
@@ -68,11 +64,10 @@
 	slotTime = 2 * time.Second
 	// refusedPrice is the price of a server that refused an attempt just now, could not
 	// be connected to, or was named by the one that refused: each attempt lost on it is
-	// one of the few that a route allows. With three crashes of 15% of the servers for
-	// 4 s callers get 0.93 of what they are owed, and 0.87 where helpers are free of it.
+	// one of the few that a route allows.
 	refusedPrice = 4.0
-	// refusedMemory is how long that counts, fading. Crashed servers are back after
-	// seconds; 0.4 s and 2.5 s give within 0.02 of the same.
+	// refusedMemory is how long that counts, fading: crashed servers are back after
+	// seconds.
 	refusedMemory = 1200 * time.Millisecond
 	// coldPrice is the price of a server that isn't warm yet, as a share of the
 	// weight.
@@ -113,10 +108,7 @@
 //
 // Without the latter a server costs nothing from the moment on at which the last of a
 // part should be read, and everybody who waits for a server takes it then, a moment too
-// early: parts of 1.1 s in four servers were read after 6.3 s, the last 40 ms of one of
-// them behind a dozen younger ones. In plays of three fleets with 0.8 of the reading that
-// they can do callers get 0.75, 0.81 and 0.89 of what they are owed, and 0.73, 0.76 and
-// 0.85 without it.
+// early: the last of the part is read behind a dozen younger ones.
 func (s *serverState) harmWaiting(f forecast, now time.Time) float64 {
 	total := 0.0
 	for _, parts := range [][]*part{s.queue, s.unconfirmed} {
--- a/placement/pace.go
+++ b/placement/pace.go
@@ -40,9 +40,7 @@
 // get slow without failing; work goes on being placed there, because what is known
 // of their work says that they are free, and every prompt that has a part read there
 // waits for that part. The first tokens of prompts tell it, and the passes that
-// streams show. With two of sixteen servers four times slower for 40 s, callers got
-// 0.66 of what they were owed without it and 0.84 with it; of days with slow servers
-// for a part of the time, 0.76 and 0.86.
+// streams show.
 type pace struct {
 	factor  float64 // when last told; 0 stands for 1
 	at      time.Time
--- a/replica/doc.go
+++ b/replica/doc.go
@@ -5,8 +5,7 @@
 //
 // An object API may turn one VM away and serve the others. The VM would then refuse
 // every request that needs a key five seconds later, though its peers know all that
-// it lacks. With two of five entries turned away for 8 s its callers got 0.15 and
-// 0.27 of what they were owed in the worst seconds.
+// it lacks.
 //
 // What is passed on is proved as hard as what the object API says: Proof tells why an
 // answer that was late, held back or doubled can't make anything look newer than it
