--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -69,7 +69,7 @@
 
 // world is a gateway before some backend servers.
 type world struct {
-	t         *testing.T
+	t         testing.TB
 	gateway   *Gateway
 	front     *httptest.Server
 	directory *upstream.Directory
@@ -103,7 +103,7 @@
 
 // newWorld has three routes on host h: /safe/, /once/ and /stream/, all of service s
 // with two attempts, and /keyed/, which needs a key.
-func newWorld(t *testing.T, servers ...http.HandlerFunc) *world {
+func newWorld(t testing.TB, servers ...http.HandlerFunc) *world {
 	t.Helper()
 	now := boottime.Instant(time.Hour)
 	w := &world{t: t, clock: &now, directory: upstream.NewDirectory(0), witness: &witness{}}
