Refuse by the first token alone what comes too late

Change: only the first token must come in the caller's time, with 1.5 times for errors of the forecast (2 before, of what was left after writing); the loss counts half of the longest answer. Test first: TestLongestAnswerRefusesNobody (two of its three answers TooLate before). Ruled out: that those callers had left (took_ms 0, status 503).

--- a/placement/due.go
+++ b/placement/due.go
@@ -14,9 +14,10 @@
 	// endFrom and endTo are the same as firstFrom and firstTo for the end of the caller's
 	// time, past which an answer is worth nothing.
 	endFrom, endTo = 0.8, 1.2
-	// pastEnd is the forecast, as a multiple of what is left, from which on a request counts
-	// as one that can't be served: forecasts of long prompts are off by seconds either way.
-	pastEnd = 2
+	// surelyLate is the forecast, as a multiple of what is left, from which on a request
+	// counts as one that can't be served: forecasts of long prompts are off by seconds
+	// either way.
+	surelyLate = 1.5
 )
 
 // due is what is left of a request's time.
@@ -58,7 +59,3 @@
 func (d due) gain(after time.Duration, weight float64) float64 {
 	return max(weight-d.loss(after, weight), 0)
 }
-
-// past reports whether a first token that is forecast after so long will come too late for
-// an answer, also if the forecast is off.
-func (d due) past(after time.Duration) bool { return d.end != 0 && after > scale(d.end, pastEnd) }
--- a/placement/due_test.go
+++ b/placement/due_test.go
@@ -81,6 +81,22 @@
 	}
 }
 
+// Symptom: a short prompt is refused at once with free servers, as one that can't be in time.
+// Sequence: its caller has four seconds left, and its answer may hold 3,400 tokens, which
+// take longer to write; it holds a few.
+// Cause: the most that an answer may hold counted as what it holds.
+func TestLongestAnswerRefusesNobody(t *testing.T) {
+	f := newFleet(3)
+	q := notice()
+	q.Engine, q.OutputTokens = engine, 3_400
+	written := engine.writeTime(q.OutputTokens)
+	for _, left := range []time.Duration{written, written / 2, written / 8} {
+		if _, answer := f.planner.Place(withLeft(q, left), slices.Clone(f.candidates)); answer != Placed {
+			t.Errorf("answer %d with %v left", answer, left)
+		}
+	}
+}
+
 // withLeft returns a query with so much of its caller's time left.
 func withLeft(q Query, left time.Duration) Query {
 	q.Left = left
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -88,7 +88,7 @@
 	switch {
 	case math.IsInf(best.loss, 1):
 		return Placement{}, NoRoom
-	case q.due().past(best.ready):
+	case q.tooLate(best.ready):
 		return Placement{Forecast: best.ready}, TooLate
 	case best.waits(q, readingPrice(q, options, now)):
 		return Placement{}, Later
--- a/placement/query.go
+++ b/placement/query.go
@@ -17,7 +17,7 @@
 type Query struct {
 	Engine         *Engine // nil: a plain service
 	InputTokens    int
-	OutputTokens   int
+	OutputTokens   int           // the most that its answer may hold
 	Objective      time.Duration // what is left of it
 	PauseObjective time.Duration
 	Left           time.Duration // of the caller's time; 0: not known
@@ -26,14 +26,24 @@
 	Stream         bool
 }
 
+// writtenShare is the part of the most that an answer may hold that it holds in the mean.
+const writtenShare = 0.5
+
 // due is what is left of the query's time. When the first token has come the rest of the
-// answer is still to be written; how many streams are written beside it isn't known then, so
-// that the least that it takes is left for that.
+// answer is still to be written: half of the most that it may hold, without other streams
+// beside it.
 func (q Query) due() due {
 	if q.Left == 0 {
 		return due{objective: q.Objective}
 	}
-	return due{objective: q.Objective, end: q.Left - q.Engine.writeTime(q.OutputTokens)}
+	return due{objective: q.Objective, end: q.Left - scale(q.Engine.writeTime(q.OutputTokens), writtenShare)}
+}
+
+// tooLate reports whether a first token that is forecast after so long will come after the
+// caller's time, also if the forecast is off. What is written behind it doesn't count: an
+// answer may be a few tokens long.
+func (q Query) tooLate(after time.Duration) bool {
+	return q.Left > 0 && after > scale(q.Left, surelyLate)
 }
 
 // Levels of urgency for the engines' own queues, where 0 is first and 9 last. Short
