Clear a request that is answered of the deaths beside it

Cause: a fingerprint is of caller, path and body. Calls without a body that all of a workspace's callers make share it; three servers that were killed while one ran there, within ten minutes, had it refused for an hour, at every entry. The book has Survived for requests that end well, and the gateway never called it. Change: an answer under 500 clears what this entry has noted of the request. One that kills its servers gets none. Test first: TestAnsweredRequestIsNoSuspect (503 at the fourth answer before). Ruled out: that the service wasn't back (the same entry answered 333 others), that the proxy hid the servers (the other entries reached them).

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -30,6 +30,7 @@
 	revision  uint64
 	age       time.Duration // of the configuration when the request was judged
 	body      []byte
+	mark      uint64    // fingerprint of caller, path and body
 	end       time.Time // the caller's patience or the route's timeout
 	stream    *relay    // of a stream
 
@@ -71,6 +72,7 @@
 	_ = timed.SetWriteDeadline(end.Add(e.gateway.cfg.Options.WriteSlack)) // as for reads
 	defer func() { _ = timed.SetWriteDeadline(time.Time{}) }()
 	e.makeAttempts(ctx)
+	e.survived()
 	if e.status == 0 {
 		// Nobody is there to answer. Returning would have net/http send an empty
 		// 200, which no server gave.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -353,45 +353,75 @@
 	}
 }
 
+// dies starts a server that ends with the first request that it gets, and returns its address.
+func dies(t *testing.T) string {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		conn, err := lis.Accept()
+		if err != nil {
+			return
+		}
+		_ = lis.Close() // the whole server ends
+		_, _ = http.ReadRequest(bufio.NewReader(conn))
+		_ = conn.Close()
+	}()
+	return lis.Addr().String()
+}
+
+// Symptom: a call that all of a workspace's callers make, such as one for a state, is refused
+// for an hour at every entry.
+// Sequence: three servers are killed by their operators within ten minutes while one such call
+// runs there; in between it is answered a thousand times.
+// Cause: deaths beside requests with the same caller, path and body were added up, and no
+// answer was held against them. A request that kills gets none.
+func TestAnsweredRequestIsNoSuspect(t *testing.T) {
+	w := newWorld(t).configured()
+	for i := range suspectDeaths + 1 {
+		name := fmt.Sprint("killed-", i)
+		w.directory.Put(upstream.Server{Instance: name, Service: "s", Address: dies(t), Capacity: 4})
+		r, _, err := w.ask(http.MethodPost, "/once/", "state")
+		wantStatus(t, r, err, http.StatusBadGateway)
+		w.directory.Remove(name, time.Now())
+		w.directory.Put(upstream.Server{Instance: "well", Service: "s", Address: answersAll(t), Capacity: 4})
+		r, _, err = w.ask(http.MethodPost, "/once/", "state")
+		wantStatus(t, r, err, http.StatusOK)
+		w.directory.Remove("well", time.Now())
+	}
+}
+
+// answersAll starts a server that answers every request, and returns its address.
+func answersAll(t *testing.T) string {
+	t.Helper()
+	return rawserver.Start(t, func(conn net.Conn, in *bufio.Reader) {
+		if r, err := http.ReadRequest(in); err == nil {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", hID, r.Header.Get(hID))
+		}
+	})
+}
+
 // Symptom: a request that kills servers kills one after the other.
 // Sequence: its caller sends it again and again; each server that has it dies.
 // Cause: nothing joins the deaths to the request.
 func TestRequestThatKillsIsRefused(t *testing.T) {
 	w := newWorld(t).configured()
-	dies := func() string {
-		lis, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		go func() {
-			conn, err := lis.Accept()
-			if err != nil {
-				return
-			}
-			_ = lis.Close() // the whole server ends
-			_, _ = http.ReadRequest(bufio.NewReader(conn))
-			_ = conn.Close()
-		}()
-		return lis.Addr().String()
-	}
 	for i := range suspectDeaths {
-		w.directory.Put(upstream.Server{Instance: fmt.Sprint("killed-", i), Service: "s", Address: dies(), Capacity: 4})
+		w.directory.Put(upstream.Server{Instance: fmt.Sprint("killed-", i), Service: "s", Address: dies(t), Capacity: 4})
 		r, _, err := w.ask(http.MethodPost, "/once/", "poison")
 		wantStatus(t, r, err, http.StatusBadGateway)
 		w.directory.Remove(fmt.Sprint("killed-", i), time.Now())
 	}
-	w.directory.Put(upstream.Server{Instance: "next", Service: "s", Address: dies(), Capacity: 4})
+	w.directory.Put(upstream.Server{Instance: "next", Service: "s", Address: dies(t), Capacity: 4})
 	r, _, err := w.ask(http.MethodPost, "/once/", "poison")
 	wantStatus(t, r, err, http.StatusServiceUnavailable)
 	if len(w.witness.records) != suspectDeaths {
 		t.Errorf("%d deaths were passed on, want %d", len(w.witness.records), suspectDeaths)
 	}
 	w.directory.Remove("next", time.Now())
-	w.directory.Put(upstream.Server{Instance: "well", Service: "s", Address: rawserver.Start(t, func(conn net.Conn, in *bufio.Reader) {
-		if r, err := http.ReadRequest(in); err == nil {
-			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", hID, r.Header.Get(hID))
-		}
-	}), Capacity: 4})
+	w.directory.Put(upstream.Server{Instance: "well", Service: "s", Address: answersAll(t), Capacity: 4})
 	r, _, err = w.ask(http.MethodPost, "/once/", "innocent")
 	wantStatus(t, r, err, http.StatusOK)
 }
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -47,7 +48,17 @@
 
 // poisoned reports whether the request must not run any more.
 func (e *exchange) poisoned() bool {
-	return e.gateway.cfg.Suspects.Verdict(e.fingerprint(), time.Now()) == quarantine.Refuse
+	e.mark = e.fingerprint()
+	return e.gateway.cfg.Suspects.Verdict(e.mark, time.Now()) == quarantine.Refuse
+}
+
+// survived clears a request that got its answer of the deaths that it was beside: one that kills
+// gets none. Without it a call that many make, with the same path and no body, would be refused
+// after three servers had died of anything else.
+func (e *exchange) survived() {
+	if e.outcome == outcomeAnswered && e.status < http.StatusInternalServerError {
+		e.gateway.cfg.Suspects.Survived(e.mark, time.Now())
+	}
 }
 
 // suspect notes a request that got no byte of an answer if its server is gone.
@@ -58,7 +69,7 @@
 		return // it lives, or nobody can tell in time
 	}
 	death := placement.ServerKey(place.Server.Instance)
-	record, news := e.gateway.cfg.Suspects.Died(e.fingerprint(), death, time.Now())
+	record, news := e.gateway.cfg.Suspects.Died(e.mark, death, time.Now())
 	if !news {
 		return
 	}
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -129,8 +129,9 @@
 	return b
 }
 
-// Survived records that the fingerprint ran to its end alone: it was an
-// innocent neighbour of the one that killed. A quarantine isn't lifted by it.
+// Survived records that the fingerprint ran to its end without a death: alone, or where
+// every run of it is known to the caller. It was an innocent neighbour of the one that
+// killed. A quarantine isn't lifted by it.
 func (b *Book) Survived(fingerprint uint64, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
