Say by what forecast a prompt was refused

Cause: lines of requests that were refused with no_time had no forecast_ms, which OPERATIONS.md and briarturnctl explain name; found on reading the diff. Test first: TestLineOfAPromptThatIsTooLate. A comment loses a figure. Ruled out: a second name for it.

--- a/gateway/log_test.go
+++ b/gateway/log_test.go
@@ -68,6 +68,19 @@
 	wantField(t, line, "sends", 0)
 }
 
+// Symptom: a prompt is refused as too late, and the log doesn't tell by what forecast.
+// Sequence: the forecast is a minute, and five seconds are left. Cause: only requests that
+// were placed had their forecast in the line.
+func TestLineOfAPromptThatIsTooLate(t *testing.T) {
+	w, hook := logged(t, answers("ok"))
+	w.gateway.cfg.Placer = &late{}
+	r, _, err := w.ask(http.MethodPost, "/stream/", "body", hID, "late", hPrompt, "300000", hPatience, "5000")
+	wantStatus(t, r, err, http.StatusServiceUnavailable)
+	line := awaitLine(t, hook, "late")
+	wantField(t, line, "outcome", string(ReasonNoTime))
+	wantField(t, line, "forecast_ms", time.Minute.Milliseconds())
+}
+
 // Symptom: a caller got a failure of one server, and the log doesn't tell that
 // another had refused. Sequence: of two servers one fails and one refuses.
 // Cause: answers that were not passed on left no line.
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -65,6 +65,9 @@
 		fields["forecast_ms"] = e.placed.Forecast.Milliseconds()
 		fields["harm"] = math.Round(e.placed.Harm*harmDigits) / harmDigits
 	}
+	if e.tooLate > 0 {
+		fields["forecast_ms"] = e.tooLate.Milliseconds()
+	}
 	if !e.firstOut.IsZero() {
 		fields["first_ms"] = e.firstOut.Sub(e.begun).Milliseconds()
 	}
--- a/placement/passes.go
+++ b/placement/passes.go
@@ -21,7 +21,7 @@
 	// every entry. So a server is passes behind what the ledger expects, and behind a long
 	// part by up to a second. A new part that comes in that time for another server goes
 	// before what is left of the old one, and so does each that follows while the server is
-	// wanted: a part of 0.8 s has been read 11 s late.
+	// wanted, so that the old one is read last of all.
 	confirmTime = time.Second
 )
 
