--- a/internal/ctl/args.go
+++ b/internal/ctl/args.go
@@ -59,7 +59,8 @@
 	"soak": "  briarturnctl soak --daemon ./briarturnd --seed 1 --seeds 50 --for 20s\n" +
 		"  briarturnctl soak --daemon ./briarturnd --entries 40 --servers 30 --callers 200 --for 1m --json\n",
 	"capacity": "  briarturnctl capacity --measure > docs/capacity-slopes.json\n" +
-		"  briarturnctl capacity --slopes docs/capacity-slopes.json --page docs/CAPACITY.md\n",
+		"  briarturnctl capacity --slopes docs/capacity-slopes.json --page docs/CAPACITY.md\n" +
+		"  briarturnctl capacity --sweep docs/capacity-sweep.json --page docs/CAPACITY.md\n",
 }
 
 type soakCommand struct {
--- a/internal/ctl/capacity.go
+++ b/internal/ctl/capacity.go
@@ -14,6 +14,7 @@
 type capacityCommand struct {
 	Measure bool   `arg:"--measure" help:"measure the slopes here and print them as JSON"`
 	Slopes  string `arg:"--slopes" placeholder:"FILE" help:"slopes that --measure printed"`
+	Sweep   string `arg:"--sweep" placeholder:"FILE" help:"figures of a sweep, for its part of --page"`
 	Fleet   string `arg:"--fleet" default:"letter" help:"letter, derwent or atlas"`
 	Page    string `arg:"--page" placeholder:"FILE" help:"rewrite the printed part of this page, all fleets"`
 }
@@ -24,8 +25,11 @@
 	if c.Measure {
 		return t.measureSlopes(ctx)
 	}
+	if c.Sweep != "" {
+		return rewriteSweep(c)
+	}
 	if c.Slopes == "" {
-		return errors.Annotate(errUsage, "capacity needs --measure or --slopes")
+		return errors.Annotate(errUsage, "capacity needs --measure, --slopes or --sweep")
 	}
 	slopes, err := capacity.ReadSlopes(c.Slopes)
 	if err != nil {
@@ -42,6 +46,18 @@
 	return t.print(page, page.WriteMarkdown)
 }
 
+// rewriteSweep prints a sweep's part of a page anew.
+func rewriteSweep(c *capacityCommand) error {
+	if c.Page == "" {
+		return errors.Annotate(errUsage, "capacity --sweep needs --page")
+	}
+	sweep, err := capacity.ReadSweep(c.Sweep)
+	if err != nil {
+		return errors.WithType(err, errUsage)
+	}
+	return errors.Trace(capacity.RewriteSweep(c.Page, sweep))
+}
+
 func (t *tool) measureSlopes(ctx context.Context) error {
 	progress := t.progress()
 	slopes, err := capacity.Measure(ctx, func(l capacity.Line) {
