--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -89,18 +89,10 @@
 		return f.servers[s.Target].replace(s.For)
 	case ServerPause:
 		return pause(f.servers[s.Target].process, s.For)
-	case StoreCut:
-		return onLink(f.entries[s.Target].toStore, silent, s.For)
-	case StoreReset:
-		return onLink(f.entries[s.Target].toStore, resets, s.For)
-	case StoreRefused:
-		return onLink(f.entries[s.Target].toStore, refuses, s.For)
-	case ServerCut:
-		return onLink(f.servers[s.Target].reached, silent, s.For)
-	case ServerReset:
-		return onLink(f.servers[s.Target].reached, resets, s.For)
-	case ServerDelay:
-		return onLink(f.servers[s.Target].reached, delays, s.For)
+	case StoreCut, StoreReset, StoreRefused:
+		return onLink(f.entries[s.Target].toStore, linkModes[s.Fault], s.For)
+	case ServerCut, ServerReset, ServerDelay:
+		return onLink(f.servers[s.Target].reached, linkModes[s.Fault], s.For)
 	case Configure:
 		return b.configure(nil)
 	case Revoke:
@@ -182,6 +174,12 @@
 	return nil
 }
 
+// linkModes are what faults of links do to them.
+var linkModes = map[Fault]mode{
+	StoreCut: silent, StoreReset: resets, StoreRefused: refuses,
+	ServerCut: silent, ServerReset: resets, ServerDelay: delays,
+}
+
 func onLink(l *link, m mode, d time.Duration) error {
 	l.set(m)
 	time.Sleep(d)
