Show the soak's checks broken processes

Cause: a check that can't fail is none; records alone don't show that what is broken reaches them through processes, links and callers. Change: the test's program plays servers that run twice, answer with another's answer or end a stream early, entries that end by themselves and entries deaf to SIGTERM; each is told as the promise that it breaks, and a sound entry that is told to end as none. Ruled out: nothing.

--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -47,6 +47,11 @@
 	if err := o.check(); err != nil {
 		return nil, err
 	}
+	return runPlan(ctx, o, Plan(o.Seed, o.For, o.Entries, o.Servers))
+}
+
+// runPlan is Run with the faults of a plan.
+func runPlan(ctx context.Context, o Options, plan []Step) (*Report, error) {
 	if o.Log == nil {
 		quiet := logrus.New()
 		quiet.SetOutput(io.Discard)
@@ -62,7 +67,7 @@
 	callersCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	callers := startCallers(callersCtx, o, f, r)
-	newBreaker(f, o.Log).run(ctx, Plan(o.Seed, o.For, o.Entries, o.Servers))
+	newBreaker(f, o.Log).run(ctx, plan)
 	r.settled = f.awaitService(settleLimit)
 	stop()
 	callers.Wait()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -14,7 +14,6 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/briarturn/briarturn/internal/daemon"
 	"github.com/briarturn/briarturn/platform/standin"
 )
 
@@ -28,7 +27,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	os.Exit(daemon.Main(ctx, os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(child(ctx, os.Getenv(brokenVariable)))
 }
 
 // play is one seed with its sizes.
