Give each run of the soak its own ports

Cause: the entry was down for 2 s (entries_kill) while the other run looked for free ports and took its port 26299 ('bind: address already in use' in its log; the 404 came from the other run's process). A fault of the soak, not of the system. Ruled out: a lost configuration (the entry's last lines are of the current revision). Test: TestRunsHaveTheirOwnPorts.

--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -20,21 +18,18 @@
 )
 
 const (
-	loopback = "127.0.0.1"
 	// startLimit bounds the start of everything.
 	startLimit = 30 * time.Second
 	// serverCapacity is what a server says that it runs at a time.
 	serverCapacity = 64
 	// lookEvery paces the wait for something.
 	lookEvery = 50 * time.Millisecond
-	// portsFrom and portsTo bound the ports of processes, below those that the system gives
-	// to connections: a process must get its own again when it is started again.
-	portsFrom, portsTo = 20_000, 32_000
 )
 
 // fleet is the processes of a run and the links between them.
 type fleet struct {
 	dir     string
+	ports   *portBlock
 	record  *record
 	store   *process
 	entries []*entryProcess
@@ -58,36 +53,13 @@
 	reached *link
 }
 
-// freePort returns a port of the range that nothing is bound to.
-func freePort(network string) (string, error) {
-	const tries = 100
-	for range tries {
-		address := fmt.Sprintf("%s:%d", loopback, portsFrom+rand.IntN(portsTo-portsFrom))
-		if bindable(network, address) {
-			return address, nil
-		}
-	}
-	return "", errors.Errorf("step find a port: %d tries", tries)
-}
-
-func bindable(network, address string) bool {
-	if network == "udp" {
-		c, err := net.ListenPacket(network, address)
-		if err == nil {
-			_ = c.Close()
-		}
-		return err == nil
-	}
-	l, err := net.Listen(network, address)
-	if err == nil {
-		_ = l.Close()
-	}
-	return err == nil
-}
-
 // startFleet starts the stand-ins, declares the routes and servers, and starts the entries.
 func startFleet(ctx context.Context, o Options, r *record) (*fleet, error) {
 	f := &fleet{dir: o.Dir, record: r, keys: map[string]string{"kept": keptKey, "removed": removedKey}}
+	var err error
+	if f.ports, err = claimPorts(); err != nil {
+		return f, err
+	}
 	if err := f.startStore(o); err != nil {
 		return f, err
 	}
@@ -143,7 +115,7 @@
 }
 
 func (f *fleet) startStore(o Options) (err error) {
-	if f.storeAt, err = freePort("tcp"); err != nil {
+	if f.storeAt, err = f.ports.next(); err != nil {
 		return err
 	}
 	other := func(string) bool { return false }
@@ -155,7 +127,7 @@
 }
 
 func (f *fleet) startServer(ctx context.Context, o Options, i int) error {
-	address, err := freePort("tcp")
+	address, err := f.ports.next()
 	if err != nil {
 		return err
 	}
@@ -166,7 +138,7 @@
 	}
 	s := &serverProcess{process: p}
 	f.servers = append(f.servers, s)
-	if s.reached, err = newLink(address); err != nil {
+	if s.reached, err = f.newLink(address); err != nil {
 		return err
 	}
 	_, err = f.client.Create(ctx, standin.RegistrationKind, name, standin.Registration(s.reached.at, serverCapacity))
@@ -187,10 +159,10 @@
 	name := fmt.Sprintf("entry-%d", i)
 	e := &entryProcess{}
 	var err error
-	if e.toStore, err = newLink(f.storeAt); err != nil {
+	if e.toStore, err = f.newLink(f.storeAt); err != nil {
 		return err
 	}
-	settings, address, err := entrySettings(name, e.toStore.at)
+	settings, address, err := f.entrySettings(name, e.toStore.at)
 	if err != nil {
 		return err
 	}
@@ -207,16 +179,13 @@
 }
 
 // entrySettings is an entry's settings file, and where callers reach it.
-func entrySettings(name, store string) (file []byte, address string, err error) {
+func (f *fleet) entrySettings(name, store string) (file []byte, address string, err error) {
 	listen := map[string]string{}
-	for _, port := range []string{"http", "ready", "rpc", "admin"} {
-		if listen[port], err = freePort("tcp"); err != nil {
+	for _, port := range []string{"http", "ready", "rpc", "admin", "datagram"} {
+		if listen[port], err = f.ports.next(); err != nil {
 			return nil, "", err
 		}
 	}
-	if listen["datagram"], err = freePort("udp"); err != nil {
-		return nil, "", err
-	}
 	file, err = json.Marshal(map[string]any{
 		"role": "gateway", "name": name, "zone": "zone-1", "region": "region-1", "listen": listen,
 		"platform": map[string]any{"address": "http://" + store, "call_timeout": "1s"},
@@ -274,6 +243,15 @@
 	return outcome == Whole
 }
 
+// newLink starts a proxy on a port of the run.
+func (f *fleet) newLink(target string) (*link, error) {
+	at, err := f.ports.next()
+	if err != nil {
+		return nil, err
+	}
+	return newLink(at, target)
+}
+
 // close ends every process that was started, and the links.
 func (f *fleet) close() {
 	for _, e := range f.entries {
@@ -296,4 +274,7 @@
 	if f.client != nil {
 		f.client.Close()
 	}
+	if f.ports != nil {
+		f.ports.release()
+	}
 }
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -35,12 +35,8 @@
 	conns    map[net.Conn]struct{}
 }
 
-// newLink starts a proxy before target, IP:PORT.
-func newLink(target string) (*link, error) {
-	at, err := freePort("tcp")
-	if err != nil {
-		return nil, err
-	}
+// newLink starts a proxy at an address before target, both IP:PORT.
+func newLink(at, target string) (*link, error) {
 	l := &link{target: target, at: at, change: make(chan struct{}), conns: map[net.Conn]struct{}{}}
 	return l, l.open()
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -165,7 +165,16 @@
 func TestLinksBreak(t *testing.T) {
 	peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
 	defer peer.Close()
-	l, err := newLink(peer.Listener.Addr().String())
+	ports, err := claimPorts()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ports.release()
+	at, err := ports.next()
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := newLink(at, peer.Listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -200,3 +209,32 @@
 		t.Errorf("open again: %q", got)
 	}
 }
+
+// Symptom: one entry denies all requests of a good key, and ended by itself.
+// Sequence: two runs go on side by side; an entry of one is killed and started a moment later.
+// Cause: the other run took its port, which was free meanwhile; callers talked to that run.
+func TestRunsHaveTheirOwnPorts(t *testing.T) {
+	first, err := claimPorts()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.release()
+	second, err := claimPorts()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer second.release()
+	given := map[string]bool{}
+	for range blockPorts / 4 {
+		for _, b := range []*portBlock{first, second} {
+			at, err := b.next() // nothing is bound to it, as while its process is down
+			if err != nil {
+				t.Fatal(err)
+			}
+			if given[at] {
+				t.Fatalf("%s was given twice", at)
+			}
+			given[at] = true
+		}
+	}
+}
