--- a/internal/capacity/sweep.go
+++ b/internal/capacity/sweep.go
@@ -43,10 +43,9 @@
 	Worth     float64 `json:"worth"`
 	Middle    Usage   `json:"middle"`
 	Busiest   Usage   `json:"busiest"`
-	InForce   float64 `json:"in_force_s"`    // until a configuration is acknowledged
-	AfterKill float64 `json:"after_kill_s"`  // until the next acknowledgement after a kill
-	Serving   float64 `json:"serving_s"`     // until it serves after all were killed
-	AfterLoss float64 `json:"after_power_s"` // until it serves after all lost power; 0: not shown
+	InForce   float64 `json:"in_force_s"`   // until a configuration is acknowledged
+	AfterKill float64 `json:"after_kill_s"` // until the next acknowledgement after a kill
+	Serving   float64 `json:"serving_s"`    // until it serves after all were killed
 }
 
 // Usage is what one entry takes.
@@ -83,6 +82,12 @@
 // At returns the value at size x.
 func (p Power) At(x float64) float64 { return p.Factor * math.Pow(x, p.Exponent) }
 
+// carry carries the last of the points on to size x by the power's exponent.
+func (p Power) carry(points []Point, x float64) float64 {
+	last := points[len(points)-1]
+	return last.Y * math.Pow(x/last.X, p.Exponent)
+}
+
 // leastShown stands for what a sweep shows as nothing: a power has no zero.
 const leastShown = 0.05
 
@@ -122,7 +127,7 @@
 func (s Sweep) markdown() string {
 	var b strings.Builder
 	b.WriteString("## The day at three sizes\n\n")
-	fmt.Fprintf(&b, "Of the users' sweep, one play a size. Slope: the exponent of a power fitted through the sizes; the last column carries it on to %d entries. Figures hold the load of serving; limits are those of control alone.\n", TargetEntries)
+	fmt.Fprintf(&b, "Of the users' sweep, one play a size. Slope: the exponent of a power fitted through the sizes; the last figures carry the largest size on to %d entries by it. Figures hold the load of serving; limits are those of control alone.\n", TargetEntries)
 	for _, site := range s.Sites {
 		site.write(&b)
 	}
@@ -154,14 +159,14 @@
 	for _, size := range sizes {
 		y := r.of(size)
 		points = append(points, Point{X: float64(size.Entries), Y: y})
-		fmt.Fprintf(b, " %.4g |", y)
+		fmt.Fprintf(b, " %s |", plain(y))
 	}
 	power := fitPower(points)
 	limit := ""
 	if r.limit > 0 {
-		limit = fmt.Sprintf("%.4g", r.limit)
+		limit = plain(r.limit)
 	}
-	fmt.Fprintf(b, " %.2f | %.3g | %s |\n", power.Exponent, power.At(TargetEntries), limit)
+	fmt.Fprintf(b, " %.2f | %s | %s |\n", power.Exponent, plain(power.carry(points, TargetEntries)), limit)
 }
 
 // Markers of the sweep's part of the page.
