Leave emptied zones alone, bound what cold servers get, keep requests at home

The word of evacuations comes as the configuration does: watch, readers, proofs of age through peers. An entry serves nobody before it has it. Tests first seen failing: the stages and the gateway's tests don't compile without the types; the limiter's play and its test of held-up sends fail with a window of one second. Ruled out: refusing while the word of evacuations is old: a request with a key is refused then in any case, and while the store is away nothing new is emptied. The mapping test of settings learns to change a map, as strict as before.

--- /dev/null
+++ b/eligible/stage_test.go
@@ -0,0 +1,101 @@
+package eligible
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/briarturn/briarturn/evacuation"
+	"github.com/briarturn/briarturn/internal/boottime"
+	"github.com/briarturn/briarturn/routetable"
+	"github.com/briarturn/briarturn/upstream"
+	"github.com/briarturn/briarturn/warmup"
+)
+
+func instances(servers []upstream.Server) []string {
+	var out []string
+	for _, s := range servers {
+		out = append(out, s.Instance)
+	}
+	return out
+}
+
+// A request leaves its home regions: by its route's, its workspace's, both, or a server
+// whose region isn't known.
+func TestHomesOfRouteAndWorkspaceBothBind(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		route, workspace routetable.Homes
+		want             []string
+		cause            Cause
+	}{
+		{name: "none", want: []string{"n", "s", "w", "unknown"}},
+		{name: "route", route: routetable.Homes{"north"}, want: []string{"n"}},
+		{name: "workspace", workspace: routetable.Homes{"south", "west"}, want: []string{"s", "w"}},
+		{name: "both", route: routetable.Homes{"north", "south"}, workspace: routetable.Homes{"south", "west"}, want: []string{"s"}},
+		{name: "disjoint", route: routetable.Homes{"north"}, workspace: routetable.Homes{"south"}, cause: NotHome},
+		{name: "no server there", route: routetable.Homes{"east"}, cause: NotHome},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			servers := []upstream.Server{{Instance: "n", Region: "north"}, {Instance: "s", Region: "south"}, {Instance: "w", Region: "west"}, {Instance: "unknown"}}
+			left, cause := Narrow(servers, AtHome{Route: c.route, Workspace: c.workspace})
+			if diff := cmp.Diff(c.want, instances(left)); diff != "" || cause != c.cause {
+				t.Errorf("cause %v, servers %s", cause, diff)
+			}
+		})
+	}
+}
+
+// Each stage is named where it leaves no server, and a service without servers has no cause.
+func TestCauseIsTheStageThatLeftNone(t *testing.T) {
+	now := time.Unix(1000, 0)
+	clock := func() boottime.Instant { return boottime.Instant(time.Hour) }
+	zones := evacuation.NewZones(clock)
+	zones.Replace([]string{"a"}, clock())
+	limiter := warmup.NewLimiter("e", now.Add(-time.Hour))
+	limiter.SetEntries(nil, now)
+	stages := func() []Stage {
+		view := zones.View(clock().Add(time.Second))
+		return []Stage{
+			AtHome{Route: routetable.Homes{"north"}}, InUse{Zones: view},
+			Warm{Limiter: limiter, PerSecond: 1, Zones: view, Now: now},
+		}
+	}
+	emptied := upstream.Server{Instance: "emptied", Region: "north", Zone: "a"}
+	cold := upstream.Server{Instance: "cold", Region: "north", Zone: "b", ColdUntil: now.Add(time.Second)}
+	abroad := upstream.Server{Instance: "abroad", Region: "south", Zone: "c"}
+	if left, cause := Narrow([]upstream.Server{emptied, cold, abroad}, stages()...); cause != None || len(left) != 1 || left[0].Instance != "cold" {
+		t.Errorf("cause %v, servers %v", cause, instances(left))
+	}
+	limiter.Take("cold", 1, now)
+	for _, c := range []struct {
+		servers []upstream.Server
+		want    Cause
+	}{
+		{servers: nil, want: None},
+		{servers: []upstream.Server{abroad}, want: NotHome},
+		{servers: []upstream.Server{abroad, emptied}, want: ZoneEmptied},
+		{servers: []upstream.Server{cold, emptied}, want: AllCold},
+	} {
+		if left, cause := Narrow(c.servers, stages()...); cause != c.want || len(left) != 0 {
+			t.Errorf("%v: cause %v, want %v; left %v", instances(c.servers), cause, c.want, instances(left))
+		}
+	}
+}
+
+// Servers of a zone that was given back are taken for cold until they are known to be warm.
+func TestServersOfAReturnedZoneCountAsCold(t *testing.T) {
+	now := time.Unix(1000, 0)
+	clock := boottime.Instant(time.Hour)
+	zones := evacuation.NewZones(func() boottime.Instant { return clock })
+	zones.Replace([]string{"a"}, clock)
+	zones.End("a")
+	s := upstream.Server{Instance: "x", Zone: "a"}
+	if !(Warm{Zones: zones.View(clock - 1), Now: now}).Cold(s) {
+		t.Error("taken for warm")
+	}
+	if (Warm{Zones: zones.View(clock + 1), Now: now}).Cold(s) {
+		t.Error("stays cold though its registration was read since")
+	}
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -70,32 +70,15 @@
 	if e.tooLate > 0 {
 		return ReasonNoTime
 	}
+	if reason := reasonOf(e.keptOut); reason != "" {
+		return reason
+	}
 	if e.sends > 0 {
 		return ReasonServersFull
 	}
 	return ReasonNoServer
 }
 
-// place chooses the server among those that had no attempt yet, or among all if
-// every one had.
-func (e *exchange) place() (placement.Placement, placement.Answer) {
-	g := e.gateway
-	var candidates, had []placement.Candidate
-	now := time.Now()
-	for _, s := range g.cfg.Directory.Of(e.service.Name, now) {
-		c := placement.Candidate{Instance: s.Instance, Address: s.Address, Capacity: s.Capacity, Cold: now.Before(s.ColdUntil)}
-		if e.tried[s.Instance] {
-			had = append(had, c)
-			continue
-		}
-		candidates = append(candidates, c)
-	}
-	if len(candidates) == 0 {
-		candidates = had
-	}
-	return g.cfg.Placer.Place(e.query(), candidates)
-}
-
 func (e *exchange) query() placement.Query {
 	return placement.Query{
 		Engine:         e.service.Engine,
--- /dev/null
+++ b/gateway/candidates.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"github.com/briarturn/briarturn/eligible"
+	"github.com/briarturn/briarturn/placement"
+	"github.com/briarturn/briarturn/upstream"
+)
+
+// clearTries is how often a request is placed again because other requests of this entry
+// took what it was placed on, or operators emptied its zone meanwhile.
+const clearTries = 3
+
+// place chooses the server among those that had no attempt yet, or among all if
+// every one had.
+func (e *exchange) place() (placement.Placement, placement.Answer) {
+	g := e.gateway
+	now := time.Now()
+	warm := e.warm(now)
+	var servers []upstream.Server
+	servers, e.keptOut = eligible.Narrow(g.cfg.Directory.Of(e.service.Name, now),
+		e.atHome(), eligible.InUse{Zones: warm.Zones}, warm)
+	var candidates, had []placement.Candidate
+	for _, s := range servers {
+		c := placement.Candidate{Instance: s.Instance, Address: s.Address, Zone: s.Zone, Capacity: s.Capacity, Cold: warm.Cold(s)}
+		if e.tried[s.Instance] {
+			had = append(had, c)
+			continue
+		}
+		candidates = append(candidates, c)
+	}
+	if len(candidates) == 0 {
+		candidates = had
+	}
+	return g.cfg.Placer.Place(e.query(), candidates)
+}
+
+func (e *exchange) atHome() eligible.AtHome {
+	home := eligible.AtHome{Route: e.route.Homes}
+	if e.workspace != nil {
+		home.Workspace = e.workspace.Homes
+	}
+	return home
+}
+
+func (e *exchange) warm(now time.Time) eligible.Warm {
+	g := e.gateway
+	return eligible.Warm{
+		Limiter:   g.cfg.Warmup,
+		PerSecond: e.service.ColdPerSecond,
+		Zones:     g.cfg.Zones.View(g.cfg.Directory.Proved()),
+		Now:       now,
+	}
+}
+
+// clear reports whether a request may be sent where it was placed, right before it is: an
+// operator may have emptied a zone while memory was reserved, and of the requests of this
+// entry that were placed on a cold server at the same moment only its share may go there.
+func (e *exchange) clear(place placement.Placement) bool {
+	warm := e.warm(time.Now())
+	servers := slices.Concat([]placement.Candidate{place.Server}, place.Helpers)
+	if slices.ContainsFunc(servers, func(c placement.Candidate) bool { return warm.Zones.Emptied(c.Zone) }) {
+		return false
+	}
+	if warm.PerSecond <= 0 {
+		return true
+	}
+	for _, c := range servers {
+		if c.Cold && !warm.Limiter.Take(c.Instance, warm.PerSecond, warm.Now) {
+			return false
+		}
+	}
+	return true
+}
+
+// reasonOf translates why no server was left; empty if some was.
+func reasonOf(c eligible.Cause) Reason {
+	switch c {
+	case eligible.NotHome:
+		return ReasonNotHome
+	case eligible.ZoneEmptied:
+		return ReasonZoneEmptied
+	case eligible.AllCold:
+		return ReasonCold
+	}
+	return ""
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/briarturn/briarturn/eligible"
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/request"
 	"github.com/briarturn/briarturn/routetable"
@@ -43,6 +44,7 @@
 	server   string              // address of the last attempt
 	placed   placement.Placement // of the last attempt
 	placedAt time.Time           // when that was chosen
+	keptOut  eligible.Cause      // why the last choice had no server
 	tooLate  time.Duration       // forecast of a first token past the caller's time, else 0
 	outcome  string
 	limit    string // which limit ended the attempts, if one did
@@ -87,6 +89,9 @@
 	if !ok {
 		return ReasonNoConfig
 	}
+	if _, listed := g.cfg.Zones.Age(); !listed {
+		return ReasonNoConfig // the zone of any server may have been emptied
+	}
 	e.revision, e.age = table.Revision(), age
 	if limit := table.Limits().HeaderBytes; limit > 0 && headerBytes(e.incoming.Header) > limit {
 		return ReasonHeader
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,11 +10,13 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/briarturn/briarturn/evacuation"
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/quarantine"
 	"github.com/briarturn/briarturn/reservation"
 	"github.com/briarturn/briarturn/routetable"
 	"github.com/briarturn/briarturn/upstream"
+	"github.com/briarturn/briarturn/warmup"
 )
 
 // Config sets up a Gateway.
@@ -22,6 +24,8 @@
 	Protocol  Protocol
 	Routes    *routetable.Holder
 	Directory *upstream.Directory
+	Zones     *evacuation.Zones
+	Warmup    *warmup.Limiter
 	Pool      *upstream.Pool
 	Placer    Placer
 	Budget    *RetryBudget
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -14,12 +14,14 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/briarturn/briarturn/evacuation"
 	"github.com/briarturn/briarturn/internal/boottime"
 	"github.com/briarturn/briarturn/internal/quiet"
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/quarantine"
 	"github.com/briarturn/briarturn/routetable"
 	"github.com/briarturn/briarturn/upstream"
+	"github.com/briarturn/briarturn/warmup"
 )
 
 // Headers of the tests' own protocol.
@@ -75,6 +77,8 @@
 	directory *upstream.Directory
 	clock     *boottime.Instant
 	routes    *routetable.Holder
+	zones     *evacuation.Zones
+	warmup    *warmup.Limiter
 	witness   *witness
 
 	mu   sync.Mutex
@@ -107,6 +111,10 @@
 	t.Helper()
 	now := boottime.Instant(time.Hour)
 	w := &world{t: t, clock: &now, directory: upstream.NewDirectory(0), witness: &witness{}}
+	w.zones = evacuation.NewZones(func() boottime.Instant { return *w.clock })
+	w.zones.Replace(nil, now)
+	w.warmup = warmup.NewLimiter("e1", time.Now().Add(-time.Minute))
+	w.warmup.SetEntries(nil, time.Now())
 	w.routes = routetable.NewHolder(func() boottime.Instant { return *w.clock })
 	r := metrics.NewRegistry()
 	ledger := placement.NewLedger(func(uint64) *placement.Engine { return nil })
@@ -114,6 +122,8 @@
 		Protocol:  testProtocol{},
 		Routes:    w.routes,
 		Directory: w.directory,
+		Zones:     w.zones,
+		Warmup:    w.warmup,
 		Pool:      upstream.NewPool(r),
 		Placer:    inOrder{placement.NewPlanner(ledger, 1, time.Now, nil)},
 		Budget:    NewRetryBudget(0, 1000, time.Minute, 1),
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -21,15 +21,27 @@
 // whose answer can't come in its caller's time is given up at once.
 func (e *exchange) placeWithMemory(ctx context.Context) (*run, bool) {
 	until := time.Now().Add(e.gateway.cfg.Options.MemoryWait)
+	tries := 0
 	for {
 		place, answer := e.place()
 		if answer == placement.Placed {
 			held, err := e.reserve(ctx, place)
 			if err == nil {
-				return &run{Placement: place, memory: held}, true
+				r := &run{Placement: place, memory: held}
+				if e.clear(place) {
+					return r, true
+				}
+				r.end()
+				if tries++; tries < clearTries {
+					continue
+				}
+				return nil, false
 			}
 			place.End()
 		}
+		if e.keptOut.Declared() {
+			return nil, false
+		}
 		if answer == placement.TooLate {
 			e.tooLate = place.Forecast
 			return nil, false
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -35,6 +35,9 @@
 	// DefaultStaleRetryAfter: an outage of the store takes seconds, and other entries
 	// are asked meanwhile.
 	DefaultStaleRetryAfter = time.Second
+	// DefaultDeclaredRetryAfter: operators have left no server for the request, and change
+	// that in seconds at the soonest.
+	DefaultDeclaredRetryAfter = time.Second
 	// DefaultPoisonRetryAfter: sooner, a request that kills servers would only be
 	// refused again.
 	DefaultPoisonRetryAfter = 30 * time.Second
@@ -61,8 +64,8 @@
 	WriteSlack time.Duration
 	// RetryAfter is when a caller that was refused may come back; StaleRetryAfter the
 	// same where the configuration is too old, PoisonRetryAfter for a request that
-	// kills servers.
-	RetryAfter, StaleRetryAfter, PoisonRetryAfter time.Duration
+	// kills servers, DeclaredRetryAfter for one that operators have left no server.
+	RetryAfter, StaleRetryAfter, PoisonRetryAfter, DeclaredRetryAfter time.Duration
 	// ConnectTries is how many servers are dialled in vain for one attempt of a caller.
 	ConnectTries int
 	// MemoryWait is how long memory is looked for before the caller is refused.
@@ -77,6 +80,7 @@
 	o.RetryAfter = cmp.Or(max(o.RetryAfter, 0), DefaultRetryAfter)
 	o.StaleRetryAfter = cmp.Or(max(o.StaleRetryAfter, 0), DefaultStaleRetryAfter)
 	o.PoisonRetryAfter = cmp.Or(max(o.PoisonRetryAfter, 0), DefaultPoisonRetryAfter)
+	o.DeclaredRetryAfter = cmp.Or(max(o.DeclaredRetryAfter, 0), DefaultDeclaredRetryAfter)
 	o.ConnectTries = cmp.Or(max(o.ConnectTries, 0), DefaultConnectTries)
 	o.MemoryWait = cmp.Or(max(o.MemoryWait, 0), DefaultMemoryWait)
 	return o
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -29,11 +29,15 @@
 	ReasonTimeout     Reason = "timeout"
 	ReasonUnknown     Reason = "outcome_unknown"
 	ReasonPoison      Reason = "kills_servers"
+	ReasonNotHome     Reason = "no_server_at_home"
+	ReasonZoneEmptied Reason = "zones_emptied"
+	ReasonCold        Reason = "servers_cold"
 )
 
 var reasons = []Reason{
 	ReasonNoConfig, ReasonStaleConfig, ReasonNoRoute, ReasonNoKey, ReasonMalformed, ReasonHeader, ReasonTooLarge, ReasonBodyLost,
 	ReasonMemory, ReasonNoServer, ReasonServersFull, ReasonNoTime, ReasonEnding, ReasonTimeout, ReasonUnknown, ReasonPoison,
+	ReasonNotHome, ReasonZoneEmptied, ReasonCold,
 }
 
 // Reasons returns every Reason.
@@ -69,6 +73,8 @@
 	switch r {
 	case ReasonStaleConfig:
 		return o.StaleRetryAfter
+	case ReasonNotHome, ReasonZoneEmptied:
+		return o.DeclaredRetryAfter
 	case ReasonEnding:
 		return endingRetryAfter
 	case ReasonPoison:
--- a/internal/daemon/mapping_test.go
+++ b/internal/daemon/mapping_test.go
@@ -131,6 +131,10 @@
 		v.SetFloat(v.Float() + 1)
 	case reflect.Slice:
 		v.Set(reflect.Append(v, reflect.ValueOf("other")))
+	case reflect.Map:
+		other := reflect.MakeMap(v.Type())
+		other.SetMapIndex(reflect.ValueOf("other"), reflect.ValueOf("other"))
+		v.Set(other)
 	default:
 		t.Fatalf("%s is of a kind that this test can't change: %s", name, v.Kind())
 	}
--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/briarturn/briarturn/evacuation"
 	"github.com/briarturn/briarturn/gateway"
 	"github.com/briarturn/briarturn/internal/boottime"
 	"github.com/briarturn/briarturn/internal/sleep"
@@ -23,6 +24,7 @@
 	"github.com/briarturn/briarturn/reservation"
 	"github.com/briarturn/briarturn/routetable"
 	"github.com/briarturn/briarturn/upstream"
+	"github.com/briarturn/briarturn/warmup"
 )
 
 const (
@@ -64,8 +66,11 @@
 type Decoder struct {
 	ConfigKind  string
 	ServersKind string
-	Config      func(objectapi.Object) (*routetable.Table, bool, error)
-	Server      func(objectapi.Object, time.Time) (upstream.Server, error)
+	// EvacuationsKind holds an object for each availability zone that is emptied, by its
+	// name.
+	EvacuationsKind string
+	Config          func(objectapi.Object) (*routetable.Table, bool, error)
+	Server          func(objectapi.Object, time.Time) (upstream.Server, error)
 }
 
 // Config sets up a Node.
@@ -77,15 +82,20 @@
 	AdminListen string // metrics, health and readiness
 	Zone        string
 	Region      string
-	LinkMbps    int    // of the VM; 0: not known
-	ReadyListen string // the balancer's question
-	Grace       time.Duration
-	RetryRatio  float64
-	RetrySlack  float64
-	RetryWindow time.Duration
-	Conns       ConnLimits
-	Options     gateway.Options
-	Policy      placement.Policy // empty: placement.LeastLoss
+	// Regions are those of the zones, by name; the own zone needs no entry.
+	Regions map[string]string
+	// EvacuateWithin is how long after an operator has emptied a zone nothing new may go
+	// there any more; 0: operators empty no zones here.
+	EvacuateWithin time.Duration
+	LinkMbps       int    // of the VM; 0: not known
+	ReadyListen    string // the balancer's question
+	Grace          time.Duration
+	RetryRatio     float64
+	RetrySlack     float64
+	RetryWindow    time.Duration
+	Conns          ConnLimits
+	Options        gateway.Options
+	Policy         placement.Policy // empty: placement.LeastLoss
 	// Engines gives orders over the node's connections.
 	Engines  func(*upstream.Pool) reservation.Engines
 	Store    objectapi.Store
@@ -101,6 +111,8 @@
 	cfg       Config
 	routes    *routetable.Holder
 	directory *upstream.Directory
+	zones     *evacuation.Zones
+	warmup    *warmup.Limiter
 	pool      *upstream.Pool
 	gateway   *gateway.Gateway
 	callers   *http.Server
@@ -123,8 +135,13 @@
 		cfg:       cfg,
 		routes:    routetable.NewHolder(boottime.Now),
 		directory: upstream.NewDirectory(upstream.DefaultAbsentGrace),
+		zones:     evacuation.NewZones(boottime.Now),
+		warmup:    warmup.NewLimiter(cfg.Name, time.Now()),
 		pool:      upstream.NewPool(cfg.Metrics),
 	}
+	if !n.evacuates() {
+		n.zones.Replace(nil, boottime.Now())
+	}
 	n.ledger = placement.NewLedger(n.engineOf)
 	n.replica = replica.New((*sink)(n), boottime.Now)
 	ctx, stop := context.WithCancel(context.Background())
@@ -148,9 +165,14 @@
 		Store:       cfg.Store,
 		Ledger:      n.ledger,
 		Suspects:    suspects,
-		Entries:     budget.SetEntries,
-		Log:         cfg.Log,
-		Metrics:     cfg.Metrics,
+		Entries: func(names []string, listed bool) {
+			budget.SetEntries(len(names))
+			if listed {
+				n.warmup.SetEntries(names, time.Now())
+			}
+		},
+		Log:     cfg.Log,
+		Metrics: cfg.Metrics,
 	})
 	if err != nil {
 		stop()
@@ -161,6 +183,8 @@
 		Protocol:  cfg.Protocol,
 		Routes:    n.routes,
 		Directory: n.directory,
+		Zones:     n.zones,
+		Warmup:    n.warmup,
 		Pool:      n.pool,
 		Placer:    placement.NewPlanner(n.ledger, incarnation, time.Now, exchange.Teller()).Use(cmp.Or(cfg.Policy, placement.LeastLoss)),
 		Budget:    budget,
@@ -181,6 +205,9 @@
 	n.watch(ctx, cfg.Decoder.ConfigKind, configWait, follow)
 	n.watch(ctx, cfg.Decoder.ServersKind, serversWait, follow)
 	n.watch(ctx, peering.KindGateway, peering.PresenceWait, follow)
+	if n.evacuates() {
+		n.watch(ctx, cfg.Decoder.EvacuationsKind, n.evacuationsWait(), follow)
+	}
 	n.readThroughPeers(ctx, follow)
 	go n.sweep(ctx)
 	return n, nil
@@ -212,11 +239,12 @@
 
 func (n *Node) sweep(ctx context.Context) {
 	for sleep.For(ctx, sweepEvery) {
-		known := map[string]bool{}
+		known, instances := map[string]bool{}, map[string]bool{}
 		for _, s := range n.directory.All() {
-			known[s.Address] = true
+			known[s.Address], instances[s.Instance] = true, true
 		}
 		n.pool.Sweep(func(address string) bool { return known[address] })
+		n.warmup.Forget(func(instance string) bool { return instances[instance] })
 		n.ledger.Forget(func(server uint64) bool { return n.engines.knows(n.directory, server) })
 	}
 }
--- a/internal/gatewaynode/peers.go
+++ b/internal/gatewaynode/peers.go
@@ -49,11 +49,15 @@
 
 // follower returns the node's own. Its peers can be asked once the exchange runs.
 func (n *Node) follower() *follower {
-	return newFollower(n.replica, []replica.Followed{
+	kinds := []replica.Followed{
 		{Kind: n.cfg.Decoder.ConfigKind, Age: configPullAge},
 		{Kind: n.cfg.Decoder.ServersKind, Age: serversPullAge},
 		{Kind: peering.KindGateway, Age: presencePullAge},
-	}, n.exchange.Readers, boottime.Now)
+	}
+	if n.evacuates() {
+		kinds = append(kinds, replica.Followed{Kind: n.cfg.Decoder.EvacuationsKind, Age: 2*n.evacuationsWait() + pullAgeSlack})
+	}
+	return newFollower(n.replica, kinds, n.exchange.Readers, boottime.Now)
 }
 
 func newFollower(r *replica.Replica, kinds []replica.Followed, readers func() peering.Readers, clock boottime.Clock) *follower {
--- a/internal/gatewaynode/serve.go
+++ b/internal/gatewaynode/serve.go
@@ -93,6 +93,8 @@
 		return errors.Errorf("configuration was last proved current %v ago", age)
 	case !n.listed.Load():
 		return errors.New("backend servers not listed yet")
+	case !n.knowsZones():
+		return errors.New("emptied zones not listed yet")
 	case n.gateway.Ending():
 		return errors.New("shutting down")
 	}
--- a/internal/gatewaynode/sink.go
+++ b/internal/gatewaynode/sink.go
@@ -27,6 +27,8 @@
 		s.takeConfig(l)
 	case s.cfg.Decoder.ServersKind:
 		s.replaceServers(l)
+	case s.cfg.Decoder.EvacuationsKind:
+		s.replaceEvacuations(l)
 	case peering.KindGateway:
 		s.exchange.Roster().Snapshot(kind, l)
 	}
@@ -39,6 +41,8 @@
 		s.takeConfig(l)
 	case s.cfg.Decoder.ServersKind:
 		s.changeServers(l)
+	case s.cfg.Decoder.EvacuationsKind:
+		s.changeEvacuations(l)
 	case peering.KindGateway:
 		s.exchange.Roster().Events(kind, l)
 	}
@@ -75,6 +79,7 @@
 		}
 	}
 	s.directory.Replace(servers, now)
+	s.directory.Prove(l.Asked)
 	s.listed.Store(true)
 	s.cfg.Log.WithFields(logrus.Fields{"servers": len(servers), "object_revision": l.Revision}).Info("backend servers listed")
 }
@@ -101,6 +106,7 @@
 		}
 		s.logServer(server, state, o.Version)
 	}
+	s.directory.Prove(l.Asked)
 }
 
 // noteRestart forgets the work of a server that has started again under its name.
@@ -126,5 +132,6 @@
 		s.cfg.Log.WithError(err).Warn("backend server can't be read")
 		return server, false
 	}
+	server.Region = (*Node)(s).regionOf(server.Zone)
 	return server, true
 }
--- /dev/null
+++ b/internal/gatewaynode/zones.go
@@ -0,0 +1,65 @@
+package gatewaynode
+
+import (
+	"time"
+
+	"github.com/briarturn/briarturn/objectapi"
+)
+
+// evacuationsWaitShare is the part of the time in which a zone has to be left alone that a
+// watch of the emptied zones waits. Undisturbed the word of them is two waits old at most;
+// beyond that an entry asks others and the store itself, which takes half a second.
+const evacuationsWaitShare = 0.2
+
+// evacuates reports whether operators empty zones here.
+func (n *Node) evacuates() bool {
+	return n.cfg.Decoder.EvacuationsKind != "" && n.cfg.EvacuateWithin > 0
+}
+
+// evacuationsWait is how long a watch of the emptied zones waits.
+func (n *Node) evacuationsWait() time.Duration {
+	return time.Duration(evacuationsWaitShare * float64(n.cfg.EvacuateWithin))
+}
+
+func (n *Node) knowsZones() bool {
+	_, ok := n.zones.Age()
+	return ok
+}
+
+// regionOf returns the region of a zone; empty if it isn't known.
+func (n *Node) regionOf(zone string) string {
+	if region, ok := n.cfg.Regions[zone]; ok || zone != n.cfg.Zone {
+		return region
+	}
+	return n.cfg.Region
+}
+
+func (s *sink) replaceEvacuations(l objectapi.Listing) {
+	zones := make([]string, len(l.Objects))
+	for i, o := range l.Objects {
+		zones[i] = o.Name
+	}
+	began, ended := s.zones.Replace(zones, l.Asked)
+	for _, zone := range began {
+		s.logZone(zone, "emptied", l.Revision)
+	}
+	for _, zone := range ended {
+		s.logZone(zone, "given back", l.Revision)
+	}
+}
+
+func (s *sink) changeEvacuations(l objectapi.Listing) {
+	for _, o := range l.Objects {
+		switch {
+		case o.Deleted && s.zones.End(o.Name):
+			s.logZone(o.Name, "given back", o.Version)
+		case !o.Deleted && s.zones.Begin(o.Name):
+			s.logZone(o.Name, "emptied", o.Version)
+		}
+	}
+	s.zones.Prove(l.Asked)
+}
+
+func (s *sink) logZone(zone, state string, revision uint64) {
+	s.cfg.Log.WithField("zone", zone).WithField("state", state).WithField("object_revision", revision).Info("availability zone changed")
+}
--- a/peering/exchange.go
+++ b/peering/exchange.go
@@ -45,8 +45,9 @@
 	Store       objectapi.Store
 	Ledger      *placement.Ledger
 	Suspects    *quarantine.Book
-	// Entries is told how many entries there are, this one included.
-	Entries func(n int)
+	// Entries is told the names of all entries, this one included, and whether the object
+	// API has listed them once: before that only some are known.
+	Entries func(names []string, listed bool)
 	Log     logrus.FieldLogger
 	Metrics metrics.Registry
 }
@@ -133,10 +134,19 @@
 	slices.SortFunc(peers, compareRank)
 	x.peers = peers
 	x.mu.Unlock()
-	x.cfg.Entries(len(peers) + 1)
+	x.cfg.Entries(x.names(peers), x.roster.hasListed())
 	x.greet(slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return known[p.Incarnation] }), now)
 }
 
+// names returns the names of peers and the own.
+func (x *Exchange) names(peers []Peer) []string {
+	out := []string{x.cfg.Name}
+	for _, p := range peers {
+		out = append(out, p.Name)
+	}
+	return out
+}
+
 // send passes news on as it comes.
 func (x *Exchange) send(ctx context.Context) {
 	for {
--- a/peering/exchange_test.go
+++ b/peering/exchange_test.go
@@ -36,7 +36,7 @@
 	}
 	x, err := Start(ctx, Config{
 		Name: name, Listen: "127.0.0.1:0", Incarnation: incarnation, Store: store, Ledger: e.ledger, Suspects: e.suspects,
-		Entries: func(n int) { e.entries <- n }, Log: quiet.Logger(), Metrics: metrics.NewRegistry(),
+		Entries: func(names []string, _ bool) { e.entries <- len(names) }, Log: quiet.Logger(), Metrics: metrics.NewRegistry(),
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/peering/presence.go
+++ b/peering/presence.go
@@ -118,6 +118,13 @@
 	return r.own
 }
 
+// hasListed reports whether the object API has listed the presences once.
+func (r *roster) hasListed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.known
+}
+
 // Snapshot implements objectapi.Sink.
 func (r *roster) Snapshot(_ string, l objectapi.Listing) {
 	r.mu.Lock()
--- a/placement/query.go
+++ b/placement/query.go
@@ -9,8 +9,9 @@
 type Candidate struct {
 	Instance string
 	Address  string
+	Zone     string
 	Capacity int
-	Cold     bool
+	Cold     bool // or not known to be warm
 }
 
 // Query is a request to be placed.
--- a/routetable/table.go
+++ b/routetable/table.go
@@ -56,6 +56,7 @@
 	Priority       int           // 0 is first
 	MaxAttempts    int           // backend servers that one attempt of a caller may be sent to
 	Public         bool          // needs no API key
+	Homes          Homes         // bind beside those of the workspace
 	Targets        []Target
 }
 
@@ -68,6 +69,9 @@
 type Service struct {
 	Name   string
 	Engine *placement.Engine // nil for a plain service
+	// ColdPerSecond is how many requests a second one of its servers bears while it is
+	// cold, from all entries together; 0: not declared.
+	ColdPerSecond float64
 }
 
 // Limits bound what a caller may send. Zero is no limit.
@@ -81,6 +85,7 @@
 	Name     string
 	Priority int  // goes before the route's
 	Ranked   bool // Priority is given
+	Homes    Homes
 }
 
 // Declared is the decoded content of one revision.
--- a/upstream/directory.go
+++ b/upstream/directory.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/briarturn/briarturn/internal/boottime"
 )
 
 // Server is one backend server as its registration shows it.
@@ -12,10 +14,12 @@
 	Service  string
 	Address  string // IP:PORT
 	Zone     string
-	Capacity int  // requests that it runs at a time
-	Draining bool // takes no new work
+	Region   string // of the zone; empty: not known
+	Capacity int    // requests that it runs at a time
+	Draining bool   // takes no new work
 	// ColdUntil is when a freshly started server runs at its full speed.
 	ColdUntil time.Time
+	Revision  uint64 // of its registration; rises with each change
 }
 
 // DefaultAbsentGrace is how long a server that is missing after an outage of the
@@ -34,6 +38,7 @@
 	outage   bool
 	returned time.Time
 	version  uint64
+	proved   boottime.Instant
 }
 
 // NewDirectory returns an empty Directory; grace is how long servers that are
@@ -105,7 +110,13 @@
 	}
 }
 
+// putLocked takes a registration. How long a server stays cold counts from when its
+// registration was first read: read again, from another peer or after a gap, the same
+// word would make it cold anew.
 func (d *Directory) putLocked(s Server) {
+	if held, ok := d.servers[s.Instance]; ok && s.Revision != 0 && held.Revision == s.Revision {
+		s.ColdUntil = held.ColdUntil
+	}
 	d.servers[s.Instance] = s
 	delete(d.absent, s.Instance)
 	d.version++
@@ -137,6 +148,20 @@
 	}
 }
 
+// Prove notes that a call begun at asked showed the content to be current.
+func (d *Directory) Prove(asked boottime.Instant) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.proved = max(d.proved, asked)
+}
+
+// Proved returns when the content was last proved current.
+func (d *Directory) Proved() boottime.Instant {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.proved
+}
+
 // Version changes whenever the content does.
 func (d *Directory) Version() uint64 {
 	d.mu.Lock()
