Take a quiet watch for proof of the end of its wait, but for the configuration

Cause: a watch that waits a second without a change counted as proof of the moment at which it was asked, so that what an entry knew looked up to two waits old and had to be asked for each second. Now: a watch without a change that took all of its wait proves its end, and a watch waits until the last proof is a wait old. The list of servers waits 2 s in place of 1, the emptied zones 2.5 s in place of 1; ages and limits are as before (2.9 s for servers). Not for the configuration: a removed key has to be refused also if a store drops a change for a moment. Ruled out: longer waits with the old proof (ages double); a proof less a second for the configuration (saves nothing at its wait).

--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -31,10 +31,11 @@
 	// configWait is how long a watch of the configuration waits. Each return proves
 	// the configuration current, so that it bounds the age of the proof.
 	configWait = time.Second
-	// serversWait is the same for the list of backend servers. Entries that read it
-	// through others trust it for two waits and a half second, and within three seconds
-	// of its word a server that leaves has to be left alone.
-	serversWait = time.Second
+	// serversWait is the same for the list of backend servers, where a quiet watch proves
+	// how things were at its end: undisturbed the word is a wait old at most, and entries
+	// that read it through others trust it for not much more. Within three seconds of its
+	// word a server that leaves has to be left alone.
+	serversWait = 2 * time.Second
 	// watchInterval paces the watches in a burst of changes: with what peers take to ask
 	// each other, a change is known everywhere in half of the two seconds in which it
 	// has to be in force. While servers are replaced one after the other each watch
@@ -218,6 +219,7 @@
 
 func (n *Node) watch(ctx context.Context, kind string, wait time.Duration, follow *follower) {
 	config := watcherConfig(kind, wait)
+	config.WaitProves = kind != n.cfg.Decoder.ConfigKind // a removed key has to be refused whatever the store does
 	config.Store = n.cfg.Store
 	config.Sink = n.replica
 	config.Lost = n.lost
--- a/internal/gatewaynode/peers.go
+++ b/internal/gatewaynode/peers.go
@@ -18,12 +18,13 @@
 )
 
 const (
-	// The ages from which peers are asked. A proof counts from before its watch began to
-	// wait, and the next one comes a wait later: undisturbed, it grows to two waits and
-	// what two calls take. The slack is for the pull, and for a reader that has to list
-	// again since the store forgot its history: with half a second every entry did so.
+	// The ages from which peers are asked. A proof of the configuration counts from before
+	// its watch began to wait, and the next one comes a wait later: undisturbed, it grows to
+	// two waits and what two calls take; that of the servers to one wait. The slack is for
+	// the pull, and for a reader that has to list again since the store forgot its history:
+	// with half a second every entry did so.
 	configPullAge   = 2*configWait + pullAgeSlack
-	serversPullAge  = 2*serversWait + pullAgeSlack
+	serversPullAge  = serversWait + pullAgeSlack
 	presencePullAge = 3 * peering.PresenceWait // nothing depends on its being new
 	pullAgeSlack    = 900 * time.Millisecond
 	// takeUpPause bounds the pause, from half of it on, after which an entry that isn't a
@@ -64,7 +65,7 @@
 		{Kind: peering.KindGateway, Age: presencePullAge},
 	}
 	if n.evacuates() {
-		kinds = append(kinds, replica.Followed{Kind: n.cfg.Decoder.EvacuationsKind, Age: 2*n.evacuationsWait() + pullAgeSlack})
+		kinds = append(kinds, replica.Followed{Kind: n.cfg.Decoder.EvacuationsKind, Age: n.evacuationsWait() + pullAgeSlack})
 	}
 	f := newFollower(n.replica, kinds, n.exchange.Readers, boottime.Now)
 	f.gathers = n.cfg.FirstStart
--- a/internal/gatewaynode/zones.go
+++ b/internal/gatewaynode/zones.go
@@ -7,9 +7,9 @@
 )
 
 // evacuationsWaitShare is the part of the time in which a zone has to be left alone that a
-// watch of the emptied zones waits. Undisturbed the word of them is two waits old at most;
-// beyond that an entry asks others and the store itself, which takes half a second.
-const evacuationsWaitShare = 0.2
+// watch of the emptied zones waits. Undisturbed the word of them is a wait old at most;
+// beyond that an entry asks others and the store itself, which takes a second and a half.
+const evacuationsWaitShare = 0.5
 
 // evacuates reports whether operators empty zones here.
 func (n *Node) evacuates() bool {
--- a/objectapi/watcher.go
+++ b/objectapi/watcher.go
@@ -67,9 +67,15 @@
 	// because the sink is kept current in another way. A list that waited until After has
 	// a revision isn't needed any more. The first watch after that doesn't wait for a
 	// change, so that it soon tells how things are.
-	Hold     func(kind string) bool
-	Wait     time.Duration
-	Interval time.Duration
+	Hold func(kind string) bool
+	// Wait is how long a watch waits for a change.
+	Wait time.Duration
+	// WaitProves takes a watch that came back without a change, after all of its wait, for
+	// proof of how things were at the end of the wait; else each watch proves only how they
+	// were when it was asked. A watch then waits only until the last proof is Wait old. Not
+	// for what has to hold against an object API that drops a change without a word.
+	WaitProves bool
+	Interval   time.Duration
 	// BackoffMax bounds the wait between two tries while the store is away.
 	BackoffMax time.Duration
 	Clock      boottime.Clock // boottime.Now by default
@@ -125,6 +131,7 @@
 	failing bool
 	held    bool   // the last watch was put off
 	reason  Reason // of the next call
+	proved  boottime.Instant
 }
 
 func (w *Watcher) follow(ctx context.Context, k *kindWatch) {
@@ -169,6 +176,7 @@
 	}
 	k.lists.Inc(1)
 	l.Asked = asked
+	k.proved = asked
 	k.after = l.Revision
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -185,9 +193,17 @@
 	}
 }
 
+// wait is how long the next watch waits: until the last proof is as old as it may be.
+func (k *kindWatch) wait() time.Duration {
+	if !k.config.WaitProves {
+		return k.config.Wait
+	}
+	return max(k.config.Wait-k.config.Clock().Sub(k.proved), 0)
+}
+
 func (k *kindWatch) watch(ctx context.Context) error {
 	k.hold(ctx)
-	wait := k.config.Wait
+	wait := k.wait()
 	if k.held {
 		wait, k.reason = 0, ReasonTakeUp
 		if k.config.After != nil {
@@ -199,7 +215,11 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	if k.config.WaitProves && len(l.Objects) == 0 && k.config.Clock().Sub(asked) >= wait {
+		asked = asked.Add(wait)
+	}
 	l.Asked = asked
+	k.proved = asked
 	k.after = l.Revision
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/objectapi/watcher_test.go
+++ b/objectapi/watcher_test.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 	"pgregory.net/rapid"
 
+	"github.com/briarturn/briarturn/internal/boottime"
 	standin "github.com/briarturn/briarturn/internal/standin/objectapi"
 	"github.com/briarturn/briarturn/objectapi"
 )
@@ -219,3 +220,58 @@
 		<-done
 	})
 }
+
+// ages is a sink that notes how old the proof of what it knows grows.
+type ages struct {
+	clock  boottime.Clock
+	proved boottime.Instant
+	most   time.Duration
+}
+
+func (a *ages) Snapshot(_ string, l objectapi.Listing) { a.note(l) }
+func (a *ages) Events(_ string, l objectapi.Listing)   { a.note(l) }
+
+func (a *ages) note(l objectapi.Listing) {
+	if a.proved > 0 {
+		a.most = max(a.most, a.clock().Sub(a.proved))
+	}
+	a.proved = max(a.proved, l.Asked)
+}
+
+// A watch that waits without a change is taken for proof of the moment at which it was
+// asked only: what is known seems twice as old as it is, and is asked for twice as often.
+func TestQuietWatchProvesTheEndOfItsWait(t *testing.T) {
+	const wait = 2 * time.Second
+	for _, every := range []time.Duration{time.Hour, 7 * time.Second, 1900 * time.Millisecond, 300 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			m := standin.NewMemory(standin.Config{})
+			began := time.Now()
+			s := &ages{clock: func() boottime.Instant { return boottime.Instant(time.Hour + time.Since(began)) }}
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				objectapi.NewWatcher(objectapi.WatcherConfig{
+					Store: m, Kinds: []string{"A"}, Sink: s, Clock: s.clock, Wait: wait, WaitProves: true, Interval: 250 * time.Millisecond,
+				}).Run(ctx)
+			}()
+			time.Sleep(100 * time.Millisecond)
+			changes := 0
+			for time.Since(began) < time.Minute {
+				time.Sleep(min(every, time.Minute-time.Since(began)))
+				if _, err := m.Create(ctx, "A", strconv.Itoa(changes), json.RawMessage(`1`)); err != nil {
+					t.Fatal(err)
+				}
+				changes++
+			}
+			if s.most > wait+250*time.Millisecond {
+				t.Errorf("a change each %v: a proof grew %v old", every, s.most)
+			}
+			if most := int64(time.Minute/wait) + 2*int64(changes) + 2; m.Counts().Watch > most {
+				t.Errorf("a change each %v: %d watches in a minute, want %d at most", every, m.Counts().Watch, most)
+			}
+			cancel()
+			<-done
+		})
+	}
+}
