At the first start announce before listing the others

Cause: entries that start together list each other while most have not announced themselves, and then hear of each by a watch of its own: one to two more calls an entry. Ruled out: nothing else.

--- a/internal/gatewaynode/peers.go
+++ b/internal/gatewaynode/peers.go
@@ -34,11 +34,13 @@
 	// their own pace and the others hear of the end from them, 0.3 s later.
 	takeUpPause = 3 * time.Second
 	// At the first start of a whole fleet each entry would read all that it has to know
-	// from the store, though a few could hand it to the others: gatherTime is how long
-	// entries first make out who the others are, by the list of them and their beats, and
-	// gatherLimit how long one that is no reader leaves the first read to the readers.
-	gatherTime  = 1500 * time.Millisecond
-	gatherLimit = 5 * time.Second
+	// from the store, though a few could hand it to the others. All have announced
+	// themselves after announceTime, so that one list of the entries shows them; after
+	// gatherTime they have heard each other's beats and know who the readers are; gatherLimit
+	// is how long one that is no reader leaves the first read to the readers.
+	announceTime = 1200 * time.Millisecond
+	gatherTime   = 2500 * time.Millisecond
+	gatherLimit  = 6 * time.Second
 )
 
 // follower decides when an entry leaves the store to the readers of its region. It is
@@ -101,10 +103,13 @@
 // leavesFirstRead reports whether an entry leaves the first read of a kind to others, at
 // the first start of the whole fleet.
 func (f *follower) leavesFirstRead(kind string, own bool) bool {
-	if !f.gathers || kind == peering.KindGateway {
+	if !f.gathers {
 		return false
 	}
 	passed := f.clock().Sub(f.begun)
+	if kind == peering.KindGateway {
+		return passed < announceTime
+	}
 	return passed < gatherTime || !own && passed < gatherLimit
 }
 
