Empty a zone and give it back from the command line; status of gateways

Cause: operators could do neither but by writing to the store, and a gateway told nobody which zones it holds for emptied or which servers warm up. Now: briarturnctl evacuate ZONE [--end] [--wait]; a gateway's admin interface has a status with emptied zones and the state of each server, and briarturnctl status shows them. Ruled out: nothing.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -34,7 +34,7 @@
 	Name           string `json:"name"`
 	Zone           string `json:"zone"`
 	Pool           string `json:"pool"`
-	State          string `json:"state"`  // live, suspect, leaving, dead
+	State          string `json:"state"`  // live, suspect, leaving, dead; of a gateway live, cold, emptied
 	Direct         bool   `json:"direct"` // it reports to this process itself
 	Draining       bool   `json:"draining"`
 	ConfigRevision uint64 `json:"config_revision"` // in force there, as far as known
@@ -49,7 +49,7 @@
 // Status is the state of one process.
 type Status struct {
 	Name           string   `json:"name"`
-	Role           string   `json:"role"` // entry or agent
+	Role           string   `json:"role"` // entry, agent or gateway
 	Zone           string   `json:"zone"`
 	Ready          bool     `json:"ready"`
 	Draining       bool     `json:"draining"`
@@ -57,6 +57,8 @@
 	Queued         int64    `json:"queued"`
 	Running        int64    `json:"running"`
 	Servers        []Server `json:"servers"`
+	// EmptiedZones are the availability zones that operators have emptied, in force here.
+	EmptiedZones []string `json:"emptied_zones,omitempty"`
 }
 
 // DrainRequest asks a process to drain. Name is the process's own name, or
--- a/internal/ctl/args.go
+++ b/internal/ctl/args.go
@@ -9,6 +9,7 @@
 	Watch      *watchCommand      `arg:"subcommand:watch" help:"show changes of a kind as they come"`
 	Status     *statusCommand     `arg:"subcommand:status" help:"show the state of entries, or wait for a revision"`
 	Drain      *drainCommand      `arg:"subcommand:drain" help:"drain an entry or a backend server"`
+	Evacuate   *evacuateCommand   `arg:"subcommand:evacuate" help:"empty an availability zone of new work, or give it back"`
 	Report     *reportCommand     `arg:"subcommand:report" help:"reports: burn"`
 	Load       *loadCommand       `arg:"subcommand:load" help:"send load and report what came of it"`
 	Experiment *experimentCommand `arg:"subcommand:experiment" help:"compare policies under the same load"`
@@ -31,7 +32,7 @@
 // Epilogue implements arg.Epilogued.
 func (*arguments) Epilogue() string {
 	text := "Examples:\n"
-	for _, name := range []string{"apply", "get", "watch", "status", "drain", "report", "load", "experiment", "explain", "summary", "soak", "capacity"} {
+	for _, name := range []string{"apply", "get", "watch", "status", "drain", "evacuate", "report", "load", "experiment", "explain", "summary", "soak", "capacity"} {
 		text += examples[name]
 	}
 	return text + `
@@ -47,7 +48,9 @@
 	"watch": "  briarturnctl watch Status\n",
 	"status": "  briarturnctl --admin 10.0.1.1:7081 --admin 10.0.1.2:7081 status\n" +
 		"  briarturnctl --admin 10.0.1.1:7081 status --wait 42 --timeout 10s\n",
-	"drain":  "  briarturnctl --admin 10.0.1.1:7081 drain entry-1 --wait --timeout 5m\n",
+	"drain": "  briarturnctl --admin 10.0.1.1:7081 drain entry-1 --wait --timeout 5m\n",
+	"evacuate": "  briarturnctl evacuate zone-b\n" +
+		"  briarturnctl --admin 10.0.1.1:7081 --admin 10.0.1.2:7081 evacuate zone-b --end --wait --timeout 10s\n",
 	"report": "  briarturnctl --admin 10.0.1.1:7081 report burn --html burn.html\n",
 	"load": "  briarturnctl load --target http://10.0.1.1:8080 --mix derwent --rate 40 --for 20s --seed 1\n" +
 		"  briarturnctl load --target 127.0.0.1:9100 --direct --mix atlas --rate 5 --for 1m --slowdown\n",
@@ -99,6 +102,12 @@
 	Wait bool   `arg:"--wait" help:"wait until nothing runs there"`
 }
 
+type evacuateCommand struct {
+	Zone string `arg:"positional,required" help:"availability zone"`
+	End  bool   `arg:"--end" help:"give the zone back"`
+	Wait bool   `arg:"--wait" help:"wait until each process named by --admin has it in force"`
+}
+
 type reportCommand struct {
 	Burn *burnCommand `arg:"subcommand:burn" help:"service-level burn, merged from all entries"`
 }
--- /dev/null
+++ b/internal/ctl/evacuate_test.go
@@ -0,0 +1,42 @@
+package ctl
+
+import (
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/briarturn/briarturn/internal/admin"
+	standin "github.com/briarturn/briarturn/internal/standin/objectapi"
+	"github.com/briarturn/briarturn/platform"
+)
+
+// inForce is a process that takes a while to learn which zones are emptied.
+type inForce struct {
+	asked atomic.Int64
+	zones []string
+}
+
+func (p *inForce) Status() admin.Status {
+	s := admin.Status{Name: "e1", Role: roleGateway, Ready: true, ConfigRevision: 3, Servers: []admin.Server{{Name: "i-1", State: "emptied"}}}
+	if p.asked.Add(1) > 2 {
+		s.EmptiedZones = p.zones
+	}
+	return s
+}
+
+// A zone is emptied and given back once however often it is said, and the command tells
+// where that is in force.
+func TestZoneIsEmptiedAndGivenBack(t *testing.T) {
+	store := standin.NewMemory(standin.Config{})
+	server := httptest.NewServer(admin.NewHandler(admin.Config{Status: &inForce{zones: []string{"z1"}}}))
+	defer server.Close()
+	expect(t, runTool(store, "", "evacuate", "z1"), ExitOK, "zone z1 emptied of new work\n")
+	expect(t, runTool(store, "", "--admin", server.URL, "evacuate", "z1", "--wait"), ExitOK, "as it was", "in force at 1 of 1 processes")
+	if _, err := store.Get(t.Context(), platform.KindEvacuations, "z1"); err != nil {
+		t.Error(err)
+	}
+	expect(t, runTool(store, "", "--admin", server.URL, "status"), ExitOK, "emptied zones, by e1: z1", "revision 3: 1 processes, 100.0%")
+	expect(t, runTool(store, "", "--admin", server.URL, "--timeout", "300ms", "evacuate", "z1", "--end", "--wait"), ExitUnavailable, "given back", "in force at 0 of 1")
+	expect(t, runTool(store, "", "evacuate", "z1", "--end"), ExitOK, "given back, as it was")
+	expect(t, runTool(store, "", "evacuate"), ExitUsage)
+}
--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -123,6 +123,8 @@
 		return t.status(ctx)
 	case a.Drain != nil:
 		return t.drain(ctx)
+	case a.Evacuate != nil:
+		return t.evacuate(ctx)
 	}
 	return t.burn(ctx)
 }
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -23,6 +24,8 @@
 const (
 	roleEntry = "entry"
 	roleAgent = "agent"
+	// roleGateway has servers that read no declared state.
+	roleGateway = "gateway"
 )
 
 // processStatus is the answer of one admin address.
@@ -154,7 +157,7 @@
 	out := make(map[string]admin.Server)
 	for _, p := range f.Processes {
 		for _, s := range p.Servers {
-			if p.Role == roleAgent {
+			if p.Role == roleAgent || p.Role == roleGateway {
 				continue
 			}
 			if !s.Direct {
@@ -191,6 +194,11 @@
 			return errors.Trace(err)
 		}
 	}
+	for _, p := range f.Processes {
+		if len(p.EmptiedZones) > 0 {
+			fmt.Fprintf(w, "emptied zones, by %s: %s\n", p.Name, strings.Join(p.EmptiedZones, ", "))
+		}
+	}
 	for _, r := range f.Revisions {
 		fmt.Fprintf(w, "revision %d: %d processes, %.1f%%\n", r.Revision, r.Processes, 100*r.Share)
 	}
--- a/internal/gatewaynode/serve.go
+++ b/internal/gatewaynode/serve.go
@@ -53,7 +53,7 @@
 // may be taken on one: callers are served without metrics rather than not at all,
 // and the line tells why a scraper finds nothing.
 func (n *Node) serveOperators() {
-	n.admin = admin.NewServer(admin.Config{Ready: n, Metrics: n.cfg.Metrics})
+	n.admin = admin.NewServer(admin.Config{Status: n, Ready: n, Metrics: n.cfg.Metrics})
 	lis, err := net.Listen("tcp", n.cfg.AdminListen)
 	if err != nil {
 		err = errors.Annotatef(err, "step listen for operators, address %s", n.cfg.AdminListen)
--- /dev/null
+++ b/internal/gatewaynode/status.go
@@ -0,0 +1,51 @@
+package gatewaynode
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/briarturn/briarturn/internal/admin"
+	"github.com/briarturn/briarturn/upstream"
+)
+
+// Role is what a node says that it is.
+const Role = "gateway"
+
+// States of a backend server in a node's status.
+const (
+	stateLive    = "live"
+	stateCold    = "cold"    // warms up, or was given back with its zone a moment ago
+	stateEmptied = "emptied" // of a zone that operators have emptied
+)
+
+var _ admin.StatusProvider = (*Node)(nil)
+
+// Status implements admin.StatusProvider.
+func (n *Node) Status() admin.Status {
+	view := n.zones.View(n.directory.Proved())
+	s := admin.Status{
+		Name: n.cfg.Name, Role: Role, Zone: n.cfg.Zone, Ready: n.Ready() == nil, Draining: n.gateway.Ending(),
+		Running: n.gateway.Running(), EmptiedZones: view.Zones(), Servers: []admin.Server{},
+	}
+	if table, _, ok := n.routes.Table(); ok {
+		s.ConfigRevision = table.Revision()
+	}
+	now := time.Now()
+	for _, server := range n.directory.All() {
+		state := stateLive
+		switch {
+		case view.Emptied(server.Zone):
+			state = stateEmptied
+		case now.Before(server.ColdUntil) || view.Returned(server.Zone):
+			state = stateCold
+		}
+		s.Servers = append(s.Servers, statusOf(server, state))
+	}
+	slices.SortFunc(s.Servers, func(a, b admin.Server) int { return cmp.Compare(a.Name, b.Name) })
+	return s
+}
+
+func statusOf(s upstream.Server, state string) admin.Server {
+	return admin.Server{Name: s.Instance, Zone: s.Zone, Pool: s.Service, State: state, Draining: s.Draining}
+}
