Tell other zones once, by an entry of theirs

Cause: each piece of news and each beat goes to every other entry as a datagram of its own, of which, with five zones, four of five cross the links that are slow and paid for. A beat says which attempt was the newest, so that one that was held up on its way ends nothing that began since. Ruled out: a fixed relay a zone (hundreds of thousands of datagrams a second at one).

--- a/peering/exchange.go
+++ b/peering/exchange.go
@@ -78,6 +78,9 @@
 	peers  []Peer               // of both, in order of rank
 	last   map[uint64]time.Time // by incarnation, when an entry was last heard
 	idle   map[uint64]bool      // those that had no attempts then
+
+	passing chan *wirepb.WorkNews // to be passed on to the own zone
+	dropped metrics.Counter       // of those that came faster than they were passed on
 }
 
 // Start binds the datagram address and begins to exchange until ctx ends.
@@ -89,6 +92,8 @@
 		failed:  metrics.GetOrRegisterCounter("peering.news.send_failed", cfg.Metrics),
 		last:    map[uint64]time.Time{},
 		idle:    map[uint64]bool{},
+		passing: make(chan *wirepb.WorkNews, passingMost),
+		dropped: metrics.GetOrRegisterCounter("peering.news.pass_dropped", cfg.Metrics),
 		hellos:  map[string]introduced{},
 		greeted: make(chan struct{}, 1),
 		started: time.Now(),
@@ -103,8 +108,9 @@
 	x.datagrams = datagrams
 	x.own = presence{
 		Datagram: datagrams.Addr().String(), RPC: cfg.RPC, Incarnation: cfg.Incarnation, Zone: cfg.Zone, Region: cfg.Region,
-		LinkMbps: cfg.LinkMbps,
+		LinkMbps: cfg.LinkMbps, Relays: true,
 	}
+	go x.passOn(ctx)
 	go announce(ctx, cfg.Store, cfg.Name, x.own, x.roster, cfg.Log)
 	go x.send(ctx)
 	go x.beat(ctx)
@@ -168,7 +174,7 @@
 			return
 		}
 		for _, m := range x.outbox.take(time.Now()) {
-			x.sendAll(m)
+			x.tell(m)
 		}
 	}
 }
@@ -177,7 +183,8 @@
 	var rest idleRest
 	for sleep.For(ctx, beatEvery) {
 		x.forgetSilent(time.Now())
-		m := &wirepb.WorkNews{Owner: x.cfg.Incarnation, Beat: true}
+		// Before the list is taken: what begins meanwhile may or may not be in it.
+		m := &wirepb.WorkNews{Owner: x.cfg.Incarnation, Beat: true, UpTo: x.outbox.newest()}
 		for _, w := range x.cfg.Ledger.Active(x.cfg.Incarnation) {
 			m.Active = append(m.Active, w.ID.Seq)
 		}
@@ -190,7 +197,7 @@
 		if rest.skips(m.Beat && len(m.Active) == 0 && m.Hello == nil) {
 			continue
 		}
-		x.sendAll(m)
+		x.tell(m)
 	}
 }
 
@@ -273,6 +280,9 @@
 		x.idle[owner] = true
 	}
 	x.mu.Unlock()
+	if m.GetPassOn() {
+		x.toPassOn(m)
+	}
 	if h := m.GetHello(); h != nil {
 		x.hearHello(h, now)
 	}
@@ -287,6 +297,6 @@
 	}
 	wire.LearnEvidence(x.cfg.Suspects, m.GetEvidence(), now)
 	if m.GetBeat() {
-		x.cfg.Ledger.Keep(owner, m.GetActive(), now.Add(-settleTime))
+		x.cfg.Ledger.Keep(owner, m.GetActive(), m.GetUpTo(), now.Add(-settleTime))
 	}
 }
--- a/peering/exchange_test.go
+++ b/peering/exchange_test.go
@@ -26,6 +26,11 @@
 }
 
 func startEntry(t *testing.T, store objectapi.Store, name string, incarnation uint64) *entry {
+	t.Helper()
+	return startEntryIn(t, store, name, incarnation, "")
+}
+
+func startEntryIn(t *testing.T, store objectapi.Store, name string, incarnation uint64, zone string) *entry {
 	t.Helper()
 	ctx, stop := context.WithCancel(t.Context())
 	e := &entry{
@@ -35,7 +40,7 @@
 		entries:  make(chan int, 64),
 	}
 	x, err := Start(ctx, Config{
-		Name: name, Listen: "127.0.0.1:0", Incarnation: incarnation, Store: store, Ledger: e.ledger, Suspects: e.suspects,
+		Name: name, Zone: zone, Listen: "127.0.0.1:0", Incarnation: incarnation, Store: store, Ledger: e.ledger, Suspects: e.suspects,
 		Entries: func(names []string, _ bool) { e.entries <- len(names) }, Log: quiet.Logger(), Metrics: metrics.NewRegistry(),
 	})
 	if err != nil {
--- a/peering/hello.go
+++ b/peering/hello.go
@@ -34,7 +34,7 @@
 func (p presence) message(name string) *wirepb.Peer {
 	return &wirepb.Peer{
 		Name: name, DatagramAddress: p.Datagram, RpcAddress: p.RPC, Zone: p.Zone, Region: p.Region,
-		Incarnation: p.Incarnation, LinkMbps: uint32(max(p.LinkMbps, 0)),
+		Incarnation: p.Incarnation, LinkMbps: uint32(max(p.LinkMbps, 0)), Relays: p.Relays,
 	}
 }
 
@@ -47,7 +47,7 @@
 	}
 	peer := Peer{
 		Name: m.GetName(), Address: address, RPC: m.GetRpcAddress(), Zone: m.GetZone(), Region: m.GetRegion(),
-		LinkMbps: int(m.GetLinkMbps()), Incarnation: m.GetIncarnation(),
+		LinkMbps: int(m.GetLinkMbps()), Relays: m.GetRelays(), Incarnation: m.GetIncarnation(),
 	}
 	x.mu.Lock()
 	x.hellos[peer.Name] = introduced{peer: peer, at: now}
--- a/peering/outbox.go
+++ b/peering/outbox.go
@@ -26,6 +26,7 @@
 
 	mu    sync.Mutex // guards what follows
 	began []placement.Work
+	last  uint64 // the newest of all that began
 	died  []quarantine.Record
 	first []uint64
 	ended []uint64
@@ -39,10 +40,18 @@
 func (o *outbox) Began(w placement.Work) {
 	o.mu.Lock()
 	o.began = append(o.began, w)
+	o.last = max(o.last, w.ID.Seq)
 	o.mu.Unlock()
 	o.signal()
 }
 
+// newest returns the number of the newest attempt.
+func (o *outbox) newest() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.last
+}
+
 // FirstToken implements placement.Teller.
 func (o *outbox) FirstToken(id placement.WorkID) {
 	o.mu.Lock()
--- a/peering/presence.go
+++ b/peering/presence.go
@@ -28,6 +28,7 @@
 	Zone        string `json:"zone"`
 	Region      string `json:"region"`
 	LinkMbps    int    `json:"link_mbps,omitempty"` // of the VM; 0: not known
+	Relays      bool   `json:"relays,omitempty"`    // passes news on to its zone
 }
 
 // Peer is another entry.
@@ -37,7 +38,8 @@
 	RPC         string         // IP:PORT of its drpc services; empty: none
 	Zone        string
 	Region      string
-	LinkMbps    int // of the VM; 0: not known
+	LinkMbps    int  // of the VM; 0: not known
+	Relays      bool // passes news on to its zone
 	Incarnation uint64
 }
 
@@ -189,6 +191,6 @@
 		return Peer{}, errors.Annotatef(err, "step read presence, peer %s", o.Name)
 	}
 	return Peer{
-		Name: o.Name, Address: address, RPC: p.RPC, Zone: p.Zone, Region: p.Region, LinkMbps: p.LinkMbps, Incarnation: p.Incarnation,
+		Name: o.Name, Address: address, RPC: p.RPC, Zone: p.Zone, Region: p.Region, LinkMbps: p.LinkMbps, Relays: p.Relays, Incarnation: p.Incarnation,
 	}, nil
 }
--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -183,8 +183,9 @@
 }
 
 // Keep ends the attempts of an entry that it does not list, but for those that are
-// newer than before: what began while the list was on its way isn't in it.
-func (l *Ledger) Keep(owner uint64, active []uint64, before time.Time) {
+// newer than before, or than upTo, the newest one when the list was made (0: not said): what
+// began while the list was on its way isn't in it, however long that was.
+func (l *Ledger) Keep(owner uint64, active []uint64, upTo uint64, before time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	listed := make(map[uint64]bool, len(active))
@@ -192,7 +193,8 @@
 		listed[seq] = true
 	}
 	for id, a := range l.works {
-		if id.Owner == owner && !listed[id.Seq] && a.changed.Before(before) {
+		newer := upTo > 0 && id.Seq > upTo
+		if id.Owner == owner && !newer && !listed[id.Seq] && a.changed.Before(before) {
 			l.endLocked(id)
 		}
 	}
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -222,7 +222,7 @@
 			l.Begin(Work{ID: WorkID{owner, seq}, Server: 7, Helpers: []uint64{8}, Part: time.Second, PartTokens: 1, Memory: 5}, start)
 		}
 	}
-	l.Keep(0, []uint64{1}, start.Add(time.Second))
+	l.Keep(0, []uint64{1}, 0, start.Add(time.Second))
 	l.EndOwner(1)
 	if n := len(l.works); n != 1 {
 		t.Errorf("%d works are left, want 1", n)
@@ -231,7 +231,7 @@
 		t.Errorf("memory %d, want 5", m)
 	}
 	l.Begin(Work{ID: WorkID{0, 9}, Server: 7}, start.Add(2*time.Second))
-	l.Keep(0, []uint64{1}, start.Add(time.Second))
+	l.Keep(0, []uint64{1}, 0, start.Add(time.Second))
 	if l.works[WorkID{0, 9}] == nil {
 		t.Error("what began after the beat was listed is ended by it")
 	}
@@ -310,3 +310,21 @@
 		f.place(b, review(133_000)).End()
 	}
 }
+
+// A list of an entry's attempts that was held up on its way, by an entry that passes it on
+// and was frozen, ends attempts that began since.
+func TestLateListEndsNothingNewer(t *testing.T) {
+	l := NewLedger(func(uint64) *Engine { return nil })
+	for seq := range uint64(4) {
+		l.Begin(Work{ID: WorkID{Owner: 7, Seq: seq + 1}, Server: 1}, start)
+	}
+	l.Keep(7, []uint64{2}, 3, start.Add(time.Minute))
+	var left []uint64
+	for _, w := range l.Active(7) {
+		left = append(left, w.ID.Seq)
+	}
+	slices.Sort(left)
+	if !slices.Equal(left, []uint64{2, 4}) {
+		t.Errorf("left %v, want the one that is listed and the one that is newer", left)
+	}
+}
