Soak: emptied zones, cold servers, home regions; its own ports' race

Traced: another run started a process between the try and its end; until it runs its program it holds a copy of the socket. A link that can't be opened crashed the run's end: mended. Each check is shown a record, and a broken process (entries that don't know of evacuations, that take regions for each other, that have one name).

--- a/internal/soak/broken_test.go
+++ b/internal/soak/broken_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -30,6 +31,9 @@
 	brokenShort   = "short"   // servers' streams end well, one event early
 	brokenEnds    = "ends"    // entries end by themselves
 	brokenDeaf    = "deaf"    // entries don't heed SIGTERM
+	brokenBlind   = "blind"   // entries don't know that zones can be emptied
+	brokenAstray  = "astray"  // entries take regions for each other
+	brokenAlone   = "alone"   // entries have one name, so that each takes itself for the only one
 )
 
 // lifetime is how long an entry lives that ends by itself: until it has served.
@@ -44,6 +48,11 @@
 		return brokenBackend(ctx, broken)
 	case isEntry && broken == brokenEnds:
 		time.AfterFunc(lifetime, func() { os.Exit(daemon.ExitFailed) })
+	case isEntry && slices.Contains([]string{brokenBlind, brokenAstray, brokenAlone}, broken):
+		if err := misconfigure(os.Args[2], broken); err != nil {
+			_, _ = io.WriteString(os.Stderr, err.Error())
+			return daemon.ExitFailed
+		}
 	case isEntry && broken == brokenDeaf:
 		signal.Ignore(syscall.SIGTERM)
 		ctx = context.Background()
@@ -86,28 +95,75 @@
 	return daemon.ExitOK
 }
 
+// misconfigure changes an entry's settings so that it breaks a promise.
+func misconfigure(file, broken string) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	var settings map[string]any
+	if err := json.Unmarshal(data, &settings); err != nil {
+		return err
+	}
+	gateway := settings["gateway"].(map[string]any)
+	switch broken {
+	case brokenBlind:
+		delete(gateway, "evacuate_within")
+	case brokenAstray:
+		gateway["regions"] = map[string]string{zoneNames[0]: homeRegion, zoneNames[1]: "region-1"}
+	case brokenAlone:
+		settings["name"] = "entry"
+	}
+	if data, err = json.Marshal(settings); err != nil {
+		return err
+	}
+	return os.WriteFile(file, data, 0o600)
+}
+
 // valueOf returns the argument behind a flag.
 func valueOf(flag string) string { return os.Args[slices.Index(os.Args, flag)+1] }
 
+// brokenCase is a run before something that breaks a promise.
+type brokenCase struct {
+	broken, promise string
+	plan            []Step
+}
+
+// entries is how many there are: several where they have to agree.
+func (c brokenCase) entries() int {
+	if c.broken == brokenAlone {
+		return 6
+	}
+	return 1
+}
+
+// callers is how many there are: enough to ask more of a server than it bears.
+func (c brokenCase) callers() int {
+	if c.broken == brokenAlone {
+		return 60
+	}
+	return 4
+}
+
 // A run before something that is deliberately broken tells just that.
 func TestBrokenProcessesAreNoticed(t *testing.T) {
 	term := []Step{{At: calmStart, Fault: EntryTerm}}
 	calm := []Step{{At: 2 * time.Second, Fault: EntryHup}}
-	for _, c := range []struct {
-		broken, promise string
-		plan            []Step
-	}{
+	for _, c := range []brokenCase{
 		{"", "", term},
 		{brokenTwice, PromiseOnce, calm},
 		{brokenForeign, PromiseWhole, calm},
 		{brokenShort, PromiseWhole, calm},
 		{brokenEnds, PromiseLives, []Step{{At: lifetime + time.Second, Fault: EntryKill}}},
 		{brokenDeaf, PromiseGrace, term},
+		{brokenBlind, PromiseEmptied, []Step{{At: calmStart, For: 9 * time.Second, Fault: Evacuate}}},
+		{brokenAstray, PromiseHome, calm},
+		{brokenAlone, PromiseCold, []Step{{At: calmStart, For: 8 * time.Second, Fault: ServerCold}}},
 	} {
 		t.Run(cmp.Or(c.broken, "sound"), func(t *testing.T) {
 			t.Parallel()
 			report, err := runPlan(t.Context(), Options{
-				Entries: 1, Servers: 2, Callers: 4, Daemon: []string{os.Args[0]}, Dir: t.TempDir(),
+				Entries: c.entries(), Servers: 2, Callers: c.callers(), Daemon: []string{os.Args[0]}, Dir: t.TempDir(),
 				Env: []string{childVariable + "=1", brokenVariable + "=" + c.broken},
 			}, c.plan)
 			if err != nil {
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -15,12 +15,19 @@
 	"github.com/briarturn/briarturn/platform/standin"
 )
 
-// Keys of the two workspaces.
+// Keys of the workspaces.
 const (
 	keptKey    = "kept"
 	removedKey = "removed"
+	homedKey   = "homed" // of a workspace that is bound to homeRegion
 )
 
+// homeRegion is where requests with homedKey may run.
+const homeRegion = "region-2"
+
+// homedShare is one request in so many of the kept workspace's: it comes with homedKey.
+const homedShare = 6
+
 const (
 	// pauseMean is the mean pause of a caller between two requests.
 	pauseMean = 30 * time.Millisecond
@@ -97,6 +104,8 @@
 	}
 	if c.random.IntN(3) == 0 {
 		a.Key = removedKey
+	} else if c.random.IntN(homedShare) == 0 {
+		a.Key = homedKey
 	}
 	if a.Path == standin.PathStream {
 		a.Events = 1 + c.random.IntN(streamEvents)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -98,6 +98,12 @@
 	case Revoke:
 		return b.configure(func() { delete(f.keys, "removed") })
 	}
+	switch s.Fault {
+	case Evacuate:
+		return b.evacuate(f.servers[s.Target].zone, s.For)
+	case ServerCold:
+		return b.chill(f.servers[s.Target], s.For)
+	}
 	return b.onStore(s)
 }
 
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -26,6 +26,13 @@
 	lookEvery = 50 * time.Millisecond
 )
 
+// zoneNames are the availability zones of a run, each a region of its own. Entries stand in the
+// first.
+var zoneNames = []string{"zone-1", "zone-2"}
+
+// regions are the regions of the zones.
+var regions = map[string]string{"zone-1": "region-1", "zone-2": homeRegion}
+
 // fleet is the processes of a run and the links between them.
 type fleet struct {
 	dir     string
@@ -50,12 +57,13 @@
 // serverProcess is a backend server with the link that entries reach it by.
 type serverProcess struct {
 	*process
+	zone    string
 	reached *link
 }
 
 // startFleet starts the stand-ins, declares the routes and servers, and starts the entries.
 func startFleet(ctx context.Context, o Options, r *record) (*fleet, error) {
-	f := &fleet{dir: o.Dir, record: r, keys: map[string]string{"kept": keptKey, "removed": removedKey}}
+	f := &fleet{dir: o.Dir, record: r, keys: map[string]string{"kept": keptKey, "removed": removedKey, "homed": homedKey}}
 	var err error
 	if f.ports, err = claimPorts(); err != nil {
 		return f, err
@@ -131,20 +139,24 @@
 	if err != nil {
 		return err
 	}
-	name := fmt.Sprintf("server-%d", i)
+	name := serverName(i)
 	p, err := f.startStandin(o, name, f.arrived, "standin", "backend", "--listen", address, "--instance", name)
 	if err != nil {
 		return err
 	}
-	s := &serverProcess{process: p}
+	s := &serverProcess{process: p, zone: zoneNames[i%len(zoneNames)]}
 	f.servers = append(f.servers, s)
+	f.record.server(name, s.zone)
 	if s.reached, err = f.newLink(address); err != nil {
 		return err
 	}
-	_, err = f.client.Create(ctx, standin.RegistrationKind, name, standin.Registration(s.reached.at, serverCapacity))
+	_, err = f.client.Create(ctx, standin.RegistrationKind, name, standin.Registration(s.reached.at, s.zone, serverCapacity, 0))
 	return errors.Annotatef(err, "step register %s", name)
 }
 
+// serverName is the name of a server and of its instance.
+func serverName(i int) string { return fmt.Sprintf("server-%d", i) }
+
 // arrived takes a line of a server that tells a request.
 func (f *fleet) arrived(text string) bool {
 	var a standin.Arrival
@@ -187,10 +199,11 @@
 		}
 	}
 	file, err = json.Marshal(map[string]any{
-		"role": "gateway", "name": name, "zone": "zone-1", "region": "region-1", "listen": listen,
+		"role": "gateway", "name": name, "zone": zoneNames[0], "region": regions[zoneNames[0]], "listen": listen,
 		"platform": map[string]any{"address": "http://" + store, "call_timeout": "1s"},
 		"gateway": map[string]any{
 			"grace": grace.String(), "retry_ratio": retryRatio, "retry_slack": retrySlack, "retry_window": retryWindow.String(),
+			"regions": regions, "evacuate_within": evacuateLimit.String(),
 		},
 	})
 	return file, listen["http"], err
@@ -199,7 +212,9 @@
 // configure writes the next version of the configuration.
 func (f *fleet) configure(ctx context.Context) error {
 	f.version++
-	data := standin.Configuration(f.version, f.keys)
+	data := standin.Configuration(f.version, standin.Declared{
+		Keys: f.keys, Homes: map[string][]string{"homed": {homeRegion}}, ColdPerSecond: coldPerSecond,
+	})
 	o, err := f.client.Get(ctx, standin.ConfigurationKind, standin.ConfigurationName)
 	if errors.Is(err, objectapi.ErrNotFound) {
 		_, err = f.client.Create(ctx, standin.ConfigurationKind, standin.ConfigurationName, data)
--- /dev/null
+++ b/internal/soak/places.go
@@ -0,0 +1,128 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/briarturn/briarturn/objectapi"
+	"github.com/briarturn/briarturn/platform/standin"
+)
+
+// evacuate empties a zone for a while.
+func (b *breaker) evacuate(zone string, d time.Duration) error {
+	client := b.fleet.client
+	o, err := untilDone(func(ctx context.Context) (objectapi.Object, error) {
+		return client.Create(ctx, standin.EvacuationKind, zone, json.RawMessage(`{}`))
+	}, func(ctx context.Context) (objectapi.Object, error) {
+		return client.Get(ctx, standin.EvacuationKind, zone)
+	})
+	if err != nil {
+		return errors.Annotatef(err, "step empty %s", zone)
+	}
+	e := emptied{zone: zone, from: time.Now()}
+	time.Sleep(d)
+	e.to = time.Now()
+	b.fleet.record.evacuation(e)
+	_, err = untilDone(func(ctx context.Context) (objectapi.Object, error) {
+		return client.Delete(ctx, standin.EvacuationKind, zone, o.Version)
+	}, nil)
+	return errors.Annotatef(err, "step give %s back", zone)
+}
+
+// chill has a server say that it is cold.
+func (b *breaker) chill(s *serverProcess, d time.Duration) error {
+	client := b.fleet.client
+	_, err := untilDone(func(ctx context.Context) (objectapi.Object, error) {
+		o, err := client.Get(ctx, standin.RegistrationKind, s.name)
+		if err != nil {
+			return o, err
+		}
+		return client.Update(ctx, standin.RegistrationKind, s.name, standin.Registration(s.reached.at, s.zone, serverCapacity, d), o.Version)
+	}, nil)
+	if err != nil {
+		return errors.Annotatef(err, "step chill %s", s.name)
+	}
+	from := time.Now()
+	b.fleet.record.coldness(cold{instance: s.name, from: from, to: from.Add(d)})
+	time.Sleep(d)
+	return nil
+}
+
+// untilDone writes to a store that may be away, until it says that it is done. A write whose
+// answer was lost shows as a conflict at the next try; read then gives what is there.
+func untilDone(write, read func(context.Context) (objectapi.Object, error)) (objectapi.Object, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), startLimit)
+	defer cancel()
+	for {
+		o, err := write(ctx)
+		switch {
+		case err == nil || read == nil && errors.Is(err, objectapi.ErrNotFound):
+			return o, nil
+		case read != nil && errors.Is(err, objectapi.ErrExists):
+			return read(ctx)
+		case ctx.Err() != nil:
+			return o, err
+		}
+		time.Sleep(lookEvery)
+	}
+}
+
+// judgePlaces holds where requests ran against emptied zones, cold servers and home regions.
+func (r *record) judgePlaces() []Violation {
+	var out []Violation
+	keys := map[string]string{}
+	for _, q := range r.requests {
+		keys[q.ID] = q.Key
+	}
+	for _, a := range r.arrivals {
+		if !a.Ran {
+			continue
+		}
+		if zone := r.zones[a.Instance]; keys[a.ID] == homedKey && regions[zone] != homeRegion {
+			out = append(out, Violation{PromiseHome, fmt.Sprintf("%s ran on %s in %s", a.ID, a.Instance, zone)})
+		}
+		for _, e := range r.emptied {
+			late := a.At.Sub(e.from)
+			if r.zones[a.Instance] == e.zone && late > evacuateLimit+evacuateSlack && a.At.Before(e.to) && !r.heldUp(a) {
+				out = append(out, Violation{PromiseEmptied, fmt.Sprintf("%s ran on %s in %s, emptied %v before", a.ID, a.Instance, e.zone, late)})
+			}
+		}
+	}
+	for _, c := range r.cold {
+		out = append(out, r.judgeCold(c)...)
+	}
+	return out
+}
+
+// heldUp reports whether an arrival may have been sent long before: its server stood still, the
+// link to it was broken, or an entry stood still.
+func (r *record) heldUp(a arrival) bool {
+	return slices.ContainsFunc(r.spans, func(s span) bool {
+		here := serverName(s.Target) == a.Instance && slices.Contains([]Fault{ServerPause, ServerCut, ServerDelay}, s.Fault)
+		held := here || s.Fault == EntryPause
+		return held && s.From.Before(a.At) && a.At.Sub(s.To) < callPatience
+	})
+}
+
+// judgeCold counts what a cold server got in each second, from when all entries know of it.
+func (r *record) judgeCold(c cold) []Violation {
+	var at []time.Time
+	for _, a := range r.arrivals {
+		if a.Instance == c.instance && a.Ran && a.At.Sub(c.from) > coldNotice && a.At.Before(c.to) && !r.heldUp(a) {
+			at = append(at, a.At)
+		}
+	}
+	slices.SortFunc(at, time.Time.Compare)
+	most := int(coldOverage*coldPerSecond) + coldSlack
+	for i := range at {
+		if n := countBefore(at, at[i].Add(time.Second)) - i; n > most {
+			return []Violation{{PromiseCold, fmt.Sprintf("%s got %d requests in a second, cold for %v", c.instance, n, at[i].Sub(c.from))}}
+		}
+	}
+	return nil
+}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -32,6 +32,8 @@
 	StoreLoses   Fault = "store_loses"   // answers of writes
 	Configure    Fault = "configure"     // a new version
 	Revoke       Fault = "revoke"        // a key is taken away
+	Evacuate     Fault = "evacuate"      // the zone of a server is emptied, and given back
+	ServerCold   Fault = "server_cold"   // a server says that it has become cold
 )
 
 // kinds that a plan draws from. Revoke comes once by itself.
@@ -71,6 +73,28 @@
 		out = append(out, s)
 	}
 	out = append(out, Step{At: calmStart + time.Duration(r.Int64N(int64(max(1, lasts/2)))), Fault: Revoke})
+	out = append(out, declaredSteps(seed, lasts, servers)...)
 	slices.SortStableFunc(out, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return out
 }
+
+const (
+	// evacuationLasts is how long a zone stays emptied: long enough to see whether anything
+	// reaches it after the time in which it has to be left alone.
+	evacuationLasts = 10 * time.Second
+	// coldEvery is the time between two servers that become cold, and how long they are.
+	coldEvery = 5 * time.Second
+)
+
+// declaredSteps are the steps that operators and servers declare themselves: one zone that is
+// emptied and servers that become cold. They are drawn apart, so that a seed's other steps are
+// the same with and without them.
+func declaredSteps(seed uint64, lasts time.Duration, servers int) []Step {
+	r := rand.New(rand.NewPCG(seed, 2))
+	var out []Step
+	for at := calmStart; at < lasts; at += coldEvery {
+		out = append(out, Step{At: at, For: coldEvery, Fault: ServerCold, Target: r.IntN(servers)})
+	}
+	at := calmStart + time.Duration(r.Int64N(int64(max(1, lasts/3))))
+	return append(out, Step{At: at, For: min(evacuationLasts, lasts), Fault: Evacuate, Target: r.IntN(servers)})
+}
--- a/internal/soak/ports.go
+++ b/internal/soak/ports.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 
 	"github.com/juju/errors"
 )
@@ -56,8 +57,12 @@
 
 func (b *portBlock) release() { _ = b.held.Close() }
 
-// bindable reports whether connections and datagrams may be received there.
+// bindable reports whether connections and datagrams may be received there. No process may be
+// started meanwhile: until it runs its program it holds a copy of each socket of this one, and
+// what was tried here would still be bound when it is wanted.
 func bindable(at string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	l, err := net.Listen("tcp", at)
 	if err != nil {
 		return false
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -38,7 +38,10 @@
 // newLink starts a proxy at an address before target, both IP:PORT.
 func newLink(at, target string) (*link, error) {
 	l := &link{target: target, at: at, change: make(chan struct{}), conns: map[net.Conn]struct{}{}}
-	return l, l.open()
+	if err := l.open(); err != nil {
+		return nil, err // with a link that has no listener, the end of the run would fail too
+	}
+	return l, nil
 }
 
 // open takes connections, at first or after close.
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -39,6 +39,18 @@
 	At time.Time
 }
 
+// emptied is a zone that was emptied.
+type emptied struct {
+	zone     string
+	from, to time.Time // from the store's word of it to the moment at which it was taken back
+}
+
+// cold is a server that became cold.
+type cold struct {
+	instance string
+	from, to time.Time // from the store's word of it
+}
+
 // span is a fault that was brought about.
 type span struct {
 	Step
@@ -51,6 +63,9 @@
 	requests []request
 	arrivals []arrival
 	spans    []span
+	zones    map[string]string // of each server
+	emptied  []emptied
+	cold     []cold
 	revoked  time.Time // when the store acknowledged that the key is gone
 	settled  bool      // all entries served again after the last fault
 	ended    []string  // processes that ended without being told to
@@ -69,6 +84,27 @@
 	r.arrivals = append(r.arrivals, arrival{Arrival: a, At: at})
 }
 
+func (r *record) server(instance, zone string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.zones == nil {
+		r.zones = map[string]string{}
+	}
+	r.zones[instance] = zone
+}
+
+func (r *record) evacuation(e emptied) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.emptied = append(r.emptied, e)
+}
+
+func (r *record) coldness(c cold) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cold = append(r.cold, c)
+}
+
 func (r *record) span(s span) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"os/exec"
 	"os/signal"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -86,7 +90,7 @@
 			met[s.Fault] = true
 		}
 	}
-	for _, kind := range append(kinds, Revoke) {
+	for _, kind := range append(kinds, Revoke, Evacuate, ServerCold) {
 		if !met[kind] {
 			t.Errorf("%s is in none of twenty plans", kind)
 		}
@@ -95,10 +99,10 @@
 
 // good is a record in which nothing is broken: one request of each path, answered whole.
 func good(now time.Time) *record {
-	r := &record{settled: true}
+	r := &record{settled: true, zones: map[string]string{"server-0": "zone-1"}}
 	for _, path := range []string{standin.PathOnce, standin.PathSafe, standin.PathStream} {
 		r.requests = append(r.requests, request{ID: "id" + path, Path: path, Key: keptKey, Sent: now, Ended: now.Add(time.Second), Outcome: Whole})
-		r.arrivals = append(r.arrivals, arrival{Arrival: standin.Arrival{ID: "id" + path, Ran: true}, At: now})
+		r.arrivals = append(r.arrivals, arrival{Arrival: standin.Arrival{ID: "id" + path, Instance: "server-0", Ran: true}, At: now})
 	}
 	return r
 }
@@ -128,6 +132,18 @@
 			r.requests[1].Outcome = Broken
 			r.spans = []span{{Step: Step{Fault: EntryTerm}, From: now, To: now.Add(time.Second)}}
 		},
+		PromiseEmptied: func(r *record) {
+			r.arrivals[0].Instance, r.zones["server-1"] = "server-1", "zone-2"
+			r.emptied = []emptied{{zone: "zone-2", from: now.Add(-evacuateLimit - 2*evacuateSlack), to: now.Add(time.Second)}}
+		},
+		PromiseCold: func(r *record) {
+			r.cold = []cold{{instance: "server-0", from: now.Add(-2 * coldNotice), to: now.Add(time.Second)}}
+			for range int(coldOverage*coldPerSecond) + coldSlack {
+				r.requests = append(r.requests, request{ID: fmt.Sprint(len(r.requests)), Path: standin.PathSafe, Key: keptKey, Sent: now, Ended: now, Outcome: Whole})
+				r.arrivals = append(r.arrivals, arrival{Arrival: standin.Arrival{ID: r.requests[len(r.requests)-1].ID, Instance: "server-0", Ran: true}, At: now})
+			}
+		},
+		PromiseHome:     func(r *record) { r.requests[0].Key = homedKey },
 		PromiseGrace:    func(r *record) { r.stuck = []string{"entry-0"} },
 		PromiseLives:    func(r *record) { r.ended = []string{"entry-0"} },
 		PromiseRecovers: func(r *record) { r.settled = false },
@@ -210,6 +226,40 @@
 	}
 }
 
+// A run fails at its start since a port that was free a moment before is taken: a process that
+// another run started at that moment had inherited the socket that had tried it.
+func TestPortStaysFreeWhileOthersStartProcesses(t *testing.T) {
+	ports, err := claimPorts()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ports.release()
+	ctx, stop := context.WithCancel(t.Context())
+	var starters sync.WaitGroup
+	for range 4 {
+		starters.Go(func() {
+			for ctx.Err() == nil {
+				_ = exec.Command("/bin/true").Run() // only that it is started counts
+			}
+		})
+	}
+	for range blockPorts / 2 {
+		at, err := ports.next()
+		if err != nil {
+			t.Error(err)
+			break
+		}
+		l, err := net.Listen("tcp", at)
+		if err != nil {
+			t.Error(err)
+			break
+		}
+		_ = l.Close()
+	}
+	stop()
+	starters.Wait()
+}
+
 // Symptom: one entry denies all requests of a good key, and ended by itself.
 // Sequence: two runs go on side by side; an entry of one is killed and started a moment later.
 // Cause: the other run took its port, which was free meanwhile; callers talked to that run.
--- a/internal/soak/verdict.go
+++ b/internal/soak/verdict.go
@@ -18,6 +18,13 @@
 	retrySlack   = 40
 	retryWindow  = 10 * time.Second
 	callPatience = 4 * time.Second
+
+	evacuateLimit = 5 * time.Second // from the store's word that a zone is emptied
+	evacuateSlack = time.Second     // of a busy machine
+	coldPerSecond = 8               // requests that a cold server bears
+	coldOverage   = 1.5             // of which it bears so many times as many for a moment,
+	coldSlack     = 5               // and so many more
+	coldNotice    = 3 * time.Second // from the store's word of its coldness; faults of the store last shorter
 )
 
 // Violation is a promise that a run saw broken.
@@ -35,6 +42,9 @@
 	PromiseDenied   = "a good key is not denied"
 	PromiseBudget   = "retries stay in their budget"
 	PromiseDrain    = "an entry that is told to end cuts nothing"
+	PromiseEmptied  = "an emptied zone gets nothing new"
+	PromiseCold     = "a cold server gets no more than it bears"
+	PromiseHome     = "a request runs in its home regions only"
 	PromiseGrace    = "an entry that is told to end does so in time"
 	PromiseLives    = "no process ends by itself"
 	PromiseRecovers = "service is back after the last fault"
@@ -55,6 +65,7 @@
 		out = append(out, r.judgeRequest(q, runs[q.ID])...)
 	}
 	out = append(out, r.judgeBudget()...)
+	out = append(out, r.judgePlaces()...)
 	for _, name := range r.ended {
 		out = append(out, Violation{PromiseLives, name})
 	}
