Split placing an attempt from waiting to place it

Cause: the loop that waits for memory also placed, reserved and looked once more. No other change but that a request that lost its share of cold servers three times in a row waits as one without room does.

--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -18,43 +18,50 @@
 // placeWithMemory places an attempt, and where the prompt is kept on several
 // servers reserves their memory first. It waits for memory for a bounded time, and
 // for a moment at which it costs the others less for as long as the placer says. A request
-// whose answer can't come in its caller's time is given up at once.
+// whose answer can't come in its caller's time, or that operators have left no server, is
+// given up at once.
 func (e *exchange) placeWithMemory(ctx context.Context) (*run, bool) {
 	until := time.Now().Add(e.gateway.cfg.Options.MemoryWait)
-	tries := 0
 	for {
-		place, answer := e.place()
-		if answer == placement.Placed {
-			held, err := e.reserve(ctx, place)
-			if err == nil {
-				r := &run{Placement: place, memory: held}
-				if e.clear(place) {
-					return r, true
-				}
-				r.end()
-				if tries++; tries < clearTries {
-					continue
-				}
-				return nil, false
-			}
-			place.End()
-		}
-		if e.keptOut.Declared() {
+		r, place, answer := e.placeOnce(ctx)
+		switch {
+		case r != nil:
+			return r, true
+		case e.keptOut.Declared():
 			return nil, false
-		}
-		if answer == placement.TooLate {
+		case answer == placement.TooLate:
 			e.tooLate = place.Forecast
 			return nil, false
-		}
-		if answer != placement.Later && time.Now().After(until) {
+		case answer != placement.Later && time.Now().After(until):
 			return nil, false
-		}
-		if e.env.Prompt.InputTokens == 0 || !sleep.For(ctx, memoryPause) {
+		case e.env.Prompt.InputTokens == 0 || !sleep.For(ctx, memoryPause):
 			return nil, false
 		}
 	}
 }
 
+// placeOnce places an attempt and reserves its memory, without a wait. Where it may not be
+// sent there any more by then it is placed anew.
+func (e *exchange) placeOnce(ctx context.Context) (*run, placement.Placement, placement.Answer) {
+	for range clearTries {
+		place, answer := e.place()
+		if answer != placement.Placed {
+			return nil, place, answer
+		}
+		held, err := e.reserve(ctx, place)
+		if err != nil {
+			place.End()
+			return nil, place, placement.NoRoom
+		}
+		r := &run{Placement: place, memory: held}
+		if e.clear(place) {
+			return r, place, answer
+		}
+		r.end()
+	}
+	return nil, placement.Placement{}, placement.NoRoom
+}
+
 // reserve sets the memory of a placement aside; most need none.
 func (e *exchange) reserve(ctx context.Context, place placement.Placement) (*reservation.Held, error) {
 	if len(place.Holders) == 0 {
