Stand-in servers that crash when overrun while cold, callers that read slowly

Cause: the soak's servers bore any rate, and its callers read as fast as they could. Now: a server that has said for 3 s that it is cold crashes above three times what the rule allows, which breaks the soak's promise that no process ends by itself; one caller in eight reads 64 bytes at a time.

--- a/internal/daemon/standin.go
+++ b/internal/daemon/standin.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/juju/errors"
@@ -74,7 +75,9 @@
 		return address, s.Close, nil
 	}
 	if c.Backend != nil {
-		return serve(c.Backend.Listen, platformstandin.NewBackend(c.Backend.Instance, out))
+		backend := platformstandin.NewBackend(c.Backend.Instance, out)
+		backend.CrashWhenOverrun(func() { os.Exit(ExitFailed) })
+		return serve(c.Backend.Listen, backend)
 	}
 	return "", nil, errors.WithType(errors.New("name one of platform, engine, service and backend"), errUsage)
 }
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -33,6 +33,8 @@
 	pauseMean = 30 * time.Millisecond
 	// streamEvents is the most events of a stream.
 	streamEvents = 40
+	// slowEvery is one caller in so many: it reads its answers slowly.
+	slowEvery = 8
 	// comeBack bounds how long a caller waits that was refused or found nobody.
 	comeBack = 200 * time.Millisecond
 )
@@ -90,6 +92,9 @@
 	if err != nil {
 		q.Outcome, q.Detail = failedSend(err), err.Error()
 	} else {
+		if c.number%slowEvery == 0 {
+			response.Body = slowBody{response.Body}
+		}
 		q.Outcome, q.Detail = answerOf(ask, response)
 		_ = response.Body.Close()
 	}
@@ -113,6 +118,16 @@
 	return a
 }
 
+// slowBody is an answer that its caller reads a few bytes at a time.
+type slowBody struct{ io.ReadCloser }
+
+// Read implements io.Reader.
+func (b slowBody) Read(p []byte) (int, error) {
+	const atATime, pause = 64, 5 * time.Millisecond
+	time.Sleep(pause)
+	return b.ReadCloser.Read(p[:min(len(p), atATime)])
+}
+
 // failedSend tells whether a request that got no answer may have reached an entry.
 func failedSend(err error) Outcome {
 	if strings.Contains(err.Error(), "connect: ") {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -57,6 +57,7 @@
 // serverProcess is a backend server with the link that entries reach it by.
 type serverProcess struct {
 	*process
+	address string // its own, not the link's
 	zone    string
 	reached *link
 }
@@ -144,7 +145,7 @@
 	if err != nil {
 		return err
 	}
-	s := &serverProcess{process: p, zone: zoneNames[i%len(zoneNames)]}
+	s := &serverProcess{process: p, address: address, zone: zoneNames[i%len(zoneNames)]}
 	f.servers = append(f.servers, s)
 	f.record.server(name, s.zone)
 	if s.reached, err = f.newLink(address); err != nil {
--- a/internal/soak/places.go
+++ b/internal/soak/places.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"slices"
 	"time"
 
@@ -49,8 +50,26 @@
 	}
 	from := time.Now()
 	b.fleet.record.coldness(cold{instance: s.name, from: from, to: from.Add(d)})
-	time.Sleep(d)
-	return nil
+	time.Sleep(min(coldNotice, d))
+	err = s.overruns(d - coldNotice)
+	time.Sleep(max(d-coldNotice, 0))
+	return err
+}
+
+// overruns has the server crash for a while if it gets well more than a cold one bears.
+func (s *serverProcess) overruns(d time.Duration) error {
+	if d <= 0 {
+		return nil
+	}
+	const wellAbove = 3
+	most := wellAbove * (coldOverage*coldPerSecond + coldSlack)
+	at := fmt.Sprintf("http://%s%s?ms=%d&most=%d", s.address, standin.PathCold, d.Milliseconds(), int(most))
+	client := &http.Client{Timeout: coldNotice}
+	response, err := client.Get(at)
+	if err != nil {
+		return errors.Annotatef(err, "step chill, peer %s", s.name) // it is down or stands still just now
+	}
+	return errors.Trace(response.Body.Close())
 }
 
 // untilDone writes to a store that may be away, until it says that it is done. A write whose
