Read a sink of a test after its watcher has ended

Cause: the test read what its sink had noted while the watcher still ran; time alone orders nothing for the detector. Now it ends the watcher first; its bounds are as they were.

--- a/objectapi/watcher_test.go
+++ b/objectapi/watcher_test.go
@@ -264,14 +264,15 @@
 				}
 				changes++
 			}
+			watches := m.Counts().Watch
+			cancel()
+			<-done // the sink is the watcher's until then
 			if s.most > wait+250*time.Millisecond {
 				t.Errorf("a change each %v: a proof grew %v old", every, s.most)
 			}
-			if most := int64(time.Minute/wait) + 2*int64(changes) + 2; m.Counts().Watch > most {
-				t.Errorf("a change each %v: %d watches in a minute, want %d at most", every, m.Counts().Watch, most)
+			if most := int64(time.Minute/wait) + 2*int64(changes) + 2; watches > most {
+				t.Errorf("a change each %v: %d watches in a minute, want %d at most", every, watches, most)
 			}
-			cancel()
-			<-done
 		})
 	}
 }
