Keep the name of an entry that goes for a minute from when it goes

Symptom, by a new test: right after nine of ten entries had gone that had been listed for an hour, the tenth sent all ten requests of a cold server's allowance, while the last sends of the others may be under way. Cause: a name's time was that of the last change of the list, not that at which it went, so that a name listed for over a minute was dropped at once; and one that went last was never dropped, since only a further change looked. Now: names (a type of its own) notes when one goes and drops it a minute later, whether or not the list changes again. TestPartOfALongListedEntryIsKeptForAWhile fails before, 10 sends for 1. TestPartDoesNotGrowAtOnce looked 61 s after the first list, 51 s after the others had gone; it now looks a minute after they went, as the rule says, and is as strict. Ruled out: nothing.

--- a/warmup/limiter.go
+++ b/warmup/limiter.go
@@ -10,14 +10,10 @@
 	"github.com/briarturn/briarturn/upstream"
 )
 
-const (
-	// sendWindow is the time in which an entry sends no more than its part. It is longer
-	// than the second of the allowance by what a send may wait for its connection: of two
-	// sends a second apart the first may be held up and meet the second.
-	sendWindow = time.Second + upstream.DefaultDialTimeout
-	// forgetAfter is how long the name of an entry counts that isn't listed any more.
-	forgetAfter = time.Minute
-)
+// sendWindow is the time in which an entry sends no more than its part. It is longer
+// than the second of the allowance by what a send may wait for its connection: of two
+// sends a second apart the first may be held up and meet the second.
+const sendWindow = time.Second + upstream.DefaultDialTimeout
 
 // Limiter is an entry's part of the allowances of cold servers. It is safe for
 // concurrent use; mu guards all fields below it and is a leaf lock.
@@ -26,9 +22,8 @@
 	begun time.Time
 
 	mu      sync.Mutex
-	entries map[string]time.Time // when each name was last listed
-	version uint64               // changes with the names
-	known   bool
+	entries names
+	known   bool               // the others were listed
 	servers map[string]*server // by instance
 }
 
@@ -42,30 +37,15 @@
 
 // NewLimiter returns the Limiter of an entry, by its name, whose process began at a time.
 func NewLimiter(self string, begun time.Time) *Limiter {
-	return &Limiter{self: self, begun: begun, entries: map[string]time.Time{}, version: 1, servers: map[string]*server{}}
+	return &Limiter{self: self, begun: begun, entries: newNames(self), servers: map[string]*server{}}
 }
 
-// SetEntries takes the names of all entries that are listed.
-func (l *Limiter) SetEntries(names []string, now time.Time) {
+// SetEntries takes the names of all other entries that are listed.
+func (l *Limiter) SetEntries(others []string, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.known = true
-	before := len(l.entries)
-	added := false
-	for _, name := range append([]string{l.self}, names...) {
-		_, had := l.entries[name]
-		added = added || !had
-		l.entries[name] = now
-	}
-	listed := len(l.entries)
-	for name, at := range l.entries {
-		if now.Sub(at) > forgetAfter {
-			delete(l.entries, name)
-		}
-	}
-	if added || len(l.entries) != listed || before != listed {
-		l.version++
-	}
+	l.entries.set(append([]string{l.self}, others...), now)
 }
 
 // Allows reports whether this entry may send one more request to a cold server that
@@ -112,9 +92,10 @@
 	if !l.known || now.Sub(l.begun) < sendWindow {
 		return false
 	}
-	if s.version != l.version || s.rate != perSecond {
+	l.entries.forget(now)
+	if s.version != l.entries.version || s.rate != perSecond {
 		s.part = l.partLocked(instance, int(math.Floor(perSecond)))
-		s.rate, s.version = perSecond, l.version
+		s.rate, s.version = perSecond, l.entries.version
 	}
 	for len(s.sends) > 0 && now.Sub(s.sends[0]) >= sendWindow {
 		s.sends = s.sends[1:]
@@ -124,11 +105,11 @@
 
 // partLocked is this entry's part of an allowance of whole sends.
 func (l *Limiter) partLocked(instance string, allowance int) int {
-	n := len(l.entries)
+	n := len(l.entries.gone)
 	part, rest := allowance/n, allowance%n
 	own := rank(instance, l.self)
 	before := 0
-	for name := range l.entries {
+	for name := range l.entries.gone {
 		if name != l.self && rank(instance, name) < own {
 			before++
 		}
--- a/warmup/limiter_test.go
+++ b/warmup/limiter_test.go
@@ -14,7 +14,7 @@
 
 const instance = "i-1"
 
-func names(n int) []string {
+func nameList(n int) []string {
 	out := make([]string, n)
 	for i := range out {
 		out[i] = fmt.Sprintf("e%d", i)
@@ -29,10 +29,10 @@
 	for _, entries := range []int{1, 5, 30, 430} {
 		for _, rate := range []float64{0.5, 1, 2, 26, 31.9, 500} {
 			sum, taken := 0, 0
-			for _, name := range names(entries) {
+			for _, name := range nameList(entries) {
 				l := NewLimiter(name, epoch)
 				now := epoch.Add(time.Minute)
-				l.SetEntries(names(entries), now)
+				l.SetEntries(nameList(entries), now)
 				for l.Take(instance, rate, now) {
 					taken++
 				}
@@ -53,7 +53,7 @@
 	if l.Allows(instance, 100, epoch.Add(time.Minute)) {
 		t.Error("sends before it knows the others")
 	}
-	l.SetEntries(names(3), epoch)
+	l.SetEntries(nameList(3), epoch)
 	if l.Allows(instance, 100, epoch.Add(sendWindow-1)) {
 		t.Error("sends in its first moments")
 	}
@@ -84,17 +84,41 @@
 func TestPartDoesNotGrowAtOnce(t *testing.T) {
 	epoch := time.Unix(1000, 0)
 	l := NewLimiter("e0", epoch)
-	l.SetEntries(names(10), epoch)
-	l.SetEntries(names(1), epoch.Add(10*time.Second))
+	l.SetEntries(nameList(10), epoch)
+	l.SetEntries(nameList(1), epoch.Add(10*time.Second))
 	if part := l.partLocked(instance, 10); part != 1 {
 		t.Errorf("part %d", part)
 	}
-	l.SetEntries(names(1), epoch.Add(forgetAfter+time.Second))
+	l.entries.forget(epoch.Add(10*time.Second + forgetAfter))
 	if part := l.partLocked(instance, 10); part != 10 {
 		t.Errorf("part %d after a minute", part)
 	}
 }
 
+// An entry that was listed for long counts as gone for long at the moment at which it goes, so
+// that the others take over its part while its last sends are under way; or it counts for ever
+// since nobody else comes or goes.
+func TestPartOfALongListedEntryIsKeptForAWhile(t *testing.T) {
+	epoch := time.Unix(1000, 0)
+	l := NewLimiter("e0", epoch)
+	l.SetEntries(nameList(10), epoch)
+	gone := epoch.Add(time.Hour)
+	l.SetEntries(nameList(1), gone)
+	takes := func(now time.Time) int {
+		n := 0
+		for l.Take(instance, 10, now) {
+			n++
+		}
+		return n
+	}
+	if n := takes(gone.Add(time.Second)); n != 1 {
+		t.Errorf("%d sends right after the others have gone, want its own part, 1", n)
+	}
+	if n := takes(gone.Add(forgetAfter + time.Second)); n != 10 {
+		t.Errorf("%d sends a minute later, want all 10", n)
+	}
+}
+
 // member is one process of an entry in the play of many.
 type member struct {
 	*Limiter
@@ -112,7 +136,7 @@
 		epoch := time.Unix(1000, 0)
 		n := rapid.IntRange(1, 12).Draw(t, "entries")
 		rate := rapid.IntRange(1, 40).Draw(t, "rate")
-		listed := names(n)
+		listed := nameList(n)
 		joins := rapid.Bool().Draw(t, "joins")
 		var members []*member
 		for _, name := range listed {
