Retry-After of declared refusals as a setting; servers of the zone that is emptied

Of all the times after which a refused caller may come back one couldn't be set; a zone's name that was mistaken was emptied without a word.

--- a/internal/ctl/evacuate.go
+++ b/internal/ctl/evacuate.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -20,6 +21,7 @@
 	Zone    string   `json:"zone"`
 	Emptied bool     `json:"emptied"`
 	Changed bool     `json:"changed"`
+	Servers int      `json:"servers"` // that are registered in the zone
 	InForce []string `json:"in_force,omitempty"`
 	Missing []string `json:"missing,omitempty"` // asked, and it isn't in force there
 }
@@ -37,6 +39,9 @@
 	} else {
 		e.Changed, err = beginEvacuation(ctx, store, c.Zone)
 	}
+	if err == nil {
+		e.Servers, err = serversIn(ctx, store, c.Zone, t.env.Now())
+	}
 	if err != nil {
 		return errors.Annotatef(err, "step evacuate %s", c.Zone)
 	}
@@ -69,6 +74,23 @@
 	return err == nil, err
 }
 
+// serversIn counts the backend servers that are registered in a zone. Where there are none its
+// name may be mistaken.
+func serversIn(ctx context.Context, store objectapi.Store, zone string, now time.Time) (int, error) {
+	l, err := store.List(ctx, platform.KindServers, "")
+	if err != nil {
+		return 0, err
+	}
+	n := 0
+	for _, o := range l.Objects {
+		server, err := platform.DecodeServer(o, now)
+		if err == nil && server.Zone == zone { // what can't be read is no server
+			n++
+		}
+	}
+	return n, nil
+}
+
 // awaitEvacuation asks the processes until all that answer know of it.
 func (t *tool) awaitEvacuation(ctx context.Context, e *evacuation) error {
 	clients, err := t.admins()
@@ -106,7 +128,7 @@
 	if !e.Changed {
 		state += ", as it was"
 	}
-	fmt.Fprintf(w, "zone %s %s\n", e.Zone, state)
+	fmt.Fprintf(w, "zone %s %s, %d backend servers\n", e.Zone, state, e.Servers)
 	if len(e.InForce)+len(e.Missing) > 0 {
 		fmt.Fprintf(w, "in force at %d of %d processes\n", len(e.InForce), len(e.InForce)+len(e.Missing))
 	}
--- a/internal/ctl/evacuate_test.go
+++ b/internal/ctl/evacuate_test.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"encoding/json"
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
@@ -30,7 +31,17 @@
 	store := standin.NewMemory(standin.Config{})
 	server := httptest.NewServer(admin.NewHandler(admin.Config{Status: &inForce{zones: []string{"z1"}}}))
 	defer server.Close()
-	expect(t, runTool(store, "", "evacuate", "z1"), ExitOK, "zone z1 emptied of new work\n")
+	for name, zone := range map[string]string{"i-1": "z1", "i-2": "z1", "i-3": "z2", "unreadable": ""} {
+		data := json.RawMessage(`{"service":"s","address":"10.0.0.1:80","zone":"` + zone + `","capacity":1,"state":"ready"}`)
+		if zone == "" {
+			data = json.RawMessage(`"?"`)
+		}
+		if _, err := store.Create(t.Context(), platform.KindServers, name, data); err != nil {
+			t.Fatal(err)
+		}
+	}
+	expect(t, runTool(store, "", "evacuate", "nowhere"), ExitOK, "zone nowhere emptied of new work, 0 backend servers\n")
+	expect(t, runTool(store, "", "evacuate", "z1"), ExitOK, "zone z1 emptied of new work, 2 backend servers\n")
 	expect(t, runTool(store, "", "--admin", server.URL, "evacuate", "z1", "--wait"), ExitOK, "as it was", "in force at 1 of 1 processes")
 	if _, err := store.Get(t.Context(), platform.KindEvacuations, "z1"); err != nil {
 		t.Error(err)
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -254,15 +254,16 @@
 
 func gatewayOptions(l *settings.GatewayLimits) gateway.Options {
 	return gateway.Options{
-		KeyAge:           time.Duration(l.KeyAge),
-		BodiesBytes:      l.BodiesBytes,
-		BodyTimeout:      time.Duration(l.BodyTimeout),
-		WriteSlack:       time.Duration(l.WriteSlack),
-		RetryAfter:       time.Duration(l.RetryAfter),
-		StaleRetryAfter:  time.Duration(l.StaleRetryAfter),
-		PoisonRetryAfter: time.Duration(l.PoisonRetryAfter),
-		ConnectTries:     l.ConnectTries,
-		MemoryWait:       time.Duration(l.MemoryWait),
+		KeyAge:             time.Duration(l.KeyAge),
+		BodiesBytes:        l.BodiesBytes,
+		BodyTimeout:        time.Duration(l.BodyTimeout),
+		WriteSlack:         time.Duration(l.WriteSlack),
+		RetryAfter:         time.Duration(l.RetryAfter),
+		StaleRetryAfter:    time.Duration(l.StaleRetryAfter),
+		PoisonRetryAfter:   time.Duration(l.PoisonRetryAfter),
+		DeclaredRetryAfter: time.Duration(l.DeclaredRetryAfter),
+		ConnectTries:       l.ConnectTries,
+		MemoryWait:         time.Duration(l.MemoryWait),
 	}
 }
 
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -44,6 +44,8 @@
 	RetryAfter       config.Duration `json:"retry_after" validate:"min=10ms,max=1m"`
 	StaleRetryAfter  config.Duration `json:"stale_retry_after" validate:"min=10ms,max=1m"`
 	PoisonRetryAfter config.Duration `json:"poison_retry_after" validate:"min=1s,max=1h"`
-	ConnectTries     int             `json:"connect_tries" validate:"gte=1,lte=100"`
-	MemoryWait       config.Duration `json:"memory_wait" validate:"min=1ms,max=1m"`
+	// DeclaredRetryAfter is that of a request which operators have left no server.
+	DeclaredRetryAfter config.Duration `json:"declared_retry_after" validate:"min=10ms,max=1h"`
+	ConnectTries       int             `json:"connect_tries" validate:"gte=1,lte=100"`
+	MemoryWait         config.Duration `json:"memory_wait" validate:"min=1ms,max=1m"`
 }
