--- a/eligible/cold.go
+++ b/eligible/cold.go
@@ -27,5 +27,5 @@
 
 // Cold reports whether a server is cold, or may have become so without its word.
 func (w Warm) Cold(s upstream.Server) bool {
-	return w.Now.Before(s.ColdUntil) || w.Zones.Returned(s.Zone)
+	return w.Now.Before(s.ColdUntil) || w.Zones.Restored(s.Zone)
 }
--- a/eligible/stage.go
+++ b/eligible/stage.go
@@ -7,10 +7,10 @@
 
 // Causes.
 const (
-	None        Cause = iota // some server is left, or there was none to begin with
-	NotHome                  // none stands in a region that is a home of the request
-	ZoneEmptied              // all that are left stand in zones that operators have emptied
-	AllCold                  // all that are left are cold and have their share of requests
+	None          Cause = iota // some server is left, or there was none to begin with
+	OutOfRegion                // none stands in a region that the request is allowed in
+	ZoneEvacuated              // all that are left stand in zones that operators have evacuated
+	AllCold                    // all that are left are cold and have their share of requests
 )
 
 // Stage is one condition on servers.
@@ -43,4 +43,4 @@
 
 // Declared reports whether operators have left the request no server: waiting a moment
 // doesn't help.
-func (c Cause) Declared() bool { return c == NotHome || c == ZoneEmptied }
+func (c Cause) Declared() bool { return c == OutOfRegion || c == ZoneEvacuated }
--- a/eligible/stage_test.go
+++ b/eligible/stage_test.go
@@ -21,25 +21,25 @@
 	return out
 }
 
-// A request leaves its home regions: by its route's, its workspace's, both, or a server
+// A request leaves its allowed regions: by its route's, its workspace's, both, or a server
 // whose region isn't known.
-func TestHomesOfRouteAndWorkspaceBothBind(t *testing.T) {
+func TestRegionsOfRouteAndWorkspaceBothBind(t *testing.T) {
 	for _, c := range []struct {
 		name             string
-		route, workspace routetable.Homes
+		route, workspace routetable.Regions
 		want             []string
 		cause            Cause
 	}{
 		{name: "none", want: []string{"n", "s", "w", "unknown"}},
-		{name: "route", route: routetable.Homes{"north"}, want: []string{"n"}},
-		{name: "workspace", workspace: routetable.Homes{"south", "west"}, want: []string{"s", "w"}},
-		{name: "both", route: routetable.Homes{"north", "south"}, workspace: routetable.Homes{"south", "west"}, want: []string{"s"}},
-		{name: "disjoint", route: routetable.Homes{"north"}, workspace: routetable.Homes{"south"}, cause: NotHome},
-		{name: "no server there", route: routetable.Homes{"east"}, cause: NotHome},
+		{name: "route", route: routetable.Regions{"north"}, want: []string{"n"}},
+		{name: "workspace", workspace: routetable.Regions{"south", "west"}, want: []string{"s", "w"}},
+		{name: "both", route: routetable.Regions{"north", "south"}, workspace: routetable.Regions{"south", "west"}, want: []string{"s"}},
+		{name: "disjoint", route: routetable.Regions{"north"}, workspace: routetable.Regions{"south"}, cause: OutOfRegion},
+		{name: "no server there", route: routetable.Regions{"east"}, cause: OutOfRegion},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			servers := []upstream.Server{{Instance: "n", Region: "north"}, {Instance: "s", Region: "south"}, {Instance: "w", Region: "west"}, {Instance: "unknown"}}
-			left, cause := Narrow(servers, AtHome{Route: c.route, Workspace: c.workspace})
+			left, cause := Narrow(servers, InRegions{Route: c.route, Workspace: c.workspace})
 			if diff := cmp.Diff(c.want, instances(left)); diff != "" || cause != c.cause {
 				t.Errorf("cause %v, servers %s", cause, diff)
 			}
@@ -58,14 +58,14 @@
 	stages := func() []Stage {
 		view := zones.View(clock().Add(time.Second))
 		return []Stage{
-			AtHome{Route: routetable.Homes{"north"}}, InUse{Zones: view},
+			InRegions{Route: routetable.Regions{"north"}}, InUse{Zones: view},
 			Warm{Limiter: limiter, PerSecond: 1, Zones: view, Now: now},
 		}
 	}
-	emptied := upstream.Server{Instance: "emptied", Region: "north", Zone: "a"}
+	evacuated := upstream.Server{Instance: "evacuated", Region: "north", Zone: "a"}
 	cold := upstream.Server{Instance: "cold", Region: "north", Zone: "b", ColdUntil: now.Add(time.Second)}
 	abroad := upstream.Server{Instance: "abroad", Region: "south", Zone: "c"}
-	if left, cause := Narrow([]upstream.Server{emptied, cold, abroad}, stages()...); cause != None || len(left) != 1 || left[0].Instance != "cold" {
+	if left, cause := Narrow([]upstream.Server{evacuated, cold, abroad}, stages()...); cause != None || len(left) != 1 || left[0].Instance != "cold" {
 		t.Errorf("cause %v, servers %v", cause, instances(left))
 	}
 	limiter.Take("cold", 1, now)
@@ -74,9 +74,9 @@
 		want    Cause
 	}{
 		{servers: nil, want: None},
-		{servers: []upstream.Server{abroad}, want: NotHome},
-		{servers: []upstream.Server{abroad, emptied}, want: ZoneEmptied},
-		{servers: []upstream.Server{cold, emptied}, want: AllCold},
+		{servers: []upstream.Server{abroad}, want: OutOfRegion},
+		{servers: []upstream.Server{abroad, evacuated}, want: ZoneEvacuated},
+		{servers: []upstream.Server{cold, evacuated}, want: AllCold},
 	} {
 		if left, cause := Narrow(c.servers, stages()...); cause != c.want || len(left) != 0 {
 			t.Errorf("%v: cause %v, want %v; left %v", instances(c.servers), cause, c.want, instances(left))
@@ -84,8 +84,8 @@
 	}
 }
 
-// Servers of a zone that was given back are taken for cold until they are known to be warm.
-func TestServersOfAReturnedZoneCountAsCold(t *testing.T) {
+// Servers of a zone that was restored are taken for cold until they are known to be warm.
+func TestServersOfARestoredZoneCountAsCold(t *testing.T) {
 	now := time.Unix(1000, 0)
 	clock := boottime.Instant(time.Hour)
 	zones := evacuation.NewZones(func() boottime.Instant { return clock })
--- a/evacuation/zones.go
+++ b/evacuation/zones.go
@@ -14,19 +14,19 @@
 type Zones struct {
 	now boottime.Clock
 
-	mu       sync.Mutex
-	emptied  map[string]bool
-	returned map[string]boottime.Instant // when the end of an evacuation was read
-	proved   boottime.Instant
-	known    bool
+	mu        sync.Mutex
+	evacuated map[string]bool
+	restored  map[string]boottime.Instant // when the end of an evacuation was read
+	proved    boottime.Instant
+	known     bool
 }
 
 // NewZones returns Zones that know of nothing yet.
 func NewZones(now boottime.Clock) *Zones {
-	return &Zones{now: now, emptied: map[string]bool{}, returned: map[string]boottime.Instant{}}
+	return &Zones{now: now, evacuated: map[string]bool{}, restored: map[string]boottime.Instant{}}
 }
 
-// Replace takes the complete list of emptied zones, read by a call begun at asked. It
+// Replace takes the complete list of evacuated zones, read by a call begun at asked. It
 // returns what began and what ended by it.
 func (z *Zones) Replace(zones []string, asked boottime.Instant) (began, ended []string) {
 	z.mu.Lock()
@@ -38,7 +38,7 @@
 			began = append(began, zone)
 		}
 	}
-	for _, zone := range slices.Sorted(maps.Keys(z.emptied)) {
+	for _, zone := range slices.Sorted(maps.Keys(z.evacuated)) {
 		if !slices.Contains(zones, zone) {
 			z.endLocked(zone)
 			ended = append(ended, zone)
@@ -47,18 +47,18 @@
 	return began, ended
 }
 
-// Begin notes that a zone is emptied, and reports whether that is news.
+// Begin notes that a zone is evacuated, and reports whether that is news.
 func (z *Zones) Begin(zone string) bool {
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	return z.beginLocked(zone)
 }
 
-// End notes that a zone was given back, and reports whether that is news.
+// End notes that a zone was restored, and reports whether that is news.
 func (z *Zones) End(zone string) bool {
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	if !z.emptied[zone] {
+	if !z.evacuated[zone] {
 		return false
 	}
 	z.endLocked(zone)
@@ -73,66 +73,66 @@
 }
 
 func (z *Zones) beginLocked(zone string) bool {
-	if z.emptied[zone] {
+	if z.evacuated[zone] {
 		return false
 	}
-	z.emptied[zone] = true
-	delete(z.returned, zone)
+	z.evacuated[zone] = true
+	delete(z.restored, zone)
 	return true
 }
 
 func (z *Zones) endLocked(zone string) {
-	delete(z.emptied, zone)
-	z.returned[zone] = z.now()
+	delete(z.evacuated, zone)
+	z.restored[zone] = z.now()
 }
 
 func (z *Zones) proveLocked(asked boottime.Instant) { z.proved = max(z.proved, asked) }
 
-// Emptied reports whether a zone is.
-func (z *Zones) Emptied(zone string) bool {
+// Evacuated reports whether a zone is.
+func (z *Zones) Evacuated(zone string) bool {
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	return z.emptied[zone]
+	return z.evacuated[zone]
 }
 
 // View is what was known at one moment. It is immutable.
 type View struct {
-	emptied  map[string]bool
-	returned map[string]bool
+	evacuated map[string]bool
+	restored  map[string]bool
 }
 
 // View returns what is known now. listed is when the list of backend servers was last
-// proved current: servers of a zone that was given back later may have become cold
+// proved current: servers of a zone that was restored later may have become cold
 // without its word.
 func (z *Zones) View(listed boottime.Instant) View {
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	v := View{}
-	if len(z.emptied) > 0 {
-		v.emptied = maps.Clone(z.emptied)
+	if len(z.evacuated) > 0 {
+		v.evacuated = maps.Clone(z.evacuated)
 	}
-	for zone, at := range z.returned {
+	for zone, at := range z.restored {
 		if at <= listed {
-			delete(z.returned, zone)
+			delete(z.restored, zone)
 			continue
 		}
-		if v.returned == nil {
-			v.returned = map[string]bool{}
+		if v.restored == nil {
+			v.restored = map[string]bool{}
 		}
-		v.returned[zone] = true
+		v.restored[zone] = true
 	}
 	return v
 }
 
-// Emptied reports whether a zone takes nothing new.
-func (v View) Emptied(zone string) bool { return v.emptied[zone] }
+// Evacuated reports whether a zone takes nothing new.
+func (v View) Evacuated(zone string) bool { return v.evacuated[zone] }
 
-// Returned reports whether a zone was given back a moment ago, so that the coldness of
+// Restored reports whether a zone was restored a moment ago, so that the coldness of
 // its servers may not be known yet.
-func (v View) Returned(zone string) bool { return v.returned[zone] }
+func (v View) Restored(zone string) bool { return v.restored[zone] }
 
-// Zones returns the emptied zones in order of their names.
-func (v View) Zones() []string { return slices.Sorted(maps.Keys(v.emptied)) }
+// Zones returns the evacuated zones in order of their names.
+func (v View) Zones() []string { return slices.Sorted(maps.Keys(v.evacuated)) }
 
 // Age returns how long ago what is known was last proved current; ok is false before
 // the first complete list.
--- a/evacuation/zones_test.go
+++ b/evacuation/zones_test.go
@@ -39,14 +39,14 @@
 	z.Begin("a")
 	z.End("a")
 	z.Begin("a")
-	if v := z.View(now.Add(time.Minute)); !v.Emptied("a") || v.Returned("a") {
-		t.Errorf("emptied %v, returned %v", v.Emptied("a"), v.Returned("a"))
+	if v := z.View(now.Add(time.Minute)); !v.Evacuated("a") || v.Restored("a") {
+		t.Errorf("evacuated %v, restored %v", v.Evacuated("a"), v.Restored("a"))
 	}
 }
 
-// A server that became cold in an emptied zone is taken for warm if the end of the
+// A server that became cold in an evacuated zone is taken for warm if the end of the
 // evacuation is heard of before its new registration.
-func TestZoneCountsAsReturnedUntilItsServersAreKnown(t *testing.T) {
+func TestZoneCountsAsRestoredUntilItsServersAreKnown(t *testing.T) {
 	z, now := newZones()
 	z.Replace([]string{"a"}, *now)
 	listed := *now
@@ -55,11 +55,11 @@
 	if diff := cmp.Diff([][]string{{"b"}, {"a"}}, [][]string{began, ended}); diff != "" {
 		t.Error(diff)
 	}
-	if v := z.View(listed); v.Emptied("a") || !v.Returned("a") || !v.Emptied("b") {
-		t.Error("a zone given back counts as warm before its servers were read again")
+	if v := z.View(listed); v.Evacuated("a") || !v.Restored("a") || !v.Evacuated("b") {
+		t.Error("a zone restored counts as warm before its servers were read again")
 	}
-	if z.View(now.Add(time.Millisecond)).Returned("a") {
-		t.Error("a zone stays returned though its servers were read again")
+	if z.View(now.Add(time.Millisecond)).Restored("a") {
+		t.Error("a zone stays restored though its servers were read again")
 	}
 }
 
@@ -86,8 +86,8 @@
 			}
 		}
 		for _, zone := range []string{"a", "b", "c"} {
-			if z.Emptied(zone) != want[zone] {
-				t.Fatalf("zone %s emptied: %v", zone, z.Emptied(zone))
+			if z.Evacuated(zone) != want[zone] {
+				t.Fatalf("zone %s evacuated: %v", zone, z.Evacuated(zone))
 			}
 		}
 	})
--- a/gateway/candidates.go
+++ b/gateway/candidates.go
@@ -10,7 +10,7 @@
 )
 
 // clearTries is how often a request is placed again because other requests of this entry
-// took what it was placed on, or operators emptied its zone meanwhile.
+// took what it was placed on, or operators evacuated its zone meanwhile.
 const clearTries = 3
 
 // place chooses the server among those that had no attempt yet, or among all if
@@ -21,7 +21,7 @@
 	warm := e.warm(now)
 	var servers []upstream.Server
 	servers, e.keptOut = eligible.Narrow(g.cfg.Directory.Of(e.service.Name, now),
-		e.atHome(), eligible.InUse{Zones: warm.Zones}, warm)
+		e.inRegions(), eligible.InUse{Zones: warm.Zones}, warm)
 	var candidates, had []placement.Candidate
 	for _, s := range servers {
 		c := placement.Candidate{Instance: s.Instance, Address: s.Address, Zone: s.Zone, Capacity: s.Capacity, Cold: warm.Cold(s)}
@@ -37,12 +37,12 @@
 	return g.cfg.Placer.Place(e.query(), candidates)
 }
 
-func (e *exchange) atHome() eligible.AtHome {
-	home := eligible.AtHome{Route: e.route.Homes}
+func (e *exchange) inRegions() eligible.InRegions {
+	in := eligible.InRegions{Route: e.route.Regions}
 	if e.workspace != nil {
-		home.Workspace = e.workspace.Homes
+		in.Workspace = e.workspace.Regions
 	}
-	return home
+	return in
 }
 
 func (e *exchange) warm(now time.Time) eligible.Warm {
@@ -56,12 +56,12 @@
 }
 
 // clear reports whether a request may be sent where it was placed, right before it is: an
-// operator may have emptied a zone while memory was reserved, and of the requests of this
+// operator may have evacuated a zone while memory was reserved, and of the requests of this
 // entry that were placed on a cold server at the same moment only its share may go there.
 func (e *exchange) clear(place placement.Placement) bool {
 	warm := e.warm(time.Now())
 	servers := slices.Concat([]placement.Candidate{place.Server}, place.Helpers)
-	if slices.ContainsFunc(servers, func(c placement.Candidate) bool { return warm.Zones.Emptied(c.Zone) }) {
+	if slices.ContainsFunc(servers, func(c placement.Candidate) bool { return warm.Zones.Evacuated(c.Zone) }) {
 		return false
 	}
 	if warm.PerSecond <= 0 {
@@ -78,10 +78,10 @@
 // reasonOf translates why no server was left; empty if some was.
 func reasonOf(c eligible.Cause) Reason {
 	switch c {
-	case eligible.NotHome:
-		return ReasonNotHome
-	case eligible.ZoneEmptied:
-		return ReasonZoneEmptied
+	case eligible.OutOfRegion:
+		return ReasonOutOfRegion
+	case eligible.ZoneEvacuated:
+		return ReasonZoneEvacuated
 	case eligible.AllCold:
 		return ReasonCold
 	}
--- a/gateway/candidates_test.go
+++ b/gateway/candidates_test.go
@@ -39,8 +39,8 @@
 	}
 }
 
-// Nothing new goes to a zone that operators have emptied.
-func TestEmptiedZoneGetsNothingNew(t *testing.T) {
+// Nothing new goes to a zone that operators have evacuated.
+func TestEvacuatedZoneGetsNothingNew(t *testing.T) {
 	w := newWorld(t, answers("a"), answers("b")).configured().inZones([]string{"za", "zb"}, []string{"r", "r"})
 	w.zones.Begin("za")
 	r, _, err := w.ask(http.MethodGet, "/safe/1", "")
@@ -52,9 +52,9 @@
 	w.wantArrivals("s2 id-1, s1 id-1")
 }
 
-// A retry doesn't go to a zone that was emptied after the first attempt, and a server that
+// A retry doesn't go to a zone that was evacuated after the first attempt, and a server that
 // had an attempt isn't asked again in its place.
-func TestRetryLeavesAnEmptiedZoneAlone(t *testing.T) {
+func TestRetryLeavesAnEvacuatedZoneAlone(t *testing.T) {
 	var w *world
 	w = newWorld(t, func(rw http.ResponseWriter, r *http.Request) {
 		w.zones.Begin("zb")
@@ -65,9 +65,9 @@
 	w.wantArrivals("s1 id-1, s3 id-1")
 }
 
-// A stream that broke isn't resumed in a zone that was emptied while it ran; what runs in
+// A stream that broke isn't resumed in a zone that was evacuated while it ran; what runs in
 // such a zone goes on.
-func TestStreamIsNotResumedInAnEmptiedZone(t *testing.T) {
+func TestStreamIsNotResumedInAnEvacuatedZone(t *testing.T) {
 	var w *world
 	w = newWorld(t, func(rw http.ResponseWriter, r *http.Request) {
 		w.zones.Begin("za")
@@ -82,20 +82,20 @@
 	w.wantArrivals("s1 id-1, s3 id-1")
 }
 
-// With all servers in emptied zones a request is refused at once, and has not run.
-func TestRefusedAtOnceWhereAllZonesAreEmptied(t *testing.T) {
+// With all servers in evacuated zones a request is refused at once, and has not run.
+func TestRefusedAtOnceWhereAllZonesAreEvacuated(t *testing.T) {
 	w := newWorld(t, answers("a"), answers("b")).configured().inZones([]string{"za", "zb"}, []string{"r", "r"})
 	w.zones.Begin("za")
 	w.zones.Begin("zb")
 	for _, path := range []string{"/safe/1", "/once/1", "/stream/1"} {
 		r, body, err := w.ask(http.MethodGet, path, "", hPrompt, "5000")
-		wantReason(t, r, body, err, ReasonZoneEmptied)
+		wantReason(t, r, body, err, ReasonZoneEvacuated)
 	}
 	w.wantArrivals("")
 }
 
-// An entry that hasn't heard which zones are emptied serves nobody.
-func TestServesNobodyBeforeItKnowsTheEmptiedZones(t *testing.T) {
+// An entry that hasn't heard which zones are evacuated serves nobody.
+func TestServesNobodyBeforeItKnowsTheEvacuatedZones(t *testing.T) {
 	w := newWorld(t, answers("a")).configured()
 	w.gateway.cfg.Zones = evacuation.NewZones(func() boottime.Instant { return *w.clock })
 	r, body, err := w.ask(http.MethodGet, "/safe/1", "")
@@ -103,19 +103,19 @@
 	w.wantArrivals("")
 }
 
-// A request reaches a server in a region that is no home of its route or its workspace:
-// by the first attempt, a retry, a resumed stream, or because none is left at home.
-func TestRequestsStayInTheirHomes(t *testing.T) {
-	home := func(d *routetable.Declared) {
+// A request reaches a server in a region that its route or its workspace doesn't allow: by the
+// first attempt, a retry, a resumed stream, or because none is left in the others.
+func TestRequestsStayInTheirRegions(t *testing.T) {
+	bound := func(d *routetable.Declared) {
 		for i := range d.Routes {
-			d.Routes[i].Homes = routetable.Homes{"north", "west"}
+			d.Routes[i].Regions = routetable.Regions{"north", "west"}
 		}
-		d.Workspaces[0].Homes = routetable.Homes{"south", "west"}
+		d.Workspaces[0].Regions = routetable.Regions{"south", "west"}
 	}
 	zones := []string{"za", "zb", "zc"}
 	regions := []string{"south", "north", "west"}
 	t.Run("first attempt", func(t *testing.T) {
-		w := newWorld(t, answers("a"), answers("b"), answers("c")).with(home).inZones(zones, regions)
+		w := newWorld(t, answers("a"), answers("b"), answers("c")).with(bound).inZones(zones, regions)
 		r, _, err := w.ask(http.MethodGet, "/safe/1", "")
 		wantStatus(t, r, err, http.StatusOK)
 		r, _, err = w.ask(http.MethodGet, "/keyed/2", "", hKey, "k")
@@ -123,13 +123,13 @@
 		w.wantArrivals("s2 id-1, s3 id-1")
 	})
 	t.Run("retry", func(t *testing.T) {
-		w := newWorld(t, answers("a"), refuses, refuses).with(home).inZones(zones, regions)
+		w := newWorld(t, answers("a"), refuses, refuses).with(bound).inZones(zones, regions)
 		r, _, err := w.ask(http.MethodGet, "/safe/1", "")
 		wantStatus(t, r, err, http.StatusServiceUnavailable)
 		w.wantArrivals("s2 id-1, s3 id-1")
 	})
 	t.Run("resumed stream", func(t *testing.T) {
-		w := newWorld(t, events(4, 6, false), events(1, 3, true), events(4, 6, false)).with(home).inZones(zones, regions)
+		w := newWorld(t, events(4, 6, false), events(1, 3, true), events(4, 6, false)).with(bound).inZones(zones, regions)
 		r, body, err := w.ask(http.MethodGet, "/stream/1", "")
 		wantStatus(t, r, err, http.StatusOK)
 		if body != wantEvents(1, 6) {
@@ -137,10 +137,10 @@
 		}
 		w.wantArrivals("s2 id-1, s3 id-1")
 	})
-	t.Run("none at home", func(t *testing.T) {
-		w := newWorld(t, answers("a"), answers("b")).with(home).inZones(zones[:2], regions[:2])
+	t.Run("none there", func(t *testing.T) {
+		w := newWorld(t, answers("a"), answers("b")).with(bound).inZones(zones[:2], regions[:2])
 		r, body, err := w.ask(http.MethodGet, "/keyed/1", "", hKey, "k", hPrompt, "5000")
-		wantReason(t, r, body, err, ReasonNotHome)
+		wantReason(t, r, body, err, ReasonOutOfRegion)
 		w.wantArrivals("")
 	})
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -90,7 +90,7 @@
 		return ReasonNoConfig
 	}
 	if _, listed := g.cfg.Zones.Age(); !listed {
-		return ReasonNoConfig // the zone of any server may have been emptied
+		return ReasonNoConfig // the zone of any server may have been evacuated
 	}
 	e.revision, e.age = table.Revision(), age
 	if limit := table.Limits().HeaderBytes; limit > 0 && headerBytes(e.incoming.Header) > limit {
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -13,31 +13,31 @@
 
 // Reasons. Those with status 503 promise that the request has not run.
 const (
-	ReasonNoConfig    Reason = "no_configuration"
-	ReasonStaleConfig Reason = "stale_configuration"
-	ReasonNoRoute     Reason = "no_route"
-	ReasonNoKey       Reason = "unknown_key"
-	ReasonMalformed   Reason = "malformed"
-	ReasonHeader      Reason = "header_too_large"
-	ReasonTooLarge    Reason = "body_too_large"
-	ReasonBodyLost    Reason = "body_incomplete"
-	ReasonMemory      Reason = "bodies_held"
-	ReasonNoServer    Reason = "no_server"
-	ReasonServersFull Reason = "servers_refused"
-	ReasonNoTime      Reason = "no_time"
-	ReasonEnding      Reason = "ending"
-	ReasonTimeout     Reason = "timeout"
-	ReasonUnknown     Reason = "outcome_unknown"
-	ReasonPoison      Reason = "kills_servers"
-	ReasonNotHome     Reason = "no_server_at_home"
-	ReasonZoneEmptied Reason = "zones_emptied"
-	ReasonCold        Reason = "servers_cold"
+	ReasonNoConfig      Reason = "no_configuration"
+	ReasonStaleConfig   Reason = "stale_configuration"
+	ReasonNoRoute       Reason = "no_route"
+	ReasonNoKey         Reason = "unknown_key"
+	ReasonMalformed     Reason = "malformed"
+	ReasonHeader        Reason = "header_too_large"
+	ReasonTooLarge      Reason = "body_too_large"
+	ReasonBodyLost      Reason = "body_incomplete"
+	ReasonMemory        Reason = "bodies_held"
+	ReasonNoServer      Reason = "no_server"
+	ReasonServersFull   Reason = "servers_refused"
+	ReasonNoTime        Reason = "no_time"
+	ReasonEnding        Reason = "ending"
+	ReasonTimeout       Reason = "timeout"
+	ReasonUnknown       Reason = "outcome_unknown"
+	ReasonPoison        Reason = "kills_servers"
+	ReasonOutOfRegion   Reason = "no_server_in_region"
+	ReasonZoneEvacuated Reason = "zones_evacuated"
+	ReasonCold          Reason = "servers_cold"
 )
 
 var reasons = []Reason{
 	ReasonNoConfig, ReasonStaleConfig, ReasonNoRoute, ReasonNoKey, ReasonMalformed, ReasonHeader, ReasonTooLarge, ReasonBodyLost,
 	ReasonMemory, ReasonNoServer, ReasonServersFull, ReasonNoTime, ReasonEnding, ReasonTimeout, ReasonUnknown, ReasonPoison,
-	ReasonNotHome, ReasonZoneEmptied, ReasonCold,
+	ReasonOutOfRegion, ReasonZoneEvacuated, ReasonCold,
 }
 
 // Reasons returns every Reason.
@@ -73,7 +73,7 @@
 	switch r {
 	case ReasonStaleConfig:
 		return o.StaleRetryAfter
-	case ReasonNotHome, ReasonZoneEmptied:
+	case ReasonOutOfRegion, ReasonZoneEvacuated:
 		return o.DeclaredRetryAfter
 	case ReasonEnding:
 		return endingRetryAfter
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -34,7 +34,7 @@
 	Name           string `json:"name"`
 	Zone           string `json:"zone"`
 	Pool           string `json:"pool"`
-	State          string `json:"state"`  // live, suspect, leaving, dead; of a gateway live, cold, emptied
+	State          string `json:"state"`  // live, suspect, leaving, dead; of a gateway live, cold, evacuated
 	Direct         bool   `json:"direct"` // it reports to this process itself
 	Draining       bool   `json:"draining"`
 	ConfigRevision uint64 `json:"config_revision"` // in force there, as far as known
@@ -57,8 +57,8 @@
 	Queued         int64    `json:"queued"`
 	Running        int64    `json:"running"`
 	Servers        []Server `json:"servers"`
-	// EmptiedZones are the availability zones that operators have emptied, in force here.
-	EmptiedZones []string `json:"emptied_zones,omitempty"`
+	// EvacuatedZones are the availability zones that operators have evacuated, in force here.
+	EvacuatedZones []string `json:"evacuated_zones,omitempty"`
 	// ZonesAgeMS is how old the proof of them is; of a gateway only.
 	ZonesAgeMS int64 `json:"zones_age_ms,omitempty"`
 }
--- a/internal/ctl/args.go
+++ b/internal/ctl/args.go
@@ -9,7 +9,7 @@
 	Watch      *watchCommand      `arg:"subcommand:watch" help:"show changes of a kind as they come"`
 	Status     *statusCommand     `arg:"subcommand:status" help:"show the state of entries, or wait for a revision"`
 	Drain      *drainCommand      `arg:"subcommand:drain" help:"drain an entry or a backend server"`
-	Evacuate   *evacuateCommand   `arg:"subcommand:evacuate" help:"empty an availability zone of new work, or give it back"`
+	Evacuate   *evacuateCommand   `arg:"subcommand:evacuate" help:"evacuate an availability zone: nothing new is sent there until it is restored"`
 	Report     *reportCommand     `arg:"subcommand:report" help:"reports: burn"`
 	Load       *loadCommand       `arg:"subcommand:load" help:"send load and report what came of it"`
 	Experiment *experimentCommand `arg:"subcommand:experiment" help:"compare policies under the same load"`
@@ -104,7 +104,7 @@
 
 type evacuateCommand struct {
 	Zone string `arg:"positional,required" help:"availability zone"`
-	End  bool   `arg:"--end" help:"give the zone back"`
+	End  bool   `arg:"--end" help:"restore the zone"`
 	Wait bool   `arg:"--wait" help:"wait until each process named by --admin has it in force"`
 }
 
--- a/internal/ctl/evacuate.go
+++ b/internal/ctl/evacuate.go
@@ -18,22 +18,22 @@
 
 // evacuation is what the command did, and with --wait which processes know of it.
 type evacuation struct {
-	Zone    string   `json:"zone"`
-	Emptied bool     `json:"emptied"`
-	Changed bool     `json:"changed"`
-	Servers int      `json:"servers"` // that are registered in the zone
-	InForce []string `json:"in_force,omitempty"`
-	Missing []string `json:"missing,omitempty"` // asked, and it isn't in force there
+	Zone      string   `json:"zone"`
+	Evacuated bool     `json:"evacuated"`
+	Changed   bool     `json:"changed"`
+	Servers   int      `json:"servers"` // that are registered in the zone
+	InForce   []string `json:"in_force,omitempty"`
+	Missing   []string `json:"missing,omitempty"` // asked, and it isn't in force there
 }
 
-// evacuate empties an availability zone of new work, or gives it back.
+// evacuate asks for nothing new to be sent to an availability zone, or ends that.
 func (t *tool) evacuate(ctx context.Context) error {
 	c := t.args.Evacuate
 	store, err := t.store()
 	if err != nil {
 		return errors.Trace(err)
 	}
-	e := evacuation{Zone: c.Zone, Emptied: !c.End}
+	e := evacuation{Zone: c.Zone, Evacuated: !c.End}
 	if c.End {
 		e.Changed, err = endEvacuation(ctx, store, c.Zone)
 	} else {
@@ -112,7 +112,7 @@
 func (e *evacuation) look(ctx context.Context, clients []*admin.Client) {
 	e.InForce, e.Missing = nil, nil
 	for _, p := range askAll(ctx, clients, 0).Processes {
-		if p.err == nil && slices.Contains(p.EmptiedZones, e.Zone) == e.Emptied {
+		if p.err == nil && slices.Contains(p.EvacuatedZones, e.Zone) == e.Evacuated {
 			e.InForce = append(e.InForce, p.Name)
 			continue
 		}
@@ -121,9 +121,9 @@
 }
 
 func (e *evacuation) write(w io.Writer) error {
-	state := "given back"
-	if e.Emptied {
-		state = "emptied of new work"
+	state := "restored"
+	if e.Evacuated {
+		state = "evacuated"
 	}
 	if !e.Changed {
 		state += ", as it was"
--- a/internal/ctl/evacuate_test.go
+++ b/internal/ctl/evacuate_test.go
@@ -11,23 +11,23 @@
 	"github.com/briarturn/briarturn/platform"
 )
 
-// inForce is a process that takes a while to learn which zones are emptied.
+// inForce is a process that takes a while to learn which zones are evacuated.
 type inForce struct {
 	asked atomic.Int64
 	zones []string
 }
 
 func (p *inForce) Status() admin.Status {
-	s := admin.Status{Name: "e1", Role: roleGateway, Ready: true, ConfigRevision: 3, Servers: []admin.Server{{Name: "i-1", State: "emptied"}}}
+	s := admin.Status{Name: "e1", Role: roleGateway, Ready: true, ConfigRevision: 3, Servers: []admin.Server{{Name: "i-1", State: "evacuated"}}}
 	if p.asked.Add(1) > 2 {
-		s.EmptiedZones, s.ZonesAgeMS = p.zones, 1200
+		s.EvacuatedZones, s.ZonesAgeMS = p.zones, 1200
 	}
 	return s
 }
 
-// A zone is emptied and given back once however often it is said, and the command tells
+// A zone is evacuated and restored once however often it is said, and the command tells
 // where that is in force.
-func TestZoneIsEmptiedAndGivenBack(t *testing.T) {
+func TestZoneIsEvacuatedAndRestored(t *testing.T) {
 	store := standin.NewMemory(standin.Config{})
 	server := httptest.NewServer(admin.NewHandler(admin.Config{Status: &inForce{zones: []string{"z1"}}}))
 	defer server.Close()
@@ -40,14 +40,14 @@
 			t.Fatal(err)
 		}
 	}
-	expect(t, runTool(store, "", "evacuate", "nowhere"), ExitOK, "zone nowhere emptied of new work, 0 backend servers\n")
-	expect(t, runTool(store, "", "evacuate", "z1"), ExitOK, "zone z1 emptied of new work, 2 backend servers\n")
+	expect(t, runTool(store, "", "evacuate", "nowhere"), ExitOK, "zone nowhere evacuated, 0 backend servers\n")
+	expect(t, runTool(store, "", "evacuate", "z1"), ExitOK, "zone z1 evacuated, 2 backend servers\n")
 	expect(t, runTool(store, "", "--admin", server.URL, "evacuate", "z1", "--wait"), ExitOK, "as it was", "in force at 1 of 1 processes")
 	if _, err := store.Get(t.Context(), platform.KindEvacuations, "z1"); err != nil {
 		t.Error(err)
 	}
-	expect(t, runTool(store, "", "--admin", server.URL, "status"), ExitOK, "emptied zones, by e1 1200 ms ago: z1", "revision 3: 1 processes, 100.0%")
-	expect(t, runTool(store, "", "--admin", server.URL, "--timeout", "300ms", "evacuate", "z1", "--end", "--wait"), ExitUnavailable, "given back", "in force at 0 of 1")
-	expect(t, runTool(store, "", "evacuate", "z1", "--end"), ExitOK, "given back, as it was")
+	expect(t, runTool(store, "", "--admin", server.URL, "status"), ExitOK, "evacuated zones, by e1 1200 ms ago: z1", "revision 3: 1 processes, 100.0%")
+	expect(t, runTool(store, "", "--admin", server.URL, "--timeout", "300ms", "evacuate", "z1", "--end", "--wait"), ExitUnavailable, "restored", "in force at 0 of 1")
+	expect(t, runTool(store, "", "evacuate", "z1", "--end"), ExitOK, "restored, as it was")
 	expect(t, runTool(store, "", "evacuate"), ExitUsage)
 }
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -195,8 +195,8 @@
 		}
 	}
 	for _, p := range f.Processes {
-		if len(p.EmptiedZones) > 0 {
-			fmt.Fprintf(w, "emptied zones, by %s %d ms ago: %s\n", p.Name, p.ZonesAgeMS, strings.Join(p.EmptiedZones, ", "))
+		if len(p.EvacuatedZones) > 0 {
+			fmt.Fprintf(w, "evacuated zones, by %s %d ms ago: %s\n", p.Name, p.ZonesAgeMS, strings.Join(p.EvacuatedZones, ", "))
 		}
 	}
 	for _, r := range f.Revisions {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -132,11 +132,11 @@
 	"kills_servers": func(Line, *Report) string {
 		return "requests with the same path, caller and body ended servers before it (lines \"server died under a request\")"
 	},
-	"no_server_at_home": func(Line, *Report) string {
+	"no_server_in_region": func(Line, *Report) string {
 		return "no backend server stands in a region that its route and its workspace both allow"
 	},
-	"zones_emptied": func(Line, *Report) string {
-		return "all servers that it may run on stand in availability zones that operators have emptied (lines \"availability zone changed\")"
+	"zones_evacuated": func(Line, *Report) string {
+		return "all servers that it may run on stand in availability zones that operators have evacuated (lines \"availability zone changed\")"
 	},
 	"servers_cold": func(Line, *Report) string {
 		return "all servers that are left are cold, and this process had sent them its share of what they bear"
--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -67,7 +67,7 @@
 type Decoder struct {
 	ConfigKind  string
 	ServersKind string
-	// EvacuationsKind holds an object for each availability zone that is emptied, by its
+	// EvacuationsKind holds an object for each availability zone that is evacuated, by its
 	// name.
 	EvacuationsKind string
 	Config          func(objectapi.Object) (*routetable.Table, bool, error)
@@ -88,8 +88,8 @@
 	// FirstStart says that the whole fleet starts, and nobody calls yet: entries take their
 	// time to find each other, and a few read the store for all.
 	FirstStart bool
-	// EvacuateWithin is how long after an operator has emptied a zone nothing new may go
-	// there any more; 0: operators empty no zones here.
+	// EvacuateWithin is how long after an operator has evacuated a zone nothing new may go
+	// there any more; 0: operators evacuate no zones here.
 	EvacuateWithin time.Duration
 	LinkMbps       int    // of the VM; 0: not known
 	ReadyListen    string // the balancer's question
--- a/internal/gatewaynode/serve.go
+++ b/internal/gatewaynode/serve.go
@@ -94,7 +94,7 @@
 	case !n.listed.Load():
 		return errors.New("backend servers not listed yet")
 	case !n.knowsZones():
-		return errors.New("emptied zones not listed yet")
+		return errors.New("evacuated zones not listed yet")
 	case n.gateway.Ending():
 		return errors.New("shutting down")
 	}
--- a/internal/gatewaynode/status.go
+++ b/internal/gatewaynode/status.go
@@ -14,9 +14,9 @@
 
 // States of a backend server in a node's status.
 const (
-	stateLive    = "live"
-	stateCold    = "cold"    // warms up, or was given back with its zone a moment ago
-	stateEmptied = "emptied" // of a zone that operators have emptied
+	stateLive      = "live"
+	stateCold      = "cold"      // warms up, or was restored with its zone a moment ago
+	stateEvacuated = "evacuated" // of a zone that operators have evacuated
 )
 
 var _ admin.StatusProvider = (*Node)(nil)
@@ -26,7 +26,7 @@
 	view := n.zones.View(n.directory.Proved())
 	s := admin.Status{
 		Name: n.cfg.Name, Role: role, Zone: n.cfg.Zone, Ready: n.Ready() == nil, Draining: n.gateway.Ending(),
-		Running: n.gateway.Running(), EmptiedZones: view.Zones(), Servers: []admin.Server{},
+		Running: n.gateway.Running(), EvacuatedZones: view.Zones(), Servers: []admin.Server{},
 	}
 	if age, ok := n.zones.Age(); ok && n.evacuates() {
 		s.ZonesAgeMS = age.Milliseconds()
@@ -38,9 +38,9 @@
 	for _, server := range n.directory.All() {
 		state := stateLive
 		switch {
-		case view.Emptied(server.Zone):
-			state = stateEmptied
-		case now.Before(server.ColdUntil) || view.Returned(server.Zone):
+		case view.Evacuated(server.Zone):
+			state = stateEvacuated
+		case now.Before(server.ColdUntil) || view.Restored(server.Zone):
 			state = stateCold
 		}
 		s.Servers = append(s.Servers, statusOf(server, state))
--- a/internal/gatewaynode/zones.go
+++ b/internal/gatewaynode/zones.go
@@ -7,7 +7,7 @@
 )
 
 // evacuationsWaitShare is the part of the time in which a zone has to be left alone that a
-// watch of the emptied zones waits. Undisturbed the word of them is a wait old at most;
+// watch of the evacuated zones waits. Undisturbed the word of them is a wait old at most;
 // beyond that an entry asks others and the store itself, which takes a second and a half.
 const evacuationsWaitShare = 0.5
 
@@ -16,7 +16,7 @@
 	return n.cfg.Decoder.EvacuationsKind != "" && n.cfg.EvacuateWithin > 0
 }
 
-// evacuationsWait is how long a watch of the emptied zones waits.
+// evacuationsWait is how long a watch of the evacuated zones waits.
 func (n *Node) evacuationsWait() time.Duration {
 	return time.Duration(evacuationsWaitShare * float64(n.cfg.EvacuateWithin))
 }
@@ -41,10 +41,10 @@
 	}
 	began, ended := s.zones.Replace(zones, l.Asked)
 	for _, zone := range began {
-		s.logZone(zone, "emptied", l.Revision)
+		s.logZone(zone, "evacuated", l.Revision)
 	}
 	for _, zone := range ended {
-		s.logZone(zone, "given back", l.Revision)
+		s.logZone(zone, "restored", l.Revision)
 	}
 }
 
@@ -52,9 +52,9 @@
 	for _, o := range l.Objects {
 		switch {
 		case o.Deleted && s.zones.End(o.Name):
-			s.logZone(o.Name, "given back", o.Version)
+			s.logZone(o.Name, "restored", o.Version)
 		case !o.Deleted && s.zones.Begin(o.Name):
-			s.logZone(o.Name, "emptied", o.Version)
+			s.logZone(o.Name, "evacuated", o.Version)
 		}
 	}
 	s.zones.Prove(l.Asked)
--- a/internal/soak/broken_test.go
+++ b/internal/soak/broken_test.go
@@ -31,7 +31,7 @@
 	brokenShort   = "short"   // servers' streams end well, one event early
 	brokenEnds    = "ends"    // entries end by themselves
 	brokenDeaf    = "deaf"    // entries don't heed SIGTERM
-	brokenBlind   = "blind"   // entries don't know that zones can be emptied
+	brokenBlind   = "blind"   // entries don't know that zones can be evacuated
 	brokenAstray  = "astray"  // entries take regions for each other
 	brokenAlone   = "alone"   // entries have one name, so that each takes itself for the only one
 )
@@ -110,7 +110,7 @@
 	case brokenBlind:
 		delete(gateway, "evacuate_within")
 	case brokenAstray:
-		gateway["regions"] = map[string]string{zoneNames[0]: homeRegion, zoneNames[1]: "region-1"}
+		gateway["regions"] = map[string]string{zoneNames[0]: boundRegion, zoneNames[1]: "region-1"}
 	case brokenAlone:
 		settings["name"] = "entry"
 	}
@@ -156,8 +156,8 @@
 		{brokenShort, PromiseWhole, calm},
 		{brokenEnds, PromiseLives, []Step{{At: lifetime + time.Second, Fault: EntryKill}}},
 		{brokenDeaf, PromiseGrace, term},
-		{brokenBlind, PromiseEmptied, []Step{{At: calmStart, For: 9 * time.Second, Fault: Evacuate}}},
-		{brokenAstray, PromiseHome, calm},
+		{brokenBlind, PromiseEvacuated, []Step{{At: calmStart, For: 9 * time.Second, Fault: Evacuate}}},
+		{brokenAstray, PromiseRegion, calm},
 		{brokenAlone, PromiseCold, []Step{{At: calmStart, For: 8 * time.Second, Fault: ServerCold}}},
 	} {
 		t.Run(cmp.Or(c.broken, "sound"), func(t *testing.T) {
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -19,14 +19,14 @@
 const (
 	keptKey    = "kept"
 	removedKey = "removed"
-	homedKey   = "homed" // of a workspace that is bound to homeRegion
+	boundKey   = "bound" // of a workspace that is bound to boundRegion
 )
 
-// homeRegion is where requests with homedKey may run.
-const homeRegion = "region-2"
+// boundRegion is where requests with boundKey may run.
+const boundRegion = "region-2"
 
-// homedShare is one request in so many of the kept workspace's: it comes with homedKey.
-const homedShare = 6
+// boundShare is one request in so many of the kept workspace's: it comes with boundKey.
+const boundShare = 6
 
 const (
 	// pauseMean is the mean pause of a caller between two requests.
@@ -109,8 +109,8 @@
 	}
 	if c.random.IntN(3) == 0 {
 		a.Key = removedKey
-	} else if c.random.IntN(homedShare) == 0 {
-		a.Key = homedKey
+	} else if c.random.IntN(boundShare) == 0 {
+		a.Key = boundKey
 	}
 	if a.Path == standin.PathStream {
 		a.Events = 1 + c.random.IntN(streamEvents)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -31,7 +31,7 @@
 var zoneNames = []string{"zone-1", "zone-2"}
 
 // regions are the regions of the zones.
-var regions = map[string]string{"zone-1": "region-1", "zone-2": homeRegion}
+var regions = map[string]string{"zone-1": "region-1", "zone-2": boundRegion}
 
 // fleet is the processes of a run and the links between them.
 type fleet struct {
@@ -64,7 +64,7 @@
 
 // startFleet starts the stand-ins, declares the routes and servers, and starts the entries.
 func startFleet(ctx context.Context, o Options, r *record) (*fleet, error) {
-	f := &fleet{dir: o.Dir, record: r, keys: map[string]string{"kept": keptKey, "removed": removedKey, "homed": homedKey}}
+	f := &fleet{dir: o.Dir, record: r, keys: map[string]string{"kept": keptKey, "removed": removedKey, "bound": boundKey}}
 	var err error
 	if f.ports, err = claimPorts(); err != nil {
 		return f, err
@@ -214,7 +214,7 @@
 func (f *fleet) configure(ctx context.Context) error {
 	f.version++
 	data := standin.Configuration(f.version, standin.Declared{
-		Keys: f.keys, Homes: map[string][]string{"homed": {homeRegion}}, ColdPerSecond: coldPerSecond,
+		Keys: f.keys, Regions: map[string][]string{"bound": {boundRegion}}, ColdPerSecond: coldPerSecond,
 	})
 	o, err := f.client.Get(ctx, standin.ConfigurationKind, standin.ConfigurationName)
 	if errors.Is(err, objectapi.ErrNotFound) {
--- a/internal/soak/places.go
+++ b/internal/soak/places.go
@@ -14,7 +14,7 @@
 	"github.com/briarturn/briarturn/platform/standin"
 )
 
-// evacuate empties a zone for a while.
+// evacuate evacuates a zone for a while.
 func (b *breaker) evacuate(zone string, d time.Duration) error {
 	client := b.fleet.client
 	var o objectapi.Object
@@ -28,7 +28,7 @@
 	if err != nil {
 		return errors.Annotatef(err, "step empty %s", zone)
 	}
-	e := emptied{zone: zone, from: time.Now()}
+	e := evacuated{zone: zone, from: time.Now()}
 	time.Sleep(d)
 	e.to = time.Now()
 	b.fleet.record.evacuation(e)
@@ -39,7 +39,7 @@
 		}
 		return err
 	})
-	return errors.Annotatef(err, "step give %s back", zone)
+	return errors.Annotatef(err, "step restore %s", zone)
 }
 
 // chill has a server say that it is cold.
@@ -94,7 +94,7 @@
 	}
 }
 
-// judgePlaces holds where requests ran against emptied zones, cold servers and home regions.
+// judgePlaces holds where requests ran against evacuated zones, cold servers and allowed regions.
 func (r *record) judgePlaces() []Violation {
 	var out []Violation
 	keys := map[string]string{}
@@ -105,13 +105,13 @@
 		if !a.Ran {
 			continue
 		}
-		if zone := r.zones[a.Instance]; keys[a.ID] == homedKey && regions[zone] != homeRegion {
-			out = append(out, Violation{PromiseHome, fmt.Sprintf("%s ran on %s in %s", a.ID, a.Instance, zone)})
+		if zone := r.zones[a.Instance]; keys[a.ID] == boundKey && regions[zone] != boundRegion {
+			out = append(out, Violation{PromiseRegion, fmt.Sprintf("%s ran on %s in %s", a.ID, a.Instance, zone)})
 		}
-		for _, e := range r.emptied {
+		for _, e := range r.evacuated {
 			late := a.At.Sub(e.from)
 			if r.zones[a.Instance] == e.zone && late > evacuateLimit+evacuateSlack && a.At.Before(e.to) && !r.heldUp(a) {
-				out = append(out, Violation{PromiseEmptied, fmt.Sprintf("%s ran on %s in %s, emptied %v before", a.ID, a.Instance, e.zone, late)})
+				out = append(out, Violation{PromiseEvacuated, fmt.Sprintf("%s ran on %s in %s, evacuated %v before", a.ID, a.Instance, e.zone, late)})
 			}
 		}
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -32,7 +32,7 @@
 	StoreLoses   Fault = "store_loses"   // answers of writes
 	Configure    Fault = "configure"     // a new version
 	Revoke       Fault = "revoke"        // a key is taken away
-	Evacuate     Fault = "evacuate"      // the zone of a server is emptied, and given back
+	Evacuate     Fault = "evacuate"      // the zone of a server is evacuated, and restored
 	ServerCold   Fault = "server_cold"   // a server says that it has become cold
 )
 
@@ -79,7 +79,7 @@
 }
 
 const (
-	// evacuationLasts is how long a zone stays emptied: long enough to see whether anything
+	// evacuationLasts is how long a zone stays evacuated: long enough to see whether anything
 	// reaches it after the time in which it has to be left alone.
 	evacuationLasts = 10 * time.Second
 	// coldEvery is the time between two servers that become cold, and how long they are.
@@ -87,7 +87,7 @@
 )
 
 // declaredSteps are the steps that operators and servers declare themselves: one zone that is
-// emptied and servers that become cold. They are drawn apart, so that a seed's other steps are
+// evacuated and servers that become cold. They are drawn apart, so that a seed's other steps are
 // the same with and without them.
 func declaredSteps(seed uint64, lasts time.Duration, servers int) []Step {
 	r := rand.New(rand.NewPCG(seed, 2))
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -39,8 +39,8 @@
 	At time.Time
 }
 
-// emptied is a zone that was emptied.
-type emptied struct {
+// evacuated is a zone that was evacuated.
+type evacuated struct {
 	zone     string
 	from, to time.Time // from the store's word of it to the moment at which it was taken back
 }
@@ -59,17 +59,17 @@
 
 // record is what a run has seen. It is safe for concurrent use; mu guards all fields.
 type record struct {
-	mu       sync.Mutex
-	requests []request
-	arrivals []arrival
-	spans    []span
-	zones    map[string]string // of each server
-	emptied  []emptied
-	cold     []cold
-	revoked  time.Time // when the store acknowledged that the key is gone
-	settled  bool      // all entries served again after the last fault
-	ended    []string  // processes that ended without being told to
-	stuck    []string  // entries that didn't end within their grace
+	mu        sync.Mutex
+	requests  []request
+	arrivals  []arrival
+	spans     []span
+	zones     map[string]string // of each server
+	evacuated []evacuated
+	cold      []cold
+	revoked   time.Time // when the store acknowledged that the key is gone
+	settled   bool      // all entries served again after the last fault
+	ended     []string  // processes that ended without being told to
+	stuck     []string  // entries that didn't end within their grace
 }
 
 func (r *record) request(q request) {
@@ -93,10 +93,10 @@
 	r.zones[instance] = zone
 }
 
-func (r *record) evacuation(e emptied) {
+func (r *record) evacuation(e evacuated) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.emptied = append(r.emptied, e)
+	r.evacuated = append(r.evacuated, e)
 }
 
 func (r *record) coldness(c cold) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -132,9 +132,9 @@
 			r.requests[1].Outcome = Broken
 			r.spans = []span{{Step: Step{Fault: EntryTerm}, From: now, To: now.Add(time.Second)}}
 		},
-		PromiseEmptied: func(r *record) {
+		PromiseEvacuated: func(r *record) {
 			r.arrivals[0].Instance, r.zones["server-1"] = "server-1", "zone-2"
-			r.emptied = []emptied{{zone: "zone-2", from: now.Add(-evacuateLimit - 2*evacuateSlack), to: now.Add(time.Second)}}
+			r.evacuated = []evacuated{{zone: "zone-2", from: now.Add(-evacuateLimit - 2*evacuateSlack), to: now.Add(time.Second)}}
 		},
 		PromiseCold: func(r *record) {
 			r.cold = []cold{{instance: "server-0", from: now.Add(-2 * coldNotice), to: now.Add(time.Second)}}
@@ -143,7 +143,7 @@
 				r.arrivals = append(r.arrivals, arrival{Arrival: standin.Arrival{ID: r.requests[len(r.requests)-1].ID, Instance: "server-0", Ran: true}, At: now})
 			}
 		},
-		PromiseHome:     func(r *record) { r.requests[0].Key = homedKey },
+		PromiseRegion:   func(r *record) { r.requests[0].Key = boundKey },
 		PromiseGrace:    func(r *record) { r.stuck = []string{"entry-0"} },
 		PromiseLives:    func(r *record) { r.ended = []string{"entry-0"} },
 		PromiseRecovers: func(r *record) { r.settled = false },
--- a/internal/soak/verdict.go
+++ b/internal/soak/verdict.go
@@ -19,7 +19,7 @@
 	retryWindow  = 10 * time.Second
 	callPatience = 4 * time.Second
 
-	evacuateLimit = 5 * time.Second // from the store's word that a zone is emptied
+	evacuateLimit = 5 * time.Second // from the store's word that a zone is evacuated
 	evacuateSlack = time.Second     // of a busy machine
 	coldPerSecond = 8               // requests that a cold server bears
 	coldOverage   = 1.5             // of which it bears so many times as many for a moment,
@@ -35,19 +35,19 @@
 
 // Promises that are checked.
 const (
-	PromiseOnce     = "at most once"
-	PromiseNotRun   = "a refusal that says not run is true"
-	PromiseWhole    = "an answer is whole and its own"
-	PromiseRevoked  = "a key that was removed runs nothing"
-	PromiseDenied   = "a good key is not denied"
-	PromiseBudget   = "retries stay in their budget"
-	PromiseDrain    = "an entry that is told to end cuts nothing"
-	PromiseEmptied  = "an emptied zone gets nothing new"
-	PromiseCold     = "a cold server gets no more than it bears"
-	PromiseHome     = "a request runs in its home regions only"
-	PromiseGrace    = "an entry that is told to end does so in time"
-	PromiseLives    = "no process ends by itself"
-	PromiseRecovers = "service is back after the last fault"
+	PromiseOnce      = "at most once"
+	PromiseNotRun    = "a refusal that says not run is true"
+	PromiseWhole     = "an answer is whole and its own"
+	PromiseRevoked   = "a key that was removed runs nothing"
+	PromiseDenied    = "a good key is not denied"
+	PromiseBudget    = "retries stay in their budget"
+	PromiseDrain     = "an entry that is told to end cuts nothing"
+	PromiseEvacuated = "an evacuated zone gets nothing new"
+	PromiseCold      = "a cold server gets no more than it bears"
+	PromiseRegion    = "a request runs in its allowed regions only"
+	PromiseGrace     = "an entry that is told to end does so in time"
+	PromiseLives     = "no process ends by itself"
+	PromiseRecovers  = "service is back after the last fault"
 )
 
 // judge holds what was seen against what is promised.
--- a/routetable/table.go
+++ b/routetable/table.go
@@ -56,7 +56,7 @@
 	Priority       int           // 0 is first
 	MaxAttempts    int           // backend servers that one attempt of a caller may be sent to
 	Public         bool          // needs no API key
-	Homes          Homes         // bind beside those of the workspace
+	Regions        Regions       // bind beside those of the workspace
 	Targets        []Target
 }
 
@@ -85,7 +85,7 @@
 	Name     string
 	Priority int  // goes before the route's
 	Ranked   bool // Priority is given
-	Homes    Homes
+	Regions  Regions
 }
 
 // Declared is the decoded content of one revision.
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -16,12 +16,12 @@
 	// of a zone one on a fast link reads the object API for the others.
 	LinkMbps float64 `json:"link_mbps" validate:"gte=0,lte=1000000"`
 	// Regions are those of the availability zones, by name. A server of a zone that is not
-	// named has no known region: requests with home regions don't go there.
+	// named has no known region: requests that are bound to regions don't go there.
 	Regions map[string]string `json:"regions,omitempty" validate:"dive,keys,name,endkeys,name"`
 	// FirstStart is set where the whole fleet starts for the first time, before callers
 	// come: a few entries then read the object API for all.
 	FirstStart bool `json:"first_start"`
-	// EvacuateWithin is how long after an operator has emptied an availability zone nothing
+	// EvacuateWithin is how long after an operator has evacuated an availability zone nothing
 	// new may go to its servers any more; 0 where operators don't.
 	EvacuateWithin config.Duration `json:"evacuate_within" validate:"min=0s,max=1h"`
 	// RoutineLines bounds the log lines a second of requests that went well; the
