--- a/gateway/candidates_test.go
+++ b/gateway/candidates_test.go
@@ -3,13 +3,14 @@
 import (
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/briarturn/briarturn/evacuation"
 	"github.com/briarturn/briarturn/internal/boottime"
+	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/routetable"
-	"github.com/briarturn/briarturn/upstream"
 )
 
 // inZones gives the servers of a world zones and regions in turn.
@@ -200,17 +201,24 @@
 	}
 }
 
-// The word of a server's coldness, read again by another way, makes it cold anew.
-func TestColdnessCountsFromItsFirstReading(t *testing.T) {
-	d := upstream.NewDirectory(0)
-	now := time.Now()
-	d.Put(upstream.Server{Instance: "x", Service: "s", Revision: 7, ColdUntil: now.Add(time.Second)})
-	d.Replace([]upstream.Server{{Instance: "x", Service: "s", Revision: 7, ColdUntil: now.Add(time.Minute)}}, now)
-	if got := d.All()[0].ColdUntil; !got.Equal(now.Add(time.Second)) {
-		t.Errorf("cold for %v", got.Sub(now))
-	}
-	d.Put(upstream.Server{Instance: "x", Service: "s", Revision: 8, ColdUntil: now.Add(time.Minute)})
-	if got := d.All()[0].ColdUntil; !got.Equal(now.Add(time.Minute)) {
-		t.Errorf("a new word of it is not taken: %v", got.Sub(now))
-	}
+// evacuates is a Placer during whose first choice operators evacuate a zone.
+type evacuates struct {
+	Placer
+	begin func()
+	once  sync.Once
+}
+
+func (p *evacuates) Place(q placement.Query, candidates []placement.Candidate) (placement.Placement, placement.Answer) {
+	place, answer := p.Placer.Place(q, candidates)
+	p.once.Do(p.begin)
+	return place, answer
+}
+
+// A request goes to a zone that was evacuated between its placement and its send.
+func TestZoneIsLookedAtOnceMoreBeforeTheSend(t *testing.T) {
+	w := newWorld(t, answers("a"), answers("b")).configured().inZones([]string{"za", "zb"}, []string{"r", "r"})
+	w.gateway.cfg.Placer = &evacuates{Placer: w.gateway.cfg.Placer, begin: func() { w.zones.Begin("za") }}
+	r, _, err := w.ask(http.MethodGet, "/once/1", "")
+	wantStatus(t, r, err, http.StatusOK)
+	w.wantArrivals("s2 id-1")
 }
--- a/upstream/directory_test.go
+++ b/upstream/directory_test.go
@@ -98,3 +98,18 @@
 		t.Error("an earlier start counts as a restart")
 	}
 }
+
+// The word of a server's coldness, read again by another way, makes it cold anew.
+func TestColdnessCountsFromItsFirstReading(t *testing.T) {
+	d := NewDirectory(0)
+	now := time.Now()
+	d.Put(Server{Instance: "x", Service: "s", Revision: 7, ColdUntil: now.Add(time.Second)})
+	d.Replace([]Server{{Instance: "x", Service: "s", Revision: 7, ColdUntil: now.Add(time.Minute)}}, now)
+	if got := d.All()[0].ColdUntil; !got.Equal(now.Add(time.Second)) {
+		t.Errorf("cold for %v", got.Sub(now))
+	}
+	d.Put(Server{Instance: "x", Service: "s", Revision: 8, ColdUntil: now.Add(time.Minute)})
+	if got := d.All()[0].ColdUntil; !got.Equal(now.Add(time.Minute)) {
+		t.Errorf("a new word of it is not taken: %v", got.Sub(now))
+	}
+}
