Answer every request that meets the end of an entry

What callers saw: EOF in place of an answer, 1 request of some thousands while entries were replaced; whether the call had run they couldn't know.

Closing began at 30.911, Close returned at 31.467, the request came at 31.873 and got EOF after 0.56 ms, long before the 2 s after which connections are cut. Where the head was being read in that moment the handler ran all the same.

Ruled out: the limits of idle connections and heads, by times; the cut after 2 s, by times.

Change: package graceful ends an HTTP server. A connection on which no request is handled is told: it gets the refusal 'draining, not run' as an answer, is closed for writing and read to its end, and no request on it is handled any more; the listener's queue is emptied first; the end waits until callers have closed their sides, so that none meets the next process on the address with an old connection. Why it works: the moment in which the server stops reading requests and the moment in which it says so are one, under the connection's lock, so that a request is either handled and answered or refused, in whichever order bytes cross. A line 'connections ended' tells how many were told, had a request on its way, were left open and were cut.

Tests, failing before: TestCallersAreToldTheEndOfTheirEntry (EOF on all three connections) and TestOpenConnectionsAreAnsweredUntilTheEntryIsGone (EOF for callers that send around the end). TestStopClosesSpareConnections is as it was and passes. Left: a connection that the kernel opens between the last accept and the close of the listener is reset; the drain before it, which takes the entry out of the balancer, is what covers it.

--- a/entry/drain.go
+++ b/entry/drain.go
@@ -49,8 +49,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.draining {
-		return nil, notRun(http.StatusServiceUnavailable, reasonDraining, "admission",
-			"this entry is shutting down; ask another", retryElsewhere)
+		return nil, drainingFailure()
 	}
 	if e.running.Load() >= e.limits.InProgress {
 		return nil, notRun(http.StatusServiceUnavailable, reasonBusy, "admission",
@@ -63,3 +62,12 @@
 		e.inFlight.Done()
 	}, nil
 }
+
+// RefuseDraining answers a request that came after the entry had drained, as one that
+// comes while it drains.
+func (e *Entry) RefuseDraining(w http.ResponseWriter) { writeFailure(w, drainingFailure(), "") }
+
+func drainingFailure() *request.Failure {
+	return notRun(http.StatusServiceUnavailable, reasonDraining, "admission",
+		"this entry is shutting down; ask another", retryElsewhere)
+}
--- /dev/null
+++ b/internal/graceful/conn.go
@@ -0,0 +1,139 @@
+package graceful
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// errTold ends the http.Server's reading of a connection that was told. It is a read
+// error of the network, which the http.Server answers with nothing.
+var errTold = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("the connection was told that the server ends")}
+
+// conn is a connection that can be told between two requests.
+type conn struct {
+	net.Conn
+	server *Server
+
+	mu      sync.Mutex // guards all below
+	reading bool       // the http.Server waits for bytes
+	active  bool       // a request has been read and its answer isn't written yet
+	ending  bool       // to be told before another request is read
+	told    bool       // no request is read any more
+
+	refuse sync.Once
+}
+
+// note follows the http.Server: a request counts from its whole head on.
+func (c *conn) note(state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch state {
+	case http.StateActive:
+		c.active = true
+	case http.StateIdle:
+		c.active = false
+	}
+}
+
+// Read implements net.Conn for the http.Server, which gets no bytes of a request that
+// begins, or goes on before its head is whole, after the connection was told.
+func (c *conn) Read(p []byte) (int, error) {
+	if !c.beginRead() {
+		c.tell(0)
+		return 0, errTold
+	}
+	n, err := c.Conn.Read(p)
+	if !c.endRead() {
+		c.tell(n)
+		return 0, errTold
+	}
+	return n, err
+}
+
+func (c *conn) beginRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ending && !c.active {
+		c.told = true
+	}
+	c.reading = !c.told
+	return c.reading
+}
+
+func (c *conn) endRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+	return !c.told
+}
+
+// end has the connection told, now or when its request is answered.
+func (c *conn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending = true
+	if c.active || !c.reading {
+		return
+	}
+	c.told = true
+	// Wakes the Read, which tells; it waits for c.mu, so that this deadline doesn't
+	// outlast that.
+	_ = c.SetReadDeadline(time.Unix(1, 0)) // fails on a closed connection, whose Read ends too
+}
+
+func (c *conn) isTold() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.told
+}
+
+// tell refuses whatever request is on its way, once.
+func (c *conn) tell(unread int) { c.refuse.Do(func() { c.refuseAndAwait(unread) }) }
+
+// refuseAndAwait sends the refusal and reads the connection until the caller closes
+// it: closing with bytes unread would reset it under the refusal.
+func (c *conn) refuseAndAwait(unread int) {
+	_ = c.SetDeadline(time.Now().Add(closeLimit)) // fails as what follows does
+	seen := ended{told: 1}
+	if err := c.sayRefusal(); err == nil {
+		n, err := io.Copy(io.Discard, struct{ io.Reader }{c.Conn})
+		unread += int(n)
+		if err != nil && isTimeout(err) {
+			seen.open = 1
+		}
+	}
+	if unread > 0 {
+		seen.crossed = 1
+	}
+	c.server.count(seen)
+}
+
+// sayRefusal sends the refusal and closes the connection for writing. It fails where
+// the caller has gone, who needs none.
+func (c *conn) sayRefusal() error {
+	if _, err := c.Write(c.server.refusal); err != nil {
+		return err
+	}
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return nil
+	}
+	return half.CloseWrite()
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	err := c.Conn.Close()
+	c.server.remove(c)
+	return err
+}
+
+func isTimeout(err error) bool {
+	timeout, ok := errors.AsType[net.Error](err)
+	return ok && timeout.Timeout()
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +14,7 @@
 	"github.com/briarturn/briarturn/claim"
 	"github.com/briarturn/briarturn/declared"
 	"github.com/briarturn/briarturn/entry"
+	"github.com/briarturn/briarturn/internal/graceful"
 	"github.com/briarturn/briarturn/invariant"
 	"github.com/briarturn/briarturn/membership"
 	"github.com/briarturn/briarturn/objectapi"
@@ -68,7 +68,7 @@
 	slo         *slo.Tracker
 	floor       listedFloor
 	promises    atomic.Pointer[[]slo.Promise]
-	http        *http.Server
+	http        *graceful.Server // callers'
 	address     string
 	admin       string
 	entries     atomic.Int64 // known to be alive, this one included
@@ -218,8 +218,8 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	n.http = n.entry.Server()
-	n.address, err = n.tasks.serveHTTP("serve callers", n.cfg.HTTPListen, n.http)
+	n.http = graceful.New(graceful.Config{HTTP: n.entry.Server(), Refuse: n.entry.RefuseDraining, Log: n.tasks.log})
+	n.address, err = n.tasks.serveCallers("serve callers", n.cfg.HTTPListen, n.http)
 	return err
 }
 
--- a/internal/node/entry_admin.go
+++ b/internal/node/entry_admin.go
@@ -72,8 +72,7 @@
 // Kill ends the node as the death of its process would: all of its connections
 // break at once, callers' included.
 func (n *Entry) Kill() {
-	n.tasks.cancel()
-	_ = n.http.Close()
+	_ = n.http.Close() // first: a process that died tells nobody
 	n.Close()
 }
 
--- a/internal/node/tasks.go
+++ b/internal/node/tasks.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/briarturn/briarturn/internal/admin"
+	"github.com/briarturn/briarturn/internal/graceful"
 	"github.com/briarturn/briarturn/wire"
 )
 
@@ -64,22 +65,27 @@
 	t.wg.Wait()
 }
 
-// serveHTTP listens on address and serves until the node closes, which waits until
-// all connections are closed. It returns the bound address.
+// serveHTTP is serveCallers for a server whose callers may ask again after a connection
+// that was closed: they are refused nothing.
 func (t *tasks) serveHTTP(step, address string, srv *http.Server) (string, error) {
+	return t.serveCallers(step, address, graceful.New(graceful.Config{HTTP: srv, Log: t.log}))
+}
+
+// serveCallers listens on address and serves until the node closes, which waits until
+// every caller has an answer and has closed its connections, for closeTimeout at most.
+// It returns the bound address.
+func (t *tasks) serveCallers(step, address string, srv *graceful.Server) (string, error) {
 	lis, err := net.Listen("tcp", address)
 	if err != nil {
 		return "", errors.Annotatef(err, "step %s, address %s", step, address)
 	}
-	spare := watchSpare(srv)
 	t.run(step, func(ctx context.Context) error {
 		closed := make(chan struct{})
 		stop := context.AfterFunc(ctx, func() {
 			defer close(closed)
-			closeHTTP(srv, spare)
+			t.closeHTTP(step, srv)
 		})
-		err := srv.Serve(lis)
-		if !errors.Is(err, http.ErrServerClosed) {
+		if err := srv.Serve(lis); err != nil {
 			stop()
 			return errors.Trace(err)
 		}
@@ -111,13 +117,11 @@
 	return nil
 }
 
-// closeHTTP closes a server's connections: those without a request at once, the
-// others when they are answered or closeTimeout has passed.
-func closeHTTP(srv *http.Server, spare *spareConns) {
-	spare.close()
+// closeHTTP ends a server: callers that are still connected are told.
+func (t *tasks) closeHTTP(step string, srv *graceful.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	if srv.Shutdown(ctx) != nil {
-		_ = srv.Close()
+	if err := srv.Shutdown(ctx); err != nil {
+		t.log.WithError(err).WithField("step", step).Warn("connections cut")
 	}
 }
