Tell callers of a gateway its end in place of cutting them

What callers saw: a gateway that is told to end cuts all open connections once nothing has run for 0.3 s. A request that a caller sends on a kept connection in that moment gets EOF, is not told 'not run', and if it may not be repeated its caller gives up. Change: the drain's last step ends the callers' server by package graceful, refusing as ending with the Retry-After of that. It has until the end of the grace; what runs is answered first. Test: TestCallersAreToldTheEndOfTheirEntry, before: EOF on all three connections.

--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -83,6 +83,9 @@
 	return o.RetryAfter
 }
 
+// RefuseEnding answers a request that came after the gateway had ended.
+func RefuseEnding(w http.ResponseWriter) { refuse(w, ReasonEnding, endingRetryAfter) }
+
 // refusal is the body of an answer of the gateway's own.
 type refusal struct {
 	Error Reason `json:"error"`
--- a/internal/gatewaynode/end.go
+++ b/internal/gatewaynode/end.go
@@ -24,12 +24,28 @@
 	// quietTime is how long nothing must run before the node ends early.
 	quietTime = 300 * time.Millisecond
 	pollEnd   = 50 * time.Millisecond
+	// leastTelling is how long callers are told at the end of the grace, whatever
+	// still runs: they close their connections as soon as they hear of it.
+	leastTelling = 100 * time.Millisecond
 )
 
 // DrainAndWait takes the node out of the balancer, goes on serving what callers
-// send on open connections, and returns when nothing runs or the grace ends.
+// send on open connections until nothing runs or the grace ends, and then tells those
+// that are still connected.
 func (n *Node) DrainAndWait(ctx context.Context) error {
 	begun := time.Now()
+	left := n.serveOn(ctx, begun)
+	telling, cancel := context.WithDeadline(context.Background(), begun.Add(n.cfg.Grace-exitBefore+leastTelling))
+	defer cancel()
+	if err := n.callers.Shutdown(telling); left == nil {
+		return err
+	}
+	return left
+}
+
+// serveOn returns when nothing runs any more; if ctx or the grace ends first, it
+// returns what is cut.
+func (n *Node) serveOn(ctx context.Context, begun time.Time) error {
 	n.gateway.Leave()
 	var quietSince time.Time
 	for sleep.For(ctx, pollEnd) {
--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -15,6 +15,7 @@
 	"github.com/briarturn/briarturn/evacuation"
 	"github.com/briarturn/briarturn/gateway"
 	"github.com/briarturn/briarturn/internal/boottime"
+	"github.com/briarturn/briarturn/internal/graceful"
 	"github.com/briarturn/briarturn/internal/sleep"
 	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/peering"
@@ -119,7 +120,7 @@
 	warmup    *warmup.Limiter
 	pool      *upstream.Pool
 	gateway   *gateway.Gateway
-	callers   *http.Server
+	callers   *graceful.Server
 	ready     *http.Server
 	admin     *http.Server
 	stop      context.CancelFunc
--- a/internal/gatewaynode/serve.go
+++ b/internal/gatewaynode/serve.go
@@ -7,7 +7,9 @@
 
 	"github.com/juju/errors"
 
+	"github.com/briarturn/briarturn/gateway"
 	"github.com/briarturn/briarturn/internal/admin"
+	"github.com/briarturn/briarturn/internal/graceful"
 )
 
 // readyAge is how old the proof of the configuration may be while the balancer is
@@ -35,18 +37,31 @@
 		return errors.Annotatef(err, "step listen for readiness, address %s", n.cfg.ReadyListen)
 	}
 	n.address, n.readyAddress = callers.Addr().String(), ready.Addr().String()
-	n.callers = &http.Server{
+	n.callers = n.callersServer()
+	n.ready = &http.Server{Handler: http.HandlerFunc(n.answerReady), ReadHeaderTimeout: n.cfg.Conns.HeaderTimeout}
+	go n.serveCallers(callers)
+	go n.run(n.ready, ready)
+	n.serveOperators()
+	return nil
+}
+
+// callersServer returns the server for callers, which refuses at its end as the
+// gateway does.
+func (n *Node) callersServer() *graceful.Server {
+	srv := &http.Server{
 		Handler:           n.gateway,
 		ReadHeaderTimeout: n.cfg.Conns.HeaderTimeout,
 		IdleTimeout:       n.cfg.Conns.IdleTimeout,
 		MaxHeaderBytes:    n.cfg.Conns.HeaderBytes,
 	}
-	countUnreadable(n.callers, n.cfg.Metrics)
-	n.ready = &http.Server{Handler: http.HandlerFunc(n.answerReady), ReadHeaderTimeout: n.cfg.Conns.HeaderTimeout}
-	go n.run(n.callers, callers)
-	go n.run(n.ready, ready)
-	n.serveOperators()
-	return nil
+	countUnreadable(srv, n.cfg.Metrics)
+	return graceful.New(graceful.Config{HTTP: srv, Refuse: gateway.RefuseEnding, Log: n.cfg.Log})
+}
+
+func (n *Node) serveCallers(lis net.Listener) {
+	if err := n.callers.Serve(lis); err != nil {
+		n.cfg.Log.WithError(err).WithField("address", lis.Addr().String()).Error("server ended")
+	}
 }
 
 // serveOperators serves metrics and health. Their port is the same on every VM and
--- a/internal/gatewaynode/serve_test.go
+++ b/internal/gatewaynode/serve_test.go
@@ -1,6 +1,7 @@
 package gatewaynode_test
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -85,3 +86,58 @@
 		t.Errorf("%d unreadable requests counted", counter.Count())
 	}
 }
+
+// Guards against a request that meets the end of its entry getting a closed
+// connection for an answer: on fresh and kept connections the caller is told
+// "not run", and then the connection ends.
+func TestCallersAreToldTheEndOfTheirEntry(t *testing.T) {
+	const whole = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	n, _ := start(t, "127.0.0.1:0", gatewaynode.ConnLimits{})
+	var conns []net.Conn
+	for _, text := range []string{"", whole, whole[:9]} {
+		conn, err := net.Dial("tcp", n.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if _, err := io.WriteString(conn, text); err != nil {
+			t.Fatal(err)
+		}
+		if text == whole {
+			wantRefusal(t, conn, "no_configuration")
+		}
+		conns = append(conns, conn)
+	}
+	drained := make(chan error, 1)
+	go func() {
+		drained <- n.DrainAndWait(t.Context())
+		n.Close()
+	}()
+	for _, conn := range conns {
+		wantRefusal(t, conn, "ending")
+		if n, err := conn.Read(make([]byte, 1)); err != io.EOF {
+			t.Errorf("%d bytes after the last answer, %v", n, err)
+		}
+		_ = conn.Close()
+	}
+	if err := <-drained; err != nil {
+		t.Error(err)
+	}
+}
+
+// wantRefusal reads an answer that refuses a request as not run, for a reason.
+func wantRefusal(t *testing.T, conn net.Conn, reason string) {
+	t.Helper()
+	_ = conn.SetReadDeadline(time.Now().Add(time.Minute))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Errorf("no answer: %v", err)
+		return
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	want := `{"error":"` + reason + `","run":"not_run"}` + "\n"
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || string(body) != want {
+		t.Errorf("status %d, %q, %v; want %q", resp.StatusCode, body, err, want)
+	}
+}
