Give a group of claims its time anew when a write meets another

Cause, by a trace of each group of a claim shard that took over a second (times of read, plan, seal, encode and write of each try, a scratch copy): a group's two seconds for the store covered all of its tries. A try is a read and a conditional write, here 60 to 300 ms apart, since the shard is packed between them on a processor that is shared; three entries write each shard while they forward to nobody, each 50 to 200 ms. So a group met 9 and 10 conflicts in a row, its time ended, and all of its claims were refused. Fifteen groups in 32 runs took over a second, with 4 to 10 conflicts each; the store never failed. Ruled out: a store that is slow (reads took 2 to 50 ms), settlements forwarded within the same time (a batch with claims forwards none), the load alone (the same load passes with this).

A store that is silent, down or without an answer is given up as soon as before. Why it works: each conflict is another entry's write that landed, so the shard moves on, and the chance of meeting one falls with each try; what ended a group was the clock alone.

Left, suspected: the writer that loses backs off longest, so that under such load the quick ones win more; no run shows that it matters now.

--- a/claim/claimer.go
+++ b/claim/claimer.go
@@ -48,7 +48,7 @@
 	MinInterval    time.Duration // between the starts of two groups of a shard
 	SettleDelay    time.Duration // that settlements wait for a claim's write to carry them
 	MaxBackoff     time.Duration // MinInterval while the store fails
-	StoreTimeout   time.Duration // for one group
+	StoreTimeout   time.Duration // for one group, from its start or its last conflict
 	Retention      time.Duration // how long a resend is recognised
 	RunLimit       time.Duration // longest that a request may run
 	MaxAnswer      int           // bytes of an answer kept for resends
--- a/claim/commit.go
+++ b/claim/commit.go
@@ -11,23 +11,31 @@
 	"github.com/briarturn/briarturn/objectapi"
 )
 
+// contendedTimeouts is how many StoreTimeouts a group may take while its writes meet
+// others.
+const contendedTimeouts = 5
+
 const errTooManyConflicts = errors.ConstError("too many conflicts")
 
 // commit brings one group into the shard by read and conditional write, again
 // and again until it lands or the store fails. It reports whether the store
 // worked.
+//
+// A conflict shows that the store works, and gives the group its time anew: one
+// whose writes are slower than those of other entries loses many in a row.
 func (g *group) commit(batch []*op) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), g.c.cfg.StoreTimeout)
-	defer cancel()
 	if g.forwardSettlements(batch) {
 		return true
 	}
+	whole, cancel := context.WithTimeout(context.Background(), contendedTimeouts*g.c.cfg.StoreTimeout)
+	defer cancel()
+	limit := time.Now().Add(g.c.cfg.StoreTimeout)
 	var last *plan
 	ambiguous := false // a write of this group may have landed, or land late
 	var err error = errTooManyConflicts
 	for n := range g.c.cfg.MaxTries {
 		g.setStarted(g.c.now())
-		p, tryErr := g.try(ctx, batch)
+		p, tryErr := g.tryUntil(whole, limit, batch)
 		if p != nil {
 			last = p
 		}
@@ -42,9 +50,10 @@
 		case isConflict(tryErr):
 			g.c.m.conflicts.Inc(1)
 			if p != nil {
-				g.deleteOrphan(ctx, p)
+				g.deleteOrphan(whole, p)
 			}
-			g.pause(ctx, n)
+			g.pause(whole, n)
+			limit = time.Now().Add(g.c.cfg.StoreTimeout)
 			continue
 		case errors.Is(tryErr, objectapi.ErrOutcomeUnknown):
 			g.c.m.answersLost.Inc(1)
@@ -113,6 +122,12 @@
 	}
 }
 
+func (g *group) tryUntil(ctx context.Context, limit time.Time, batch []*op) (*plan, error) {
+	ctx, cancel := context.WithDeadline(ctx, limit)
+	defer cancel()
+	return g.try(ctx, batch)
+}
+
 // try reads the shard once, applies the group and writes. The plan is nil if
 // the read failed. A group whose earlier write landed without an answer finds
 // its own marks and writes nothing.
