Tell a connection whose time is over that nothing was run

What callers see: a request that crosses the end of its connection's idle time, or whose head comes too slowly, gets EOF, and the caller can't know whether it ran. Cause: net/http closes a connection without a word when its limit for the next head passes. Change: such a connection is told as one is at the end of its server, by an empty 408, which callers take for 'not run' and clients that keep a connection idle drop without a line. Test: TestIdleConnectionIsToldItsEnd, before: EOF in place of the 408.";

--- a/internal/graceful/conn.go
+++ b/internal/graceful/conn.go
@@ -24,6 +24,7 @@
 	active  bool       // a request has been read and its answer isn't written yet
 	ending  bool       // to be told before another request is read
 	told    bool       // no request is read any more
+	expired bool       // told since no whole head came in time
 
 	refuse sync.Once
 }
@@ -48,7 +49,7 @@
 		return 0, errTold
 	}
 	n, err := c.Conn.Read(p)
-	if !c.endRead() {
+	if !c.endRead(err) {
 		c.tell(n)
 		return 0, errTold
 	}
@@ -65,10 +66,15 @@
 	return c.reading
 }
 
-func (c *conn) endRead() bool {
+// endRead reports whether the http.Server may go on. Where its time limit for a
+// request's head has passed, a request may be on its way as it may at the end.
+func (c *conn) endRead(err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
+	if !c.told && !c.active && isTimeout(err) {
+		c.told, c.expired = true, true
+	}
 	return !c.told
 }
 
@@ -110,13 +116,15 @@
 	if unread > 0 {
 		seen.crossed = 1
 	}
-	c.server.count(seen)
+	if c.server.isEnding() {
+		c.server.count(seen)
+	}
 }
 
 // sayRefusal sends the refusal and closes the connection for writing. It fails where
 // the caller has gone, who needs none.
 func (c *conn) sayRefusal() error {
-	if _, err := c.Write(c.server.refusal); err != nil {
+	if _, err := c.Write(c.refusal()); err != nil {
 		return err
 	}
 	half, ok := c.Conn.(interface{ CloseWrite() error })
@@ -126,6 +134,15 @@
 	return half.CloseWrite()
 }
 
+func (c *conn) refusal() []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.expired {
+		return c.server.tooLate
+	}
+	return c.server.refusal
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	err := c.Conn.Close()
--- a/internal/graceful/server.go
+++ b/internal/graceful/server.go
@@ -30,10 +30,12 @@
 	Log    logrus.FieldLogger
 }
 
-// Server is an http.Server that ends without losing a request.
+// Server is an http.Server that ends without losing a request. A connection on which
+// no whole head comes in the http.Server's time is told so too, by a 408.
 type Server struct {
 	http    *http.Server
 	refusal []byte // as it goes over a connection
+	tooLate []byte // to a request whose head isn't whole in time
 	log     logrus.FieldLogger
 
 	mu          sync.Mutex // guards all below; taken before conn.mu
@@ -70,6 +72,7 @@
 	}
 	if cfg.Refuse != nil {
 		s.refusal = rendered(cfg.Refuse)
+		s.tooLate = rendered(func(w http.ResponseWriter) { w.WriteHeader(http.StatusRequestTimeout) })
 	}
 	next := cfg.HTTP.ConnState
 	cfg.HTTP.ConnState = func(raw net.Conn, state http.ConnState) {
--- a/internal/graceful/server_test.go
+++ b/internal/graceful/server_test.go
@@ -305,3 +305,30 @@
 		t.Error("an answer from a server that is gone")
 	}
 }
+
+// Guards against a request that meets the end of its connection's idle time getting a
+// closed connection for an answer: the caller is told that nothing was run.
+func TestIdleConnectionIsToldItsEnd(t *testing.T) {
+	limits := map[string]*http.Server{
+		"first": {Handler: &counting{}, ReadHeaderTimeout: 20 * time.Millisecond},
+		"next":  {Handler: &counting{}, IdleTimeout: 20 * time.Millisecond},
+	}
+	for name, srv := range limits {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, srv)
+			c := dial(t, s.address)
+			if name == "next" {
+				if err := c.send(post("one")); err != nil {
+					t.Fatal(err)
+				}
+				if status, _, _, err := c.answer(); status != http.StatusOK {
+					t.Fatalf("status %d, %v", status, err)
+				}
+			}
+			status, _, last, err := c.answer()
+			if err != nil || status != http.StatusRequestTimeout || !last {
+				t.Errorf("status %d, close %t, %v", status, last, err)
+			}
+		})
+	}
+}
