Run no call of a connection that was closed as idle

What callers would see: Shutdown of a drpc server closes a connection without a stream; a call that had been read from it and wasn't counted yet ran all the same, and its answer went nowhere. Cause: whether a stream runs was asked and noted under the lock, but a closed connection still let one begin. Change: begin fails on a connection that was closed for being idle. Test: TestShutdownRunsNoCallOfAClosedConnection, before: the call was handled. Left open: an agent that ends cuts idle drpc connections, and an entry whose call crosses that can't know that it wasn't run; entries stop asking a draining agent before it ends.

--- a/wire/server.go
+++ b/wire/server.go
@@ -206,7 +206,9 @@
 	if conn == nil {
 		return s.mux.HandleRPC(stream, rpc)
 	}
-	conn.begin()
+	if !conn.begin() {
+		return errors.Annotatef(ErrClosed, "step begin stream, peer %s", conn.RemoteAddr())
+	}
 	err := s.mux.HandleRPC(stream, rpc)
 	err = endStream(stream, err)
 	conn.end()
@@ -234,10 +236,16 @@
 	return err
 }
 
-func (c *serverConn) begin() {
+// begin counts a stream in. It fails once the connection was closed for being idle: a
+// call that had been read by then would run, and its answer go nowhere.
+func (c *serverConn) begin() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.ending && c.active == 0 {
+		return false
+	}
 	c.active++
+	return true
 }
 
 func (c *serverConn) end() {
