--- a/internal/graceful/conn.go
+++ b/internal/graceful/conn.go
@@ -10,21 +10,21 @@
 	"github.com/juju/errors"
 )
 
-// errTold ends the http.Server's reading of a connection that was told. It is a read
+// errNotified ends the http.Server's reading of a notified connection. It is a read
 // error of the network, which the http.Server answers with nothing.
-var errTold = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("the connection was told that the server ends")}
+var errNotified = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("the connection was notified that no request is read from it")}
 
-// conn is a connection that can be told between two requests.
+// conn is a connection that can be notified between two requests.
 type conn struct {
 	net.Conn
 	server *Server
 
-	mu      sync.Mutex // guards all below
-	reading bool       // the http.Server waits for bytes
-	active  bool       // a request has been read and its answer isn't written yet
-	ending  bool       // to be told before another request is read
-	told    bool       // no request is read any more
-	expired bool       // told since no whole head came in time
+	mu       sync.Mutex // guards all below
+	reading  bool       // the http.Server waits for bytes
+	active   bool       // a request has been read and its answer isn't written yet
+	ending   bool       // to be notified before another request is read
+	notified bool       // no request is read any more
+	expired  bool       // notified since no whole head came in time
 
 	refuse sync.Once
 }
@@ -42,16 +42,16 @@
 }
 
 // Read implements net.Conn for the http.Server, which gets no bytes of a request that
-// begins, or goes on before its head is whole, after the connection was told.
+// begins, or goes on before its head is whole, after the connection was notified.
 func (c *conn) Read(p []byte) (int, error) {
 	if !c.beginRead() {
-		c.tell(0)
-		return 0, errTold
+		c.notify(0)
+		return 0, errNotified
 	}
 	n, err := c.Conn.Read(p)
 	if !c.endRead(err) {
-		c.tell(n)
-		return 0, errTold
+		c.notify(n)
+		return 0, errNotified
 	}
 	return n, err
 }
@@ -60,9 +60,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ending && !c.active {
-		c.told = true
+		c.notified = true
 	}
-	c.reading = !c.told
+	c.reading = !c.notified
 	return c.reading
 }
 
@@ -72,13 +72,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
-	if !c.told && !c.active && isTimeout(err) {
-		c.told, c.expired = true, true
+	if !c.notified && !c.active && isTimeout(err) {
+		c.notified, c.expired = true, true
 	}
-	return !c.told
+	return !c.notified
 }
 
-// end has the connection told, now or when its request is answered.
+// end has the connection notified, now or when its request is answered.
 func (c *conn) end() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -86,26 +86,26 @@
 	if c.active || !c.reading {
 		return
 	}
-	c.told = true
-	// Wakes the Read, which tells; it waits for c.mu, so that this deadline doesn't
+	c.notified = true
+	// Wakes the Read, which notifies; it waits for c.mu, so that this deadline doesn't
 	// outlast that.
 	_ = c.SetReadDeadline(time.Unix(1, 0)) // fails on a closed connection, whose Read ends too
 }
 
-func (c *conn) isTold() bool {
+func (c *conn) isNotified() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.told
+	return c.notified
 }
 
-// tell refuses whatever request is on its way, once.
-func (c *conn) tell(unread int) { c.refuse.Do(func() { c.refuseAndAwait(unread) }) }
+// notify refuses whatever request is on its way, once.
+func (c *conn) notify(unread int) { c.refuse.Do(func() { c.refuseAndAwait(unread) }) }
 
 // refuseAndAwait sends the refusal and reads the connection until the caller closes
 // it: closing with bytes unread would reset it under the refusal.
 func (c *conn) refuseAndAwait(unread int) {
 	_ = c.SetDeadline(time.Now().Add(closeLimit)) // fails as what follows does
-	seen := ended{told: 1}
+	seen := ended{notified: 1}
 	if err := c.sayRefusal(); err == nil {
 		n, err := io.Copy(io.Discard, struct{ io.Reader }{c.Conn})
 		unread += int(n)
--- a/internal/graceful/server.go
+++ b/internal/graceful/server.go
@@ -17,7 +17,7 @@
 	acceptQuiet = 20 * time.Millisecond
 	// acceptLimit bounds accepting where connections keep coming.
 	acceptLimit = 200 * time.Millisecond
-	// closeLimit is how long a caller that was told may take to close its side.
+	// closeLimit is how long a caller that was notified may take to close its side.
 	closeLimit = time.Second
 )
 
@@ -31,7 +31,7 @@
 }
 
 // Server is an http.Server that ends without losing a request. A connection on which
-// no whole head comes in the http.Server's time is told so too, by a 408.
+// no whole head comes in the http.Server's time is notified so too, by a 408.
 type Server struct {
 	http    *http.Server
 	refusal []byte // as it goes over a connection
@@ -50,10 +50,10 @@
 
 // ended counts what became of the connections when the server ended.
 type ended struct {
-	told    int // got the refusal
-	crossed int // of these, sent a request that the refusal answered
-	open    int // of these, were not closed by the caller in time
-	cut     int // were closed with a request being handled
+	notified int // got the refusal
+	crossed  int // of these, sent a request that the refusal answered
+	open     int // of these, were not closed by the caller in time
+	cut      int // were closed with a request being handled
 }
 
 // deadlineListener is a listener that can stop accepting at a moment.
@@ -122,7 +122,7 @@
 	return s.ending
 }
 
-// Shutdown tells every connection, those that still come for a moment too, once its
+// Shutdown notifies every connection, those that still come for a moment too, once its
 // request is answered. It returns when all are closed; if ctx ends first it cuts what
 // is left, and returns ctx's error if requests were being handled there.
 func (s *Server) Shutdown(ctx context.Context) error {
@@ -188,6 +188,7 @@
 func (s *Server) Close() error {
 	s.mu.Lock()
 	s.ending = true
+	s.noteEmpty()
 	s.mu.Unlock()
 	return errors.Trace(s.http.Close())
 }
@@ -197,7 +198,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if !c.isTold() {
+		if !c.isNotified() {
 			s.ended.cut++
 		}
 	}
@@ -213,7 +214,7 @@
 		return
 	}
 	s.log.WithFields(logrus.Fields{
-		"told": e.told, "crossed": e.crossed, "left_open": e.open, "cut": e.cut,
+		"notified": e.notified, "crossed": e.crossed, "left_open": e.open, "cut": e.cut,
 	}).Info("connections ended")
 }
 
@@ -239,7 +240,7 @@
 func (s *Server) count(add ended) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ended.told += add.told
+	s.ended.notified += add.notified
 	s.ended.crossed += add.crossed
 	s.ended.open += add.open
 }
--- a/internal/graceful/server_test.go
+++ b/internal/graceful/server_test.go
@@ -128,7 +128,7 @@
 }
 
 // Guards against a connection that is closed under a request whose caller can't know
-// whether it ran: each request sent before its caller was told has an answer, and
+// whether it ran: each request sent before its caller was notified has an answer, and
 // "not run" is true.
 func TestNoRequestIsLostAtTheEnd(t *testing.T) {
 	const rounds, callers = 20, 40
@@ -140,7 +140,7 @@
 		for i := range callers {
 			c := dial(t, s.address)
 			fresh := i%2 == 0 // its first request comes with the end
-			running.Go(func() { sendUntilTold(t, c, h, fmt.Sprintf("%d-%d", round, i), fresh, sending.Done) })
+			running.Go(func() { sendUntilNotified(t, c, h, fmt.Sprintf("%d-%d", round, i), fresh, sending.Done) })
 		}
 		sending.Wait()
 		s.shutdown(t)
@@ -148,8 +148,8 @@
 	}
 }
 
-// sendUntilTold sends requests on one connection for as long as it is answered.
-func sendUntilTold(t *testing.T, c *caller, h *counting, name string, fresh bool, underWay func()) {
+// sendUntilNotified sends requests on one connection for as long as it is answered.
+func sendUntilNotified(t *testing.T, c *caller, h *counting, name string, fresh bool, underWay func()) {
 	defer c.Close()
 	if fresh {
 		underWay()
@@ -178,7 +178,7 @@
 }
 
 // Guards against a request whose head is half read when the server ends: it isn't
-// handled, and its caller is told so.
+// handled, and its caller is notified.
 func TestHalfReadRequestIsRefused(t *testing.T) {
 	h := &counting{}
 	read := make(chan struct{})
@@ -208,8 +208,8 @@
 }
 
 // Guards against connections that wait in the listener's queue being reset with it:
-// they are accepted and told.
-func TestQueuedConnectionsAreTold(t *testing.T) {
+// they are accepted and notified.
+func TestQueuedConnectionsAreNotified(t *testing.T) {
 	const queued = 20
 	s := serve(t, &http.Server{Handler: &counting{}})
 	var callers []*caller
@@ -240,7 +240,7 @@
 }
 
 // Guards against a request that is running being cut by the end of its server: it is
-// answered first, and its connection is told after that.
+// answered first, and its connection is notified after that.
 func TestRunningRequestIsAnsweredFirst(t *testing.T) {
 	running, release := make(chan struct{}), make(chan struct{})
 	s := serve(t, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -307,8 +307,8 @@
 }
 
 // Guards against a request that meets the end of its connection's idle time getting a
-// closed connection for an answer: the caller is told that nothing was run.
-func TestIdleConnectionIsToldItsEnd(t *testing.T) {
+// closed connection for an answer: the caller is notified that nothing was run.
+func TestIdleConnectionIsNotified(t *testing.T) {
 	limits := map[string]*http.Server{
 		"first": {Handler: &counting{}, ReadHeaderTimeout: 20 * time.Millisecond},
 		"next":  {Handler: &counting{}, IdleTimeout: 20 * time.Millisecond},
