Have the soak's callers meet the moment of an entry's end

Change: before an entry is told to end, 16 raw connections are opened to it; each sends one call that may run once, in two halves 100 ms apart, at a random moment of the span in which entries end, and retries nothing. The promise 'cuts nothing' judges them as it judges the others. A case 'cuts' (entries that exit 3.6 s after the signal) shows that the check can fail.

--- a/internal/soak/broken_test.go
+++ b/internal/soak/broken_test.go
@@ -31,11 +31,15 @@
 	brokenShort   = "short"   // servers' streams end well, one event early
 	brokenEnds    = "ends"    // entries end by themselves
 	brokenDeaf    = "deaf"    // entries don't heed SIGTERM
+	brokenCuts    = "cuts"    // entries that are told to end cut what is open
 	brokenBlind   = "blind"   // entries don't know that zones can be evacuated
 	brokenAstray  = "astray"  // entries take regions for each other
 	brokenAlone   = "alone"   // entries have one name, so that each takes itself for the only one
 )
 
+// cutAfter is how long after its signal an entry ends that cuts its connections.
+const cutAfter = 3600 * time.Millisecond
+
 // lifetime is how long an entry lives that ends by itself: until it has served.
 const lifetime = 6 * time.Second
 
@@ -53,6 +57,9 @@
 			_, _ = io.WriteString(os.Stderr, err.Error())
 			return daemon.ExitFailed
 		}
+	case isEntry && broken == brokenCuts:
+		context.AfterFunc(ctx, func() { time.AfterFunc(cutAfter, func() { os.Exit(daemon.ExitOK) }) })
+		ctx = context.Background()
 	case isEntry && broken == brokenDeaf:
 		signal.Ignore(syscall.SIGTERM)
 		ctx = context.Background()
@@ -156,6 +163,7 @@
 		{brokenShort, PromiseWhole, calm},
 		{brokenEnds, PromiseLives, []Step{{At: lifetime + time.Second, Fault: EntryKill}}},
 		{brokenDeaf, PromiseGrace, term},
+		{brokenCuts, PromiseDrain, term},
 		{brokenBlind, PromiseEvacuated, []Step{{At: calmStart, For: 9 * time.Second, Fault: Evacuate}}},
 		{brokenAstray, PromiseRegion, calm},
 		{brokenAlone, PromiseCold, []Step{{At: calmStart, For: 8 * time.Second, Fault: ServerCold}}},
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"syscall"
@@ -77,7 +78,7 @@
 		time.Sleep(s.For)
 		return e.start()
 	case EntryTerm:
-		return b.terminate(f.entries[s.Target])
+		return b.terminate(s)
 	case EntryPause:
 		return pause(f.entries[s.Target].process, s.For)
 	case EntryHup:
@@ -135,8 +136,12 @@
 }
 
 // terminate tells an entry to end, waits for that as long as it may take, and starts it.
-func (b *breaker) terminate(e *entryProcess) error {
+// Callers that hold connections to it use them around its end.
+func (b *breaker) terminate(s Step) error {
+	e := b.fleet.entries[s.Target]
+	kept := keepConns(e.address)
 	e.signal(syscall.SIGTERM)
+	useAll(kept, time.Now(), s.Target, rand.New(rand.NewPCG(uint64(s.At), uint64(s.Target))), b.fleet.record)
 	if !e.wait(grace + graceSlack) {
 		b.fleet.record.mu.Lock()
 		b.fleet.record.stuck = append(b.fleet.record.stuck, e.name)
