Let a new connection ask first, and callers hear of the end in time

(1) What callers would see: a request on a connection that its HTTP client opened for it a moment before fails, 'readLoopPeekFailLocked' in Go, and isn't sent again. Seen in the soak (TestBrokenProcessesAreNoticed/sound, caller 3 of 4, once), as soon as (2) kept the listener open for longer. Cause: the refusal came before the client had registered its request on the connection, so that it took it for an answer that nobody asked for. Change: a connection younger than 0.5 s is given that long for its first request, which then gets the refusal. Test: TestNewConnectionIsAnsweredAfterItsRequest, 800 requests on new connections while the server ends; without the wait many fail with those words. (2) By reading: where requests ran to the end of a gateway's grace, idle callers were notified 0.1 s before the cut, less than a far caller's way there and back. Change: they are notified when every new request is refused, 1.5 s before the end of the grace, and never before the balancer has had its 3.5 s; the listener goes on accepting, to refuse, while a connection is left. Test: TestConnectionIsNotifiedWhileARequestRuns. The gateway's test has a grace of a minute now, so that no load makes its limit pass.

--- a/internal/gatewaynode/end.go
+++ b/internal/gatewaynode/end.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/briarturn/briarturn/internal/sleep"
 )
 
@@ -18,42 +16,41 @@
 	// asks once a second and needs two refusals, and a connection may be on its
 	// way.
 	leaveAfter = 3500 * time.Millisecond
-	// refuseBefore and exitBefore are counted from the end of the grace.
+	// refuseBefore and exitBefore are counted from the end of the grace. Between them
+	// callers that are still connected have time to hear of the end.
 	refuseBefore = 1500 * time.Millisecond
 	exitBefore   = 300 * time.Millisecond
+	// noticeTime is what they have of it where the grace is so short that the node
+	// leaves later than it begins to refuse.
+	noticeTime = 100 * time.Millisecond
 	// quietTime is how long nothing must run before the node ends early.
 	quietTime = 300 * time.Millisecond
 	pollEnd   = 50 * time.Millisecond
-	// leastTelling is how long callers are told at the end of the grace, whatever
-	// still runs: they close their connections as soon as they hear of it.
-	leastTelling = 100 * time.Millisecond
 )
 
 // DrainAndWait takes the node out of the balancer, goes on serving what callers
-// send on open connections until nothing runs or the grace ends, and then tells those
-// that are still connected.
+// send on open connections until nothing runs or every new request is refused, and
+// then ends the connections as they become idle, until the grace ends.
 func (n *Node) DrainAndWait(ctx context.Context) error {
 	begun := time.Now()
-	left := n.serveOn(ctx, begun)
-	telling, cancel := context.WithDeadline(context.Background(), begun.Add(n.cfg.Grace-exitBefore+leastTelling))
+	n.gateway.Leave()
+	n.serveOn(ctx, begun)
+	ending, cancel := context.WithDeadline(context.Background(), begun.Add(n.cfg.Grace-exitBefore))
 	defer cancel()
-	if err := n.callers.Shutdown(telling); left == nil {
-		return err
-	}
-	return left
+	return n.callers.Shutdown(ending)
 }
 
-// serveOn returns when nothing runs any more; if ctx or the grace ends first, it
-// returns what is cut.
-func (n *Node) serveOn(ctx context.Context, begun time.Time) error {
-	n.gateway.Leave()
+// serveOn returns when the balancer has heard and nothing runs any more or every new
+// request is refused, or when ctx ends.
+func (n *Node) serveOn(ctx context.Context, begun time.Time) {
+	leave := min(leaveAfter, n.cfg.Grace-exitBefore-noticeTime)
 	var quietSince time.Time
 	for sleep.For(ctx, pollEnd) {
 		passed := time.Since(begun)
-		if passed >= n.cfg.Grace-exitBefore {
-			return n.cut()
+		refusing := n.advance(passed)
+		if refusing && passed >= leave {
+			return
 		}
-		n.advance(passed)
 		if n.gateway.Running() > 0 {
 			quietSince = time.Time{}
 			continue
@@ -61,28 +58,23 @@
 		if quietSince.IsZero() {
 			quietSince = time.Now()
 		}
-		if passed >= leaveAfter && time.Since(quietSince) >= quietTime {
-			return nil
+		if passed >= leave && time.Since(quietSince) >= quietTime {
+			return
 		}
 	}
-	return n.cut()
 }
 
-func (n *Node) advance(passed time.Duration) {
-	if passed >= refuseStreamsAfter {
-		n.gateway.RefuseStreams()
-	}
+// advance refuses what begins too late to end in the grace, and reports whether that is
+// every new request.
+func (n *Node) advance(passed time.Duration) bool {
 	if passed >= n.cfg.Grace-refuseBefore {
 		n.gateway.RefuseAll()
+		return true
 	}
-}
-
-func (n *Node) cut() error {
-	left := n.gateway.Running()
-	if left == 0 {
-		return nil
+	if passed >= refuseStreamsAfter {
+		n.gateway.RefuseStreams()
 	}
-	return errors.Errorf("step drain: %d requests still ran at the end of the grace", left)
+	return false
 }
 
 // Close ends the servers and the watches.
--- a/internal/gatewaynode/serve_test.go
+++ b/internal/gatewaynode/serve_test.go
@@ -20,12 +20,17 @@
 
 // start starts a node with an empty store, and returns its registry.
 func start(t *testing.T, admin string, conns gatewaynode.ConnLimits) (*gatewaynode.Node, metrics.Registry) {
+	t.Helper()
+	return startWithGrace(t, admin, conns, time.Second)
+}
+
+func startWithGrace(t *testing.T, admin string, conns gatewaynode.ConnLimits, grace time.Duration) (*gatewaynode.Node, metrics.Registry) {
 	t.Helper()
 	const free = "127.0.0.1:0"
 	registry := metrics.NewRegistry()
 	n, err := gatewaynode.Start(gatewaynode.Config{
 		Name: "vm-1", Listen: free, ReadyListen: free, Datagram: free, AdminListen: admin,
-		Grace: time.Second, RetryWindow: time.Second, Conns: conns,
+		Grace: grace, RetryWindow: time.Second, Conns: conns,
 		Store: standin.NewMemory(standin.Config{}), Protocol: platform.Protocol{},
 		Engines: func(p *upstream.Pool) reservation.Engines { return platform.NewOrders(p) },
 		Decoder: gatewaynode.Decoder{
@@ -92,7 +97,7 @@
 // "not run", and then the connection ends.
 func TestCallersAreToldTheEndOfTheirEntry(t *testing.T) {
 	const whole = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
-	n, _ := start(t, "127.0.0.1:0", gatewaynode.ConnLimits{})
+	n, _ := startWithGrace(t, "127.0.0.1:0", gatewaynode.ConnLimits{}, time.Minute)
 	var conns []net.Conn
 	for _, text := range []string{"", whole, whole[:9]} {
 		conn, err := net.Dial("tcp", n.Address())
--- a/internal/graceful/conn.go
+++ b/internal/graceful/conn.go
@@ -18,9 +18,11 @@
 type conn struct {
 	net.Conn
 	server *Server
+	opened time.Time
 
 	mu       sync.Mutex // guards all below
 	reading  bool       // the http.Server waits for bytes
+	begun    bool       // bytes have come
 	active   bool       // a request has been read and its answer isn't written yet
 	ending   bool       // to be notified before another request is read
 	notified bool       // no request is read any more
@@ -49,7 +51,7 @@
 		return 0, errNotified
 	}
 	n, err := c.Conn.Read(p)
-	if !c.endRead(err) {
+	if !c.endRead(n, err) {
 		c.notify(n)
 		return 0, errNotified
 	}
@@ -59,7 +61,7 @@
 func (c *conn) beginRead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ending && !c.active {
+	if c.ending && !c.active && !c.awaitsFirst() {
 		c.notified = true
 	}
 	c.reading = !c.notified
@@ -68,22 +70,28 @@
 
 // endRead reports whether the http.Server may go on. Where its time limit for a
 // request's head has passed, a request may be on its way as it may at the end.
-func (c *conn) endRead(err error) bool {
+func (c *conn) endRead(n int, err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
-	if !c.notified && !c.active && isTimeout(err) {
+	c.begun = c.begun || n > 0
+	switch {
+	case c.notified || c.active:
+	case c.ending:
+		c.notified = true
+	case isTimeout(err):
 		c.notified, c.expired = true, true
 	}
 	return !c.notified
 }
 
-// end has the connection notified, now or when its request is answered.
+// end has the connection notified: now, when its request is answered, or when its first
+// request has come.
 func (c *conn) end() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ending = true
-	if c.active || !c.reading {
+	if c.active || !c.reading || c.awaitsFirst() {
 		return
 	}
 	c.notified = true
@@ -92,10 +100,23 @@
 	_ = c.SetReadDeadline(time.Unix(1, 0)) // fails on a closed connection, whose Read ends too
 }
 
-func (c *conn) isNotified() bool {
+// awaitsFirst reports whether the connection is so new that its first request is given
+// time to come, and sets that time. An HTTP client that opens a connection for a request
+// fails it when an answer is there before. c.mu is held.
+func (c *conn) awaitsFirst() bool {
+	until := c.opened.Add(firstWait)
+	if c.begun || !time.Now().Before(until) {
+		return false
+	}
+	_ = c.SetReadDeadline(until) // fails on a closed connection, whose Read ends too
+	return true
+}
+
+// isCut reports whether closing the connection now cuts a request.
+func (c *conn) isCut() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.notified
+	return c.active && !c.notified
 }
 
 // notify refuses whatever request is on its way, once.
--- a/internal/graceful/server.go
+++ b/internal/graceful/server.go
@@ -15,8 +15,11 @@
 	// acceptQuiet is how long no connection must come before the listener is closed:
 	// those that wait in its queue would be reset.
 	acceptQuiet = 20 * time.Millisecond
-	// acceptLimit bounds accepting where connections keep coming.
+	// acceptLimit bounds that where connections keep coming.
 	acceptLimit = 200 * time.Millisecond
+	// firstWait is how long after it was opened a connection waits for its first
+	// request: one that is opened for a request has it by then, others are to spare.
+	firstWait = 500 * time.Millisecond
 	// closeLimit is how long a caller that was notified may take to close its side.
 	closeLimit = time.Second
 )
@@ -42,7 +45,7 @@
 	listener    deadlineListener
 	conns       map[*conn]struct{}
 	ending      bool
-	acceptUntil time.Time     // while ending
+	acceptUntil time.Time     // from the moment on at which no connection was left
 	empty       chan struct{} // closed when ending, not listening, and without connections
 	listening   bool
 	ended       ended
@@ -122,9 +125,9 @@
 	return s.ending
 }
 
-// Shutdown notifies every connection, those that still come for a moment too, once its
-// request is answered. It returns when all are closed; if ctx ends first it cuts what
-// is left, and returns ctx's error if requests were being handled there.
+// Shutdown notifies every connection, once its request is answered, those too that
+// come while others are left. It returns when all are closed; if ctx ends first it cuts
+// what is left, and returns ctx's error if requests were being handled there.
 func (s *Server) Shutdown(ctx context.Context) error {
 	for _, c := range s.end() {
 		c.end()
@@ -150,8 +153,6 @@
 		return nil
 	}
 	s.ending = true
-	s.acceptUntil = time.Now().Add(acceptLimit)
-	s.awaitQuiet()
 	s.noteEmpty()
 	open := make([]*conn, 0, len(s.conns))
 	for c := range s.conns {
@@ -160,11 +161,15 @@
 	return open
 }
 
-// awaitQuiet has the listener closed when no connection comes for a while.
+// awaitQuiet has the listener closed when no connection comes for a while. s.mu is
+// held.
 func (s *Server) awaitQuiet() {
 	if s.listener == nil {
 		return
 	}
+	if s.acceptUntil.IsZero() {
+		s.acceptUntil = time.Now().Add(acceptLimit)
+	}
 	at := time.Now().Add(acceptQuiet)
 	if at.After(s.acceptUntil) {
 		at = s.acceptUntil
@@ -172,9 +177,14 @@
 	_ = s.listener.SetDeadline(at) // fails on a closed listener, which accepts nothing
 }
 
-// noteEmpty closes empty when nothing is left. s.mu is held.
+// noteEmpty ends a server that is ending when no connection is left: first the
+// listener, then the wait of Shutdown. s.mu is held.
 func (s *Server) noteEmpty() {
-	if !s.ending || s.listening || len(s.conns) > 0 {
+	if !s.ending || len(s.conns) > 0 {
+		return
+	}
+	if s.listening {
+		s.awaitQuiet()
 		return
 	}
 	select {
@@ -198,7 +208,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if !c.isNotified() {
+		if c.isCut() {
 			s.ended.cut++
 		}
 	}
@@ -222,11 +232,8 @@
 func (s *Server) add(raw net.Conn) *conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := &conn{Conn: raw, server: s, ending: s.ending}
+	c := &conn{Conn: raw, server: s, opened: time.Now(), ending: s.ending}
 	s.conns[c] = struct{}{}
-	if s.ending {
-		s.awaitQuiet()
-	}
 	return c
 }
 
--- a/internal/graceful/server_test.go
+++ b/internal/graceful/server_test.go
@@ -264,6 +264,71 @@
 	<-done
 }
 
+// Guards against callers that find nobody, though a request still runs: a connection
+// that comes meanwhile is accepted and notified.
+func TestConnectionIsNotifiedWhileARequestRuns(t *testing.T) {
+	running, release := make(chan struct{}), make(chan struct{})
+	s := serve(t, &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(running)
+		<-release
+	})})
+	idle, busy := dial(t, s.address), dial(t, s.address)
+	if err := busy.send(post("busy")); err != nil {
+		t.Fatal(err)
+	}
+	<-running
+	done := make(chan struct{})
+	go func() { defer close(done); s.shutdown(t) }()
+	idle.wantRefusal(t)
+	dial(t, s.address).wantRefusal(t)
+	close(release)
+	if status, _, _, err := busy.answer(); status != http.StatusOK {
+		t.Errorf("status %d, %v", status, err)
+	}
+	busy.wantRefusal(t)
+	<-done
+}
+
+// Guards against HTTP clients failing a request since its connection, opened for it a
+// moment before, has an answer that comes first.
+func TestNewConnectionIsAnsweredAfterItsRequest(t *testing.T) {
+	const callers, each = 8, 100
+	running, release := make(chan struct{}), make(chan struct{})
+	s := serve(t, &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(running)
+		<-release
+	})})
+	busy := dial(t, s.address)
+	if err := busy.send(post("busy")); err != nil {
+		t.Fatal(err)
+	}
+	<-running
+	done := make(chan struct{})
+	go func() { defer close(done); s.shutdown(t) }()
+	dial(t, s.address).wantRefusal(t)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	var sending sync.WaitGroup
+	for range callers {
+		sending.Go(func() {
+			for range each {
+				resp, err := client.Post("http://"+s.address+"/late", "text/plain", nil)
+				if err != nil {
+					t.Errorf("no answer: %v", err)
+					continue
+				}
+				_ = resp.Body.Close()
+				if resp.StatusCode != http.StatusServiceUnavailable {
+					t.Errorf("status %d", resp.StatusCode)
+				}
+			}
+		})
+	}
+	sending.Wait()
+	close(release)
+	_ = busy.Close()
+	<-done
+}
+
 // Guards against a caller that keeps a connection of the ended server for the next
 // one on its address: the server is there until the caller has closed it.
 func TestShutdownWaitsUntilCallersHaveClosed(t *testing.T) {
