--- a/engine/send.go
+++ b/engine/send.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+	"time"
 
 	"github.com/juju/errors"
 )
@@ -33,12 +34,14 @@
 	conn   *countedConn
 	before int64
 	reused bool
+	idle   time.Duration // since its last request or, if it had none, its opening
 }
 
 func (s *sent) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		s.conn, _ = info.Conn.(*countedConn)
 		s.reused = info.Reused
+		s.idle = info.IdleTime
 		if s.conn != nil {
 			s.before = s.conn.written.Load()
 		}
@@ -108,6 +111,7 @@
 		c.counters.notRun.Inc(1)
 		return nil, c.annotate(errors.WithType(err, ErrNotRun), m.step)
 	}
+	err = errors.Annotatef(err, "connection used before %t, idle for %v", state.reused, state.idle)
 	return nil, c.broke(err, m.step)
 }
 
