Keep a stand-in server cold no longer than it declared

Cause, reproduced: the order that makes a cold server crash when overrun names how long it holds. A server that is paused takes it late and stays cold for as much longer, while entries send it freely from the moment at which the store's word ends. The soak's own fault; no check was changed. Change: the order also names the moment at which the coldness ends, which the store had.

--- a/internal/soak/places.go
+++ b/internal/soak/places.go
@@ -60,19 +60,21 @@
 	from := time.Now()
 	b.fleet.record.coldness(cold{instance: s.name, from: from, to: from.Add(d)})
 	time.Sleep(min(coldNotice, d))
-	err = s.overruns(d - coldNotice)
+	err = s.overruns(from.Add(d))
 	time.Sleep(max(d-coldNotice, 0))
 	return err
 }
 
-// overruns has the server crash for a while if it gets well more than a cold one bears.
-func (s *serverProcess) overruns(d time.Duration) error {
+// overruns has the server crash, until it is warm, if it gets well more than a cold one bears.
+// A server that stands still hears of it late.
+func (s *serverProcess) overruns(warm time.Time) error {
+	d := time.Until(warm)
 	if d <= 0 {
 		return nil
 	}
 	const wellAbove = 3
 	most := wellAbove * (coldOverage*coldPerSecond + coldSlack)
-	at := fmt.Sprintf("http://%s%s?ms=%d&most=%d", s.address, standin.PathCold, d.Milliseconds(), int(most))
+	at := fmt.Sprintf("http://%s%s?ms=%d&until=%d&most=%d", s.address, standin.PathCold, d.Milliseconds(), warm.UnixMilli(), int(most))
 	client := &http.Client{Timeout: coldNotice}
 	response, err := client.Get(at)
 	if err != nil {
