--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"syscall"
@@ -141,7 +140,7 @@
 	e := b.fleet.entries[s.Target]
 	kept := keepConns(e.address)
 	e.signal(syscall.SIGTERM)
-	useAll(kept, time.Now(), s.Target, rand.New(rand.NewPCG(uint64(s.At), uint64(s.Target))), b.fleet.record)
+	b.useKept(kept, time.Now(), s)
 	if !e.wait(grace + graceSlack) {
 		b.fleet.record.mu.Lock()
 		b.fleet.record.stuck = append(b.fleet.record.stuck, e.name)
--- a/internal/soak/kept.go
+++ b/internal/soak/kept.go
@@ -97,17 +97,21 @@
 	return answerOf(ask, a.response)
 }
 
-// useAll uses each connection at a moment of its own around the end of an entry that was
-// told to end at a time.
-func useAll(conns []*keptConn, from time.Time, entry int, random *rand.Rand, r *record) {
+// useKept uses each connection at a moment of its own around the end of an entry that was told
+// to end at a time. The breaker waits for all of them.
+func (b *breaker) useKept(conns []*keptConn, from time.Time, s Step) {
+	random := rand.New(rand.NewPCG(uint64(s.At), uint64(s.Target)))
 	for i, c := range conns {
 		at := from.Add(keptFrom + time.Duration(random.Int64N(int64(keptTo-keptFrom))))
 		ask := standin.Ask{
-			ID:       fmt.Sprintf("k%d-%d-%d", entry, from.UnixNano(), i),
+			ID:       fmt.Sprintf("k%d-%d-%d", s.Target, from.UnixNano(), i),
 			Key:      keptKey,
 			Path:     standin.PathOnce,
 			Patience: callPatience,
 		}
-		time.AfterFunc(time.Until(at), func() { c.use(ask, entry, r) })
+		b.running.Go(func() {
+			time.Sleep(time.Until(at))
+			c.use(ask, s.Target, b.fleet.record)
+		})
 	}
 }
