--- a/internal/graceful/conn.go
+++ b/internal/graceful/conn.go
@@ -104,7 +104,7 @@
 // time to come, and sets that time. An HTTP client that opens a connection for a request
 // fails it when an answer is there before. c.mu is held.
 func (c *conn) awaitsFirst() bool {
-	until := c.opened.Add(firstWait)
+	until := c.opened.Add(c.server.waits.first)
 	if c.begun || !time.Now().Before(until) {
 		return false
 	}
@@ -125,7 +125,7 @@
 // refuseAndAwait sends the refusal and reads the connection until the caller closes
 // it: closing with bytes unread would reset it under the refusal.
 func (c *conn) refuseAndAwait(unread int) {
-	_ = c.SetDeadline(time.Now().Add(closeLimit)) // fails as what follows does
+	_ = c.SetDeadline(time.Now().Add(c.server.waits.close)) // fails as what follows does
 	seen := ended{notified: 1}
 	if err := c.sayRefusal(); err == nil {
 		n, err := io.Copy(io.Discard, struct{ io.Reader }{c.Conn})
--- a/internal/graceful/server.go
+++ b/internal/graceful/server.go
@@ -40,6 +40,7 @@
 	refusal []byte // as it goes over a connection
 	tooLate []byte // to a request whose head isn't whole in time
 	log     logrus.FieldLogger
+	waits   waits
 
 	mu          sync.Mutex // guards all below; taken before conn.mu
 	listener    deadlineListener
@@ -51,6 +52,9 @@
 	ended       ended
 }
 
+// waits are how long callers are waited for: see firstWait and closeLimit.
+type waits struct{ first, close time.Duration }
+
 // ended counts what became of the connections when the server ended.
 type ended struct {
 	notified int // got the refusal
@@ -70,6 +74,7 @@
 	s := &Server{
 		http:  cfg.HTTP,
 		log:   cfg.Log,
+		waits: waits{first: firstWait, close: closeLimit},
 		conns: map[*conn]struct{}{},
 		empty: make(chan struct{}),
 	}
--- a/internal/graceful/server_test.go
+++ b/internal/graceful/server_test.go
@@ -34,6 +34,15 @@
 }
 
 func serve(t *testing.T, srv *http.Server) *served {
+	t.Helper()
+	return serveWaiting(t, srv, 0)
+}
+
+// patience is longer than any machine takes for one step of a test.
+const patience = time.Minute
+
+// serveWaiting is serve for a server that waits for the first request of a connection.
+func serveWaiting(t *testing.T, srv *http.Server, first time.Duration) *served {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -44,6 +53,7 @@
 		address: lis.Addr().String(),
 		ended:   make(chan error, 1),
 	}
+	s.WaitFor(first, patience)
 	go func() { s.ended <- s.Serve(lis) }()
 	t.Cleanup(func() { _ = s.Close() })
 	return s
@@ -127,6 +137,41 @@
 	return n.(*atomic.Int64).Load()
 }
 
+// busyServer is a server that runs one request until it is released, and answers others.
+type busyServer struct {
+	*served
+	busy    *caller
+	release chan struct{}
+}
+
+func serveBusy(t *testing.T, first time.Duration) *busyServer {
+	t.Helper()
+	running, release := make(chan struct{}), make(chan struct{})
+	s := serveWaiting(t, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/busy" {
+			close(running)
+			<-release
+		}
+		_, _ = io.WriteString(w, "ok")
+	})}, first)
+	b := &busyServer{served: s, busy: dial(t, s.address), release: release}
+	if err := b.busy.send(post("busy")); err != nil {
+		t.Fatal(err)
+	}
+	<-running
+	return b
+}
+
+// finish releases the request, which is answered, and its connection then refused.
+func (b *busyServer) finish(t *testing.T) {
+	t.Helper()
+	close(b.release)
+	if status, body, _, err := b.busy.answer(); status != http.StatusOK || body != "ok" {
+		t.Errorf("got %d %q, %v", status, body, err)
+	}
+	b.busy.wantRefusal(t)
+}
+
 // Guards against a connection that is closed under a request whose caller can't know
 // whether it ran: each request sent before its caller was notified has an answer, and
 // "not run" is true.
@@ -242,50 +287,25 @@
 // Guards against a request that is running being cut by the end of its server: it is
 // answered first, and its connection is notified after that.
 func TestRunningRequestIsAnsweredFirst(t *testing.T) {
-	running, release := make(chan struct{}), make(chan struct{})
-	s := serve(t, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		close(running)
-		<-release
-		_, _ = io.WriteString(w, "ok")
-	})})
-	idle, busy := dial(t, s.address), dial(t, s.address)
-	if err := busy.send(post("busy")); err != nil {
-		t.Fatal(err)
-	}
-	<-running
+	s := serveBusy(t, 0)
+	idle := dial(t, s.address)
 	done := make(chan struct{})
 	go func() { defer close(done); s.shutdown(t) }()
 	idle.wantRefusal(t)
-	close(release)
-	if status, body, _, err := busy.answer(); status != http.StatusOK || body != "ok" {
-		t.Errorf("got %d %q, %v", status, body, err)
-	}
-	busy.wantRefusal(t)
+	s.finish(t)
 	<-done
 }
 
 // Guards against callers that find nobody, though a request still runs: a connection
 // that comes meanwhile is accepted and notified.
 func TestConnectionIsNotifiedWhileARequestRuns(t *testing.T) {
-	running, release := make(chan struct{}), make(chan struct{})
-	s := serve(t, &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
-		close(running)
-		<-release
-	})})
-	idle, busy := dial(t, s.address), dial(t, s.address)
-	if err := busy.send(post("busy")); err != nil {
-		t.Fatal(err)
-	}
-	<-running
+	s := serveBusy(t, 0)
+	idle := dial(t, s.address)
 	done := make(chan struct{})
 	go func() { defer close(done); s.shutdown(t) }()
 	idle.wantRefusal(t)
 	dial(t, s.address).wantRefusal(t)
-	close(release)
-	if status, _, _, err := busy.answer(); status != http.StatusOK {
-		t.Errorf("status %d, %v", status, err)
-	}
-	busy.wantRefusal(t)
+	s.finish(t)
 	<-done
 }
 
@@ -293,19 +313,17 @@
 // moment before, has an answer that comes first.
 func TestNewConnectionIsAnsweredAfterItsRequest(t *testing.T) {
 	const callers, each = 8, 100
-	running, release := make(chan struct{}), make(chan struct{})
-	s := serve(t, &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
-		close(running)
-		<-release
-	})})
-	busy := dial(t, s.address)
-	if err := busy.send(post("busy")); err != nil {
+	s := serveBusy(t, patience)
+	kept := dial(t, s.address)
+	if err := kept.send(post("one")); err != nil {
 		t.Fatal(err)
 	}
-	<-running
+	if status, _, _, err := kept.answer(); status != http.StatusOK {
+		t.Fatalf("status %d, %v", status, err)
+	}
 	done := make(chan struct{})
 	go func() { defer close(done); s.shutdown(t) }()
-	dial(t, s.address).wantRefusal(t)
+	kept.wantRefusal(t)
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	var sending sync.WaitGroup
 	for range callers {
@@ -324,8 +342,7 @@
 		})
 	}
 	sending.Wait()
-	close(release)
-	_ = busy.Close()
+	s.finish(t)
 	<-done
 }
 
