Serve no listener that can't be stopped gently

It is an error of Serve now, as TestListenerWithoutDeadlinesIsNotServed holds; before, that test is served. TCP listeners, which all of ours are, have deadlines. Ruled out: nothing.

--- a/internal/graceful/server.go
+++ b/internal/graceful/server.go
@@ -94,10 +94,15 @@
 	return s
 }
 
-// Serve serves a TCP listener until Shutdown or Close, and closes it. It returns nil
-// if one of these ended it. Call it once.
+// Serve serves a listener until Shutdown or Close, and closes it. It returns nil if one
+// of these ended it. Call it once.
 func (s *Server) Serve(lis net.Listener) error {
-	if !s.listen(lis) {
+	stoppable, ok := lis.(deadlineListener)
+	if !ok {
+		_ = lis.Close() // nothing was accepted on it
+		return errors.NotSupportedf("step serve, address %s: a listener without deadlines", lis.Addr())
+	}
+	if !s.listen(stoppable) {
 		return errors.Trace(lis.Close())
 	}
 	err := s.http.Serve(accepting{lis, s})
@@ -109,13 +114,13 @@
 }
 
 // listen notes the listener for Shutdown. It fails when the server has ended.
-func (s *Server) listen(lis net.Listener) bool {
+func (s *Server) listen(lis deadlineListener) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ending {
 		return false
 	}
-	s.listener, _ = lis.(deadlineListener)
+	s.listener = lis
 	s.listening = true
 	return true
 }
@@ -169,9 +174,6 @@
 // awaitQuiet has the listener closed when no connection comes for a while. s.mu is
 // held.
 func (s *Server) awaitQuiet() {
-	if s.listener == nil {
-		return
-	}
 	if s.acceptUntil.IsZero() {
 		s.acceptUntil = time.Now().Add(acceptLimit)
 	}
--- a/internal/graceful/server_test.go
+++ b/internal/graceful/server_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/briarturn/briarturn/internal/graceful"
 	"github.com/briarturn/briarturn/internal/quiet"
 )
@@ -414,3 +416,19 @@
 		})
 	}
 }
+
+// Guards against a server that can't stop accepting without resetting who waits: it
+// takes no listener of which it would learn that at its end.
+func TestListenerWithoutDeadlinesIsNotServed(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := graceful.New(graceful.Config{HTTP: &http.Server{}, Refuse: refuse, Log: quiet.Logger()})
+	if err := s.Serve(struct{ net.Listener }{lis}); !errors.Is(err, errors.NotSupported) {
+		t.Errorf("served: %v", err)
+	}
+	if err := s.Shutdown(t.Context()); err != nil {
+		t.Error(err)
+	}
+}
