Log what became of the server of an attempt that broke

The logs could not tell why: only an attempt without a response head was followed by a check of its server, and its result was logged only if it counted. Now each attempt that breaks, in the head, the body or the stream, is followed by the check. The line names the stage, whether the address refuses, accepts or is silent, how long the attempt had run, and the deaths that are known of the fingerprint; a counter per result. Which deaths count is unchanged.

Pool.Probe returns three results instead of two. A refusal still includes an unreachable VM.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -179,7 +179,7 @@
 		// relayed.
 		return e.decideNext(request.AttemptOutcome{Sent: true, Deadline: requestEnded(ctx)})
 	}
-	return e.relayResponse(ctx, r)
+	return e.relayResponse(ctx, attempt, r)
 }
 
 // isEventStream reports whether a body is a stream of server-sent events.
--- a/gateway/deaths.go
+++ b/gateway/deaths.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
 
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/quarantine"
+	"github.com/briarturn/briarturn/upstream"
 )
 
 // A request may crash every server that begins to run it, and its caller sends it again.
@@ -65,12 +67,39 @@
 	}
 }
 
+// brokenStage is the part of a response in which an attempt broke.
+type brokenStage string
+
+const (
+	stageHead   brokenStage = "head"
+	stageBody   brokenStage = "body"
+	stageStream brokenStage = "stream"
+)
+
+// inspectServer checks what became of the server of an attempt that broke, and logs it with
+// the deaths that are known of the request. It doesn't check after the end of the request,
+// which breaks the attempt by itself.
+func (e *exchange) inspectServer(ctx context.Context, placed placement.Placement, stage brokenStage) (found upstream.ProbeResult, checked bool) {
+	if ctx.Err() != nil {
+		return upstream.ProbeSilent, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	found = e.gateway.cfg.Pool.Probe(ctx, placed.Server.Address)
+	e.gateway.counters.brokenAttempts[found].Inc(1)
+	e.gateway.cfg.Log.WithFields(logrus.Fields{
+		"request": e.info.ID, "server": placed.Server.Address, "instance": placed.Server.Instance,
+		"broke_in": stage, "server_state": found.String(), "ran_ms": time.Since(e.placedAt).Milliseconds(),
+		"deaths": e.gateway.cfg.Quarantine.DeathCount(e.fingerprint, time.Now()),
+	}).Info("server of broken attempt checked")
+	return found, true
+}
+
 // recordDeath records a server death for a request that got no byte of a response, if its
 // server is gone.
 func (e *exchange) recordDeath(ctx context.Context, placed placement.Placement) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	if e.gateway.cfg.Pool.Probe(ctx, placed.Server.Address) || ctx.Err() != nil {
+	found, checked := e.inspectServer(ctx, placed, stageHead)
+	if !checked || found != upstream.ProbeRefused {
 		return // the server is alive, or the check timed out
 	}
 	deathID := placement.ServerKey(placed.Server.Instance)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -2,6 +2,8 @@
 
 import (
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/briarturn/briarturn/upstream"
 )
 
 // counters holds the metrics of what the gateway decides.
@@ -16,7 +18,10 @@
 	retriesOverBudget metrics.Counter
 	callersGone       metrics.Counter // callers that disconnected first
 	serverDeaths      metrics.Counter // servers that died while running a request
-	firstByteLatency  metrics.Histogram
+	// brokenAttempts counts attempts that broke, by what their server's address did then.
+	// Not changed after newCounters.
+	brokenAttempts   map[upstream.ProbeResult]metrics.Counter
+	firstByteLatency metrics.Histogram
 }
 
 // sampleSize and sampleAlpha are the values that go-metrics recommends for latencies.
@@ -41,9 +46,13 @@
 		retriesOverBudget: counter("retries.over_budget"),
 		callersGone:       counter("callers.gone"),
 		serverDeaths:      counter("servers.died"),
+		brokenAttempts:    map[upstream.ProbeResult]metrics.Counter{},
 		firstByteLatency: metrics.GetOrRegisterHistogram("gateway.first_byte_ms", r,
 			metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
 	}
+	for _, found := range []upstream.ProbeResult{upstream.ProbeSilent, upstream.ProbeRefused, upstream.ProbeAccepted} {
+		t.brokenAttempts[found] = counter("attempts.broken." + found.String())
+	}
 	for _, reason := range allReasons {
 		t.refused[reason] = counter("refused." + string(reason))
 	}
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/briarturn/briarturn/request"
 	"github.com/briarturn/briarturn/upstream"
 )
@@ -21,15 +23,16 @@
 
 // relayResponse relays a response that is not an event stream. If it breaks off or
 // reports an error of the server, another server may be tried.
-func (e *exchange) relayResponse(ctx context.Context, r *upstream.Response) (nextStep, Reason) {
+func (e *exchange) relayResponse(ctx context.Context, attempt *placedAttempt, r *upstream.Response) (nextStep, Reason) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedResponse+1))
 	if err != nil {
 		e.logFailedResponse(r.Status, "answer broke")
+		e.inspectServer(ctx, attempt.Placement, stageBody)
 		return e.decideNext(request.AttemptOutcome{Sent: true, Deadline: requestEnded(ctx)})
 	}
 	a := &bufferedResponse{status: r.Status, header: r.Header, body: body}
 	if len(body) > maxBufferedResponse {
-		return e.relayLongResponse(a, r)
+		return e.relayLongResponse(ctx, attempt, a, r)
 	}
 	if isRetryable(r.Status) && e.route.Repeatable() {
 		e.lastFailure = a
@@ -52,13 +55,16 @@
 
 // relayLongResponse relays a response that is too long to buffer. Once its head is sent,
 // a break aborts the caller's connection.
-func (e *exchange) relayLongResponse(a *bufferedResponse, r *upstream.Response) (nextStep, Reason) {
+func (e *exchange) relayLongResponse(ctx context.Context, attempt *placedAttempt, a *bufferedResponse, r *upstream.Response) (nextStep, Reason) {
 	e.writeHead(a.status, a.header, r.ContentLength)
 	if _, err := e.writer.Write(a.body); err != nil {
 		e.outcome = outcomeCallerGone
 		return stepDone, ""
 	}
 	if _, err := io.Copy(e.writer, r.Body); err != nil {
+		if errors.Is(err, upstream.ErrBroken) {
+			e.inspectServer(ctx, attempt.Placement, stageBody)
+		}
 		e.abortResponse()
 	}
 	e.outcome = outcomeAnswered
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -57,14 +57,14 @@
 				return stepDone, ""
 			}
 			if !sent && len(s.pending) > maxEventBytes {
-				return e.handleBrokenStream(ctx)
+				return e.handleBrokenStream(ctx, attempt)
 			}
 		}
 		if err == io.EOF && len(s.pending) == 0 {
 			return s.complete(r)
 		}
 		if err != nil {
-			return e.handleBrokenStream(ctx)
+			return e.handleBrokenStream(ctx, attempt)
 		}
 	}
 }
@@ -84,7 +84,7 @@
 }
 
 // handleBrokenStream handles a stream that ended early.
-func (e *exchange) handleBrokenStream(ctx context.Context) (nextStep, Reason) {
+func (e *exchange) handleBrokenStream(ctx context.Context, attempt *placedAttempt) (nextStep, Reason) {
 	if e.incoming.Context().Err() != nil {
 		e.outcome = outcomeCallerGone
 		e.gateway.counters.callersGone.Inc(1)
@@ -96,6 +96,7 @@
 	e.gateway.cfg.Log.WithFields(logrus.Fields{
 		"request": e.info.ID, "server": e.serverAddress, "events": e.stream.events, "behind": e.stream.lastEventID, "deadline": requestEnded(ctx),
 	}).Info("stream broke")
+	e.inspectServer(ctx, attempt.Placement, stageStream)
 	return e.decideNext(request.AttemptOutcome{Sent: true, Deadline: requestEnded(ctx)})
 }
 
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -158,6 +158,17 @@
 	return RunAlone
 }
 
+// DeathCount returns the number of deaths that are recorded for a fingerprint.
+func (t *Tracker) DeathCount(fingerprint uint64, now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.unexpired(fingerprint, now)
+	if e == nil {
+		return 0
+	}
+	return e.count
+}
+
 // Remaining returns the time until a fingerprint's verdict expires; 0 if it has none.
 func (t *Tracker) Remaining(fingerprint uint64, now time.Time) time.Duration {
 	t.mu.Lock()
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -72,16 +72,34 @@
 	return newConn(c), nil
 }
 
-// Probe reports whether a server accepts a new connection. The connection is kept
-// for the next request.
-func (p *Pool) Probe(ctx context.Context, address string) bool {
+// ProbeResult is what a new connection to an address shows.
+type ProbeResult uint8
+
+// Results of a probe.
+const (
+	ProbeSilent  ProbeResult = iota // no reply in time
+	ProbeRefused                    // no process listens at the address, or its VM is unreachable
+	ProbeAccepted
+)
+
+var probeResultNames = [...]string{ProbeSilent: "silent", ProbeRefused: "refuses", ProbeAccepted: "accepts"}
+
+// String implements fmt.Stringer.
+func (r ProbeResult) String() string { return probeResultNames[r] }
+
+// Probe opens a new connection to an address. An accepted connection is kept for the
+// next request.
+func (p *Pool) Probe(ctx context.Context, address string) ProbeResult {
 	c, err := p.dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return false
+	if err == nil {
+		p.opened.Inc(1)
+		p.put(address, newConn(c), defaultMaxIdle)
+		return ProbeAccepted
 	}
-	p.opened.Inc(1)
-	p.put(address, newConn(c), defaultMaxIdle)
-	return true
+	if timeout := net.Error(nil); ctx.Err() != nil || errors.As(err, &timeout) && timeout.Timeout() {
+		return ProbeSilent
+	}
+	return ProbeRefused
 }
 
 // pop takes the most recently used idle connection out of the pool. It returns nil
