Count only deaths of engines whose runs follow each other

Callers: a call that many of them make at the same time, with the same path and no body, was refused for an hour after one outage had ended three of its servers at once.

Cause: deaths were added up by fingerprint, whether the runs followed each other or not. A request that crashes engines is sent again after its server died, so its runs follow each other; the runs that an outage ends overlap. A death now has the start and end of its run, and one that overlaps a recorded death changes nothing. Records to peers carry the length of the run and how long ago it ended; an overlap of 25 ms is ignored there, since reports take unequal times (TestReportsOfUnequalTransitCount). A process that doesn't send these times yet counts as before.

--- a/gateway/deaths.go
+++ b/gateway/deaths.go
@@ -102,8 +102,9 @@
 	if !checked || found != upstream.ProbeRefused {
 		return // the server is alive, or the check timed out
 	}
-	deathID := placement.ServerKey(placed.Server.Instance)
-	record, isNew := e.gateway.cfg.Quarantine.RecordDeath(e.fingerprint, deathID, time.Now())
+	now := time.Now()
+	death := quarantine.Death{ID: placement.ServerKey(placed.Server.Instance), Began: e.placedAt, Ended: now}
+	record, isNew := e.gateway.cfg.Quarantine.RecordRunDeath(e.fingerprint, death, now)
 	if !isNew {
 		return
 	}
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -4,6 +4,10 @@
 // attributed to it and affects no other request; two deaths quarantine its fingerprint. A
 // suspect that ends alone without a death is cleared.
 //
+// An outage may end several engines that run the same content for several callers. So only
+// deaths whose runs follow each other count: a request that crashes engines is sent again
+// after the engine died, while the runs that an outage ends overlap.
+//
 // Invariants: the table is bounded and its records expire; a death counts once, however
 // often and from whichever process it is reported; when a fingerprint runs to its end, its
 // own entry clears it, and other processes keep their verdict until it expires.
@@ -46,18 +50,42 @@
 // maximum of Options.DeathThreshold.
 const maxTrackedDeaths = 4
 
+// transitTolerance is the overlap of two runs that is ignored if one of them was reported by
+// another process: reports take unequal times, and a caller sends its request again within
+// milliseconds of a death.
+const transitTolerance = 25 * time.Millisecond
+
+// Death is the death of an engine under a run of a request.
+type Death struct {
+	ID           uint64    // identifies the engine's death: xxhash of server and boot
+	Began, Ended time.Time // of the run; equal if its length is unknown
+}
+
+// overlaps reports whether the runs of two deaths overlap by more than tolerance.
+func (d Death) overlaps(other Death, tolerance time.Duration) bool {
+	return d.Began.Add(tolerance).Before(other.Ended) && other.Began.Add(tolerance).Before(d.Ended)
+}
+
 // Record describes one death of a fingerprint, as processes exchange it.
 type Record struct {
 	Fingerprint uint64
-	DeathID     uint64 // identifies one engine death: xxhash of server and boot
+	DeathID     uint64        // Death.ID
+	Ran         time.Duration // length of the run
+	Age         time.Duration // time since the run ended
 	DeathCount  int
 	Quarantined bool
 	TTL         time.Duration // time left of the verdict; 0: unknown
 }
 
+// death returns the death of a record that arrived now.
+func (r Record) death(now time.Time) Death {
+	ended := now.Add(-r.Age)
+	return Death{ID: r.DeathID, Began: ended.Add(-r.Ran), Ended: ended}
+}
+
 // deathHistory holds the distinct deaths of one fingerprint.
 type deathHistory struct {
-	deaths  [maxTrackedDeaths]uint64
+	deaths  [maxTrackedDeaths]Death
 	count   int
 	expires time.Time
 }
@@ -82,13 +110,19 @@
 	return &Tracker{options: opt, histories: lru}
 }
 
-// RecordDeath records that the fingerprint was running when an engine died. death
+// RecordDeath records that the fingerprint was running when an engine died now. death
 // identifies that death; a death that is already recorded changes nothing. It returns the
 // record to share with other processes and whether the death is new.
 func (t *Tracker) RecordDeath(fingerprint, death uint64, now time.Time) (Record, bool) {
+	return t.RecordRunDeath(fingerprint, Death{ID: death, Began: now, Ended: now}, now)
+}
+
+// RecordRunDeath is RecordDeath for a run whose length is known. A death changes nothing if
+// its run overlapped that of a recorded death.
+func (t *Tracker) RecordRunDeath(fingerprint uint64, death Death, now time.Time) (Record, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e, isNew := t.addDeath(fingerprint, death, now)
+	e, isNew := t.addDeath(fingerprint, death, 0, now)
 	if isNew {
 		e.expires = now.Add(t.ttl(e))
 	}
@@ -102,7 +136,7 @@
 func (t *Tracker) Merge(r Record, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e, isNew := t.addDeath(r.Fingerprint, r.DeathID, now)
+	e, isNew := t.addDeath(r.Fingerprint, r.death(now), transitTolerance, now)
 	if !isNew {
 		return false
 	}
@@ -115,13 +149,13 @@
 }
 
 // addDeath adds a death of a fingerprint and reports whether it is new. The caller holds mu.
-func (t *Tracker) addDeath(fingerprint, death uint64, now time.Time) (*deathHistory, bool) {
+func (t *Tracker) addDeath(fingerprint uint64, death Death, tolerance time.Duration, now time.Time) (*deathHistory, bool) {
 	e := t.unexpired(fingerprint, now)
 	if e == nil {
 		e = &deathHistory{}
 		t.histories.Add(fingerprint, e)
 	}
-	return e, e.add(death)
+	return e, e.add(death, tolerance)
 }
 
 func laterOf(a, b time.Time) time.Time {
@@ -219,20 +253,22 @@
 	return t.options.SuspicionTTL
 }
 
-func (t *Tracker) record(fingerprint, death uint64, e *deathHistory, now time.Time) Record {
+func (t *Tracker) record(fingerprint uint64, death Death, e *deathHistory, now time.Time) Record {
 	return Record{
 		Fingerprint: fingerprint,
-		DeathID:     death,
+		DeathID:     death.ID,
+		Ran:         death.Ended.Sub(death.Began),
+		Age:         max(now.Sub(death.Ended), 0),
 		DeathCount:  e.count,
 		Quarantined: e.count >= t.options.DeathThreshold,
 		TTL:         e.expires.Sub(now),
 	}
 }
 
-// add adds a death and reports whether it is new.
-func (h *deathHistory) add(death uint64) bool {
-	for i := range h.count {
-		if h.deaths[i] == death {
+// add adds a death and reports whether it is new and its run overlapped that of no other.
+func (h *deathHistory) add(death Death, tolerance time.Duration) bool {
+	for _, known := range h.deaths[:h.count] {
+		if known.ID == death.ID || known.overlaps(death, tolerance) {
 			return false
 		}
 	}
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -133,3 +133,38 @@
 		t.Fatalf("%d records kept, want %d", got, opt.MaxFingerprints)
 	}
 }
+
+func run(id uint64, began, ended time.Duration) Death {
+	return Death{ID: id, Began: t0.Add(began), Ended: t0.Add(ended)}
+}
+
+// Guards against quarantining a call that many callers make at the same time because an
+// outage ended several engines under it, in this process or in several.
+func TestOverlappingRunsCountOnce(t *testing.T) {
+	const outage = time.Second
+	a, b := NewTracker(DefaultOptions), NewTracker(DefaultOptions)
+	first, _ := a.RecordRunDeath(7, run(100, 0, outage), t0.Add(outage))
+	if _, isNew := a.RecordRunDeath(7, run(200, outage/2, outage), t0.Add(outage)); isNew {
+		t.Error("two overlapping runs in one process count twice")
+	}
+	b.RecordRunDeath(7, run(300, outage/3, outage), t0.Add(outage))
+	if b.Merge(first, t0.Add(outage)) {
+		t.Error("two overlapping runs in two processes count twice")
+	}
+	if got := b.Verdict(7, t0.Add(outage)); got != RunAlone {
+		t.Errorf("verdict %v", got)
+	}
+}
+
+// Guards against missing a death because its report was faster than that of the one before.
+func TestReportsOfUnequalTransitCount(t *testing.T) {
+	const length, transit = 100 * time.Millisecond, 20 * time.Millisecond
+	a, b, c := NewTracker(DefaultOptions), NewTracker(DefaultOptions), NewTracker(DefaultOptions)
+	first, _ := a.RecordRunDeath(7, run(100, 0, length), t0.Add(length))
+	second, _ := b.RecordRunDeath(7, run(200, length+time.Millisecond, 2*length), t0.Add(2*length))
+	c.Merge(first, t0.Add(length+transit))
+	c.Merge(second, t0.Add(2*length))
+	if got := c.Verdict(7, t0.Add(2*length)); got != Refuse {
+		t.Errorf("verdict %v after two deaths", got)
+	}
+}
--- a/wire/check.go
+++ b/wire/check.go
@@ -213,6 +213,8 @@
 			require(e.GetFingerprint() != 0, "evidence.fingerprint"),
 			require(e.GetDeaths() <= maxDeaths, "evidence.deaths"),
 			require(e.GetTtlMs() <= maxEvidenceTTLMillis, "evidence.ttl"),
+			require(e.GetRanMs() <= maxEvidenceTTLMillis, "evidence.ran"),
+			require(e.GetAgeMs() <= maxEvidenceTTLMillis, "evidence.age"),
 		); err != nil {
 			return err
 		}
--- a/wire/evidence.go
+++ b/wire/evidence.go
@@ -7,8 +7,8 @@
 	"github.com/briarturn/briarturn/wire/wirepb"
 )
 
-// EvidenceToProto converts a quarantine record to its message. A negative TTL
-// becomes 0.
+// EvidenceToProto converts a quarantine record to its message. Negative times
+// become 0.
 func EvidenceToProto(r quarantine.Record) *wirepb.Evidence {
 	return &wirepb.Evidence{
 		Fingerprint: r.Fingerprint,
@@ -16,6 +16,8 @@
 		Quarantined: r.Quarantined,
 		TtlMs:       uint64(max(r.TTL, 0).Milliseconds()),
 		Death:       r.DeathID,
+		RanMs:       uint64(max(r.Ran, 0).Milliseconds()),
+		AgeMs:       uint64(max(r.Age, 0).Milliseconds()),
 	}
 }
 
@@ -27,6 +29,8 @@
 		r := quarantine.Record{
 			Fingerprint: e.GetFingerprint(),
 			DeathID:     e.GetDeath(),
+			Ran:         time.Duration(e.GetRanMs()) * time.Millisecond,
+			Age:         time.Duration(e.GetAgeMs()) * time.Millisecond,
 			DeathCount:  int(e.GetDeaths()),
 			Quarantined: e.GetQuarantined(),
 			TTL:         time.Duration(e.GetTtlMs()) * time.Millisecond,
