Count the death of a server that has begun to respond

Cause: a death was recorded only for an attempt without a response head. A server that sends its head first, as every stream does, and then dies breaks the body, and the paths for a broken body, a long body and a broken stream never asked whether the server was gone.

All paths on which an attempt breaks now record the break in one function, so a further path can't leave it out unnoticed. What keeps an innocent request from being refused stands: overlapping runs count once, and a completed run clears it.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -157,7 +157,7 @@
 		e.gateway.cfg.Log.WithError(err).WithField("request", e.info.ID).Info("attempt failed")
 	}
 	if sent {
-		e.recordDeath(ctx, attempt.Placement)
+		e.recordBreak(ctx, attempt.Placement, stageHead, err)
 	}
 	return e.decideNext(request.AttemptOutcome{Sent: sent, Deadline: requestEnded(ctx)})
 }
--- a/gateway/deaths.go
+++ b/gateway/deaths.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/briarturn/briarturn/placement"
@@ -14,8 +16,8 @@
 )
 
 // A request may crash every server that begins to run it, and its caller sends it again.
-// Such a crash shows as a connection that breaks before the first byte of a response, to
-// a server that then refuses connections.
+// Such a crash shows as a connection that breaks before the end of the response, to a
+// server that then refuses connections.
 const (
 	// deathThreshold is the number of server deaths at which a request is refused. Two
 	// can be a coincidence: an outage that ends several servers also ends requests that
@@ -76,35 +78,46 @@
 	stageStream brokenStage = "stream"
 )
 
-// inspectServer checks what became of the server of an attempt that broke, and logs it with
-// the deaths that are known of the request. It doesn't check after the end of the request,
-// which breaks the attempt by itself.
-func (e *exchange) inspectServer(ctx context.Context, placed placement.Placement, stage brokenStage) (found upstream.ProbeResult, checked bool) {
+// recordBreak records the death of the server of an attempt that broke with err, if the
+// server is gone. The end of the request breaks the attempt by itself and shows nothing.
+func (e *exchange) recordBreak(ctx context.Context, placed placement.Placement, stage brokenStage, err error) {
 	if ctx.Err() != nil {
-		return upstream.ProbeSilent, false
+		return
+	}
+	ended := time.Now()
+	if e.inspectServer(ctx, placed, stage, err) != upstream.ProbeRefused {
+		return
 	}
+	e.recordDeath(placed, quarantine.Death{ID: placement.ServerKey(placed.Server.Instance), Began: e.placedAt, Ended: ended})
+}
+
+// inspectServer checks what became of the server of an attempt that broke, and logs it with
+// the deaths that are known of the request.
+func (e *exchange) inspectServer(ctx context.Context, placed placement.Placement, stage brokenStage, err error) upstream.ProbeResult {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	found = e.gateway.cfg.Pool.Probe(ctx, placed.Server.Address)
+	found := upstream.ProbeSilent
+	if !isTimeout(err) { // a server that has been silent for the timeout would only delay the next attempt
+		found = e.gateway.cfg.Pool.Probe(ctx, placed.Server.Address)
+	}
 	e.gateway.counters.brokenAttempts[found].Inc(1)
 	e.gateway.cfg.Log.WithFields(logrus.Fields{
 		"request": e.info.ID, "server": placed.Server.Address, "instance": placed.Server.Instance,
 		"broke_in": stage, "server_state": found.String(), "ran_ms": time.Since(e.placedAt).Milliseconds(),
 		"deaths": e.gateway.cfg.Quarantine.DeathCount(e.fingerprint, time.Now()),
 	}).Info("server of broken attempt checked")
-	return found, true
+	return found
 }
 
-// recordDeath records a server death for a request that got no byte of a response, if its
-// server is gone.
-func (e *exchange) recordDeath(ctx context.Context, placed placement.Placement) {
-	found, checked := e.inspectServer(ctx, placed, stageHead)
-	if !checked || found != upstream.ProbeRefused {
-		return // the server is alive, or the check timed out
-	}
-	now := time.Now()
-	death := quarantine.Death{ID: placement.ServerKey(placed.Server.Instance), Began: e.placedAt, Ended: now}
-	record, isNew := e.gateway.cfg.Quarantine.RecordRunDeath(e.fingerprint, death, now)
+// isTimeout reports whether a connection broke because its peer was silent.
+func isTimeout(err error) bool {
+	timeout := net.Error(nil)
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// recordDeath records and reports a server death under the request.
+func (e *exchange) recordDeath(placed placement.Placement, death quarantine.Death) {
+	record, isNew := e.gateway.cfg.Quarantine.RecordRunDeath(e.fingerprint, death, time.Now())
 	if !isNew {
 		return
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/briarturn/briarturn/request"
@@ -22,6 +23,9 @@
 	maxEventBytes = 1 << 20
 )
 
+// errEventTooLong means that a server sent an event of more than maxEventBytes.
+const errEventTooLong = errors.ConstError("event too long")
+
 // streamRelay relays the events of a stream. It sends complete events only: a server may
 // stop in the middle of one, and the stream that another server resumes begins with a
 // complete one.
@@ -57,14 +61,14 @@
 				return stepDone, ""
 			}
 			if !sent && len(s.pending) > maxEventBytes {
-				return e.handleBrokenStream(ctx, attempt)
+				return e.handleBrokenStream(ctx, attempt, errEventTooLong)
 			}
 		}
 		if err == io.EOF && len(s.pending) == 0 {
 			return s.complete(r)
 		}
 		if err != nil {
-			return e.handleBrokenStream(ctx, attempt)
+			return e.handleBrokenStream(ctx, attempt, err)
 		}
 	}
 }
@@ -83,8 +87,8 @@
 	s.headSent = true
 }
 
-// handleBrokenStream handles a stream that ended early.
-func (e *exchange) handleBrokenStream(ctx context.Context, attempt *placedAttempt) (nextStep, Reason) {
+// handleBrokenStream handles a stream that ended early because of err.
+func (e *exchange) handleBrokenStream(ctx context.Context, attempt *placedAttempt, err error) (nextStep, Reason) {
 	if e.incoming.Context().Err() != nil {
 		e.outcome = outcomeCallerGone
 		e.gateway.counters.callersGone.Inc(1)
@@ -96,7 +100,7 @@
 	e.gateway.cfg.Log.WithFields(logrus.Fields{
 		"request": e.info.ID, "server": e.serverAddress, "events": e.stream.events, "behind": e.stream.lastEventID, "deadline": requestEnded(ctx),
 	}).Info("stream broke")
-	e.inspectServer(ctx, attempt.Placement, stageStream)
+	e.recordBreak(ctx, attempt.Placement, stageStream, err)
 	return e.decideNext(request.AttemptOutcome{Sent: true, Deadline: requestEnded(ctx)})
 }
 
