Count a server's death also if it shows later

An address doesn't identify a server: its next start, or another server, may listen there. A silent server ran into the time limit and counted as nothing.

One died if another server is registered at its address, if it has restarted under its name, or if it is no longer registered and doesn't accept connections. It is cleared if it responds to a later attempt, reports draining or still accepts connections without being registered, and when the request gets a response elsewhere. A death carries the start time of the server, so that two deaths of one name are two.

--- a/gateway/candidates.go
+++ b/gateway/candidates.go
@@ -24,7 +24,10 @@
 		e.regionCondition(), eligible.NotEvacuated{Zones: coldLimit.Zones}, coldLimit)
 	var candidates, alreadyTried []placement.Candidate
 	for _, s := range servers {
-		c := placement.Candidate{Instance: s.Instance, Address: s.Address, Zone: s.Zone, Capacity: s.Capacity, Cold: coldLimit.IsCold(s)}
+		c := placement.Candidate{
+			Instance: s.Instance, StartedUnixMs: s.StartedUnixMs, Address: s.Address, Zone: s.Zone, Capacity: s.Capacity,
+			Cold: coldLimit.IsCold(s),
+		}
 		if e.triedInstances[s.Instance] {
 			alreadyTried = append(alreadyTried, c)
 			continue
--- a/gateway/deaths.go
+++ b/gateway/deaths.go
@@ -17,7 +17,8 @@
 
 // A request may crash every server that begins to run it, and its caller sends it again.
 // Such a crash shows as a connection that breaks before the end of the response, to a
-// server that then refuses connections.
+// server that then refuses connections, or that turns out to have been replaced or to be
+// gone a little later.
 const (
 	// deathThreshold is the number of server deaths at which a request is refused. Two
 	// can be a coincidence: an outage that ends several servers also ends requests that
@@ -56,6 +57,7 @@
 // because of the servers that died while running it.
 func (e *exchange) isQuarantined() bool {
 	e.fingerprint = e.computeFingerprint()
+	e.gateway.recordSuspects(e.fingerprint)
 	return e.gateway.cfg.Quarantine.Verdict(e.fingerprint, time.Now()) == quarantine.Refuse
 }
 
@@ -65,6 +67,7 @@
 // died of other causes.
 func (e *exchange) recordCompletion() {
 	if e.outcome == outcomeAnswered && e.status < http.StatusInternalServerError {
+		e.gateway.suspects.remove(func(s suspect) bool { return s.fingerprint == e.fingerprint })
 		e.gateway.cfg.Quarantine.RecordCompletion(e.fingerprint, time.Now())
 	}
 }
@@ -79,16 +82,30 @@
 )
 
 // recordBreak records the death of the server of an attempt that broke with err, if the
-// server is gone. The end of the request breaks the attempt by itself and shows nothing.
+// server is gone. If that isn't known yet, the server becomes a suspect, also if it was
+// silent until the request timed out. An attempt that its caller ended shows nothing.
 func (e *exchange) recordBreak(ctx context.Context, placed placement.Placement, stage brokenStage, err error) {
+	ended := time.Now()
+	if timedOut := errors.Is(ctx.Err(), context.DeadlineExceeded); timedOut {
+		e.suspect(placed, ended)
+		return
+	}
 	if ctx.Err() != nil {
 		return
 	}
-	ended := time.Now()
 	if e.inspectServer(ctx, placed, stage, err) != upstream.ProbeRefused {
+		e.suspect(placed, ended)
 		return
 	}
-	e.recordDeath(placed, quarantine.Death{ID: placement.ServerKey(placed.Server.Instance), Began: e.placedAt, Ended: ended})
+	e.gateway.recordDeath(suspect{
+		fingerprint: e.fingerprint, requestID: e.info.ID, server: placed.Server, death: deathOf(placed.Server, e.placedAt, ended),
+	})
+}
+
+// deathOf returns the death of a server under a run.
+func deathOf(server placement.Candidate, began, ended time.Time) quarantine.Death {
+	id := placement.ServerKey(server.Instance) ^ uint64(server.StartedUnixMs)
+	return quarantine.Death{ID: id, Began: began, Ended: ended}
 }
 
 // inspectServer checks what became of the server of an attempt that broke, and logs it with
@@ -115,14 +132,14 @@
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
-// recordDeath records and reports a server death under the request.
-func (e *exchange) recordDeath(placed placement.Placement, death quarantine.Death) {
-	record, isNew := e.gateway.cfg.Quarantine.RecordRunDeath(e.fingerprint, death, time.Now())
+// recordDeath records and reports that a server died under a request.
+func (g *Gateway) recordDeath(s suspect) {
+	record, isNew := g.cfg.Quarantine.RecordRunDeath(s.fingerprint, s.death, time.Now())
 	if !isNew {
 		return
 	}
-	e.gateway.counters.serverDeaths.Inc(1)
-	e.gateway.cfg.Log.WithField("request", e.info.ID).WithField("server", placed.Server.Address).
+	g.counters.serverDeaths.Inc(1)
+	g.cfg.Log.WithField("request", s.requestID).WithField("server", s.server.Address).
 		WithField("deaths", record.DeathCount).Warn("server died under a request")
-	e.gateway.cfg.DeathReporter.ReportDeath(record)
+	g.cfg.DeathReporter.ReportDeath(record)
 }
--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -218,6 +218,7 @@
 	}
 	n.startPuller(ctx, follow)
 	go n.sweepPeriodically(ctx)
+	go n.checkSuspectsPeriodically(ctx)
 	return n, nil
 }
 
@@ -257,3 +258,11 @@
 		n.ledger.PruneServers(func(server uint64) bool { return n.engines.contains(n.directory, server) })
 	}
 }
+
+// checkSuspectsPeriodically checks what became of the servers of broken attempts. It has a
+// goroutine of its own, because it waits for servers that don't reply.
+func (n *Node) checkSuspectsPeriodically(ctx context.Context) {
+	for sleep.For(ctx, sweepInterval) {
+		n.gateway.CheckSuspects(ctx)
+	}
+}
--- a/placement/query.go
+++ b/placement/query.go
@@ -7,11 +7,12 @@
 
 // Candidate is a server that may receive an attempt.
 type Candidate struct {
-	Instance string
-	Address  string
-	Zone     string
-	Capacity int
-	Cold     bool // cold, or not known to be warm
+	Instance      string
+	StartedUnixMs int64 // start time, Unix ms; distinguishes restarts under one name; 0: unknown
+	Address       string
+	Zone          string
+	Capacity      int
+	Cold          bool // cold, or not known to be warm
 }
 
 // Query is a request to be placed.
--- a/upstream/directory.go
+++ b/upstream/directory.go
@@ -89,6 +89,26 @@
 	return ok && s.StartedUnixMs > held.StartedUnixMs && held.StartedUnixMs != 0
 }
 
+// Lookup returns the registration of a server.
+func (d *Directory) Lookup(instance string) (Server, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s, ok := d.servers[instance]
+	return s, ok
+}
+
+// AddressTaken reports whether another server than instance is registered with an address.
+func (d *Directory) AddressTaken(address, instance string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.servers {
+		if s.Address == address && s.Instance != instance {
+			return true
+		}
+	}
+	return false
+}
+
 // Remove handles the end of a registration.
 func (d *Directory) Remove(instance string, now time.Time) {
 	d.mu.Lock()
