Check the quarantine again right before a request is sent

Callers: a request that was quarantined while it waited for a server, or between two of its attempts, was still sent, and one more server died.

Cause: the verdict was read once, when the request had been read. A prompt may wait for seconds until it is placed, and other copies of it run meanwhile. The verdict is now read next to the key's second check, right before each send. If an earlier attempt may have run, the answer is outcome_unknown: the refusal of a quarantined request promises that it did not run.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -27,6 +27,9 @@
 	if reason := e.reauthorize(); reason != "" {
 		return stepFail, reason
 	}
+	if e.isQuarantined() { // other runs of it may have killed servers while this one waited
+		return stepFail, e.quarantineReason()
+	}
 	e.triedInstances[attempt.Server.Instance] = true
 	e.serverAddress = attempt.Server.Address
 	e.placement = attempt.Placement
@@ -64,6 +67,15 @@
 	}).Info("attempt given up, not begun")
 }
 
+// quarantineReason returns the reason for a refusal before a send. The refusal of a
+// quarantined request promises that it did not run.
+func (e *exchange) quarantineReason() Reason {
+	if e.mayHaveRun {
+		return ReasonOutcomeUnknown
+	}
+	return ReasonKillsServers
+}
+
 func (e *exchange) noServerReason() Reason {
 	if e.mayHaveRun {
 		return ReasonOutcomeUnknown
--- a/gateway/deaths.go
+++ b/gateway/deaths.go
@@ -53,10 +53,9 @@
 	return h.Sum64()
 }
 
-// isQuarantined sets the request's fingerprint and reports whether the request is refused
-// because of the servers that died while running it.
+// isQuarantined reports whether the request is refused because of the servers that died
+// while running it.
 func (e *exchange) isQuarantined() bool {
-	e.fingerprint = e.computeFingerprint()
 	e.gateway.recordSuspects(e.fingerprint)
 	return e.gateway.cfg.Quarantine.Verdict(e.fingerprint, time.Now()) == quarantine.Refuse
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -63,6 +63,7 @@
 		return
 	}
 	defer e.gateway.bufferedBodyBytes.Add(-int64(len(e.body)))
+	e.fingerprint = e.computeFingerprint()
 	if e.isQuarantined() {
 		e.refuse(ReasonKillsServers)
 		return
