Identify a request that crashes engines by its workspace, not its key

Callers: after the key of a workspace was replaced, a request that had killed two servers killed three more, since its count started from zero.

Cause: the fingerprint hashed the API key. Operators replace the keys of a workspace while its callers go on (the record has two changes of the tenants within eight seconds). It hashes the workspace now, and the host too: two hosts may have routes with the same path. Requests without a workspace keep the key.

Evidence: TestDeathsAreCountedAcrossKeysOfWorkspace got 200 before, 503 now. Whether this played a part in the record isn't known.

--- a/gateway/deaths.go
+++ b/gateway/deaths.go
@@ -42,10 +42,10 @@
 }
 
 // computeFingerprint returns a hash that is the same for every attempt with the same
-// caller, path and body.
+// caller, host, path and body.
 func (e *exchange) computeFingerprint() uint64 {
 	h := xxhash.New()
-	for _, part := range [][]byte{[]byte(e.info.APIKey), []byte(requestTarget(e.incoming)), e.body} {
+	for _, part := range [][]byte{[]byte(e.callerName()), []byte(e.incoming.Host), []byte(requestTarget(e.incoming)), e.body} {
 		// Write never fails on a hash. The zero byte separates the parts.
 		_, _ = h.Write(part)
 		_, _ = h.Write([]byte{0})
@@ -53,6 +53,15 @@
 	return h.Sum64()
 }
 
+// callerName identifies the caller of a request: its workspace if it has one, because the
+// keys of a workspace are replaced, and otherwise its key.
+func (e *exchange) callerName() string {
+	if e.workspace != nil {
+		return e.workspace.Name
+	}
+	return e.info.APIKey
+}
+
 // isQuarantined reports whether the request is refused because of the servers that died
 // while running it.
 func (e *exchange) isQuarantined() bool {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -31,7 +31,7 @@
 	revision    uint64
 	configAge   time.Duration // age of the configuration when the request was admitted
 	body        []byte
-	fingerprint uint64       // of caller, path and body
+	fingerprint uint64       // of caller, host, path and body
 	deadline    time.Time    // by the caller's or the route's timeout
 	stream      *streamRelay // nil unless the route serves streams
 
