Repair lost reports of server deaths between entries

Callers: an entry that had missed a report sent a request to three more servers, although others already refused it.

Cause: a death went to each peer in one datagram and never again. Nothing repaired a lost one, an entry that started after it got none, and one that was cut off missed those of that time. Tests showed each: TestLostDeathReportIsRepeated and TestNewEntryReceivesDeaths ran into their time limit before; TestDeathsReachEntryThatWasCutOff does if the sending to returned peers is taken out (its first form was wrong: the listing undid the cut that it made).

Now each heartbeat repeats the reports of the last two seconds, from the entry that made them; a new peer, and one of which no message came lately, is sent all deaths that are known (240 at most). A death counts once however often it is reported, so repeats change nothing.

--- /dev/null
+++ b/peering/deaths.go
@@ -0,0 +1,109 @@
+package peering
+
+import (
+	"slices"
+	"time"
+
+	"github.com/briarturn/briarturn/quarantine"
+	"github.com/briarturn/briarturn/wire"
+	"github.com/briarturn/briarturn/wire/wirepb"
+)
+
+// A request that kills servers is refused by every entry only if every entry knows of the
+// deaths. Reports are datagrams and can be lost, an entry may start after them, and one
+// that was cut off has missed them.
+const (
+	// deathRepeatPeriod is how long each heartbeat repeats a report: four times.
+	deathRepeatPeriod = 2 * time.Second
+	// maxDeathsPerMessage is the maximum number of deaths in a datagram of 1,200 bytes.
+	maxDeathsPerMessage = 24
+	// maxSyncedDeaths is the maximum number of deaths that are sent to one peer that starts
+	// or returns, the most recently used last.
+	maxSyncedDeaths = 240
+)
+
+// reportedDeath is a death that this entry has reported.
+type reportedDeath struct {
+	record quarantine.Record
+	at     time.Time
+}
+
+// agedTo returns the record with its times relative to now.
+func (d reportedDeath) agedTo(now time.Time) quarantine.Record {
+	r := d.record
+	passed := now.Sub(d.at)
+	r.Age += passed
+	r.TTL = max(r.TTL-passed, time.Millisecond) // 0 would mean unknown
+	return r
+}
+
+// recentDeaths returns the deaths that were reported within deathRepeatPeriod.
+func (o *outbox) recentDeaths(now time.Time) []quarantine.Record {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.reported = slices.DeleteFunc(o.reported, func(d reportedDeath) bool { return now.Sub(d.at) > deathRepeatPeriod })
+	out := make([]quarantine.Record, len(o.reported))
+	for i, d := range o.reported {
+		out[i] = d.agedTo(now)
+	}
+	return out
+}
+
+// deathMessages packs deaths into messages that each fit a datagram.
+func deathMessages(owner uint64, deaths []quarantine.Record) []*wirepb.WorkNews {
+	var out []*wirepb.WorkNews
+	for part := range slices.Chunk(deaths, maxDeathsPerMessage) {
+		m := &wirepb.WorkNews{Owner: owner}
+		for _, r := range part {
+			m.Evidence = append(m.Evidence, wire.EvidenceToProto(r))
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+// repeatDeaths sends the reports of the last deathRepeatPeriod again.
+func (x *Exchange) repeatDeaths(now time.Time) {
+	for _, m := range deathMessages(x.cfg.Incarnation, x.outbox.recentDeaths(now)) {
+		x.broadcast(m)
+	}
+}
+
+// knownDeaths returns all deaths that this entry knows of, as messages for one peer.
+func (x *Exchange) knownDeaths(now time.Time) []*wirepb.WorkNews {
+	deaths := x.cfg.Quarantine.Records(now)
+	deaths = deaths[max(len(deaths)-maxSyncedDeaths, 0):]
+	return deathMessages(x.cfg.Incarnation, deaths)
+}
+
+// noteContactLocked notes a message of a peer. A peer of which none came lately may have
+// been cut off, and is sent all deaths by helloLoop.
+func (x *Exchange) noteContactLocked(owner uint64, now time.Time) {
+	if _, seen := x.lastSeen[owner]; !seen {
+		x.returned = append(x.returned, owner)
+		x.wakeHelloLoop()
+	}
+	x.lastSeen[owner] = now
+}
+
+// syncReturnedPeers sends all deaths to the peers that returned since the last call.
+func (x *Exchange) syncReturnedPeers(now time.Time) {
+	x.mu.Lock()
+	var returned []Peer
+	for _, p := range x.peers {
+		if slices.Contains(x.returned, p.Incarnation) {
+			returned = append(returned, p)
+		}
+	}
+	x.returned = nil
+	x.mu.Unlock()
+	if len(returned) == 0 {
+		return
+	}
+	messages := x.knownDeaths(now)
+	for _, p := range returned {
+		for _, m := range messages {
+			x.sendTo(p.DatagramAddress, m)
+		}
+	}
+}
--- a/peering/deaths_test.go
+++ b/peering/deaths_test.go
@@ -44,6 +44,7 @@
 	store := memory.NewMemory(memory.Config{})
 	a, b := startEntry(t, store, "a", 1), startEntry(t, store, "b", 2)
 	waitFor(t, "a found b", func() bool { return <-a.entryCounts == 2 })
+	waitFor(t, "b is listed", func() bool { return a.lists(1) })
 	reachable := a.divertPeers()
 	a.die()
 	waitFor(t, "a has sent its reports", func() bool { return !a.exchange.outbox.urgent() })
@@ -58,6 +59,8 @@
 	store := memory.NewMemory(memory.Config{})
 	a, b := startEntry(t, store, "a", 1), startEntry(t, store, "b", 2)
 	waitFor(t, "a found b", func() bool { return <-a.entryCounts == 2 })
+	waitFor(t, "b found a", func() bool { return <-b.entryCounts == 2 })
+	waitFor(t, "both are listed", func() bool { return a.lists(1) && b.lists(1) })
 	waitFor(t, "a receives a heartbeat of b", func() bool { return a.sees(2) })
 	reachableA, reachableB := a.divertPeers(), b.divertPeers()
 	a.die()
@@ -75,20 +78,34 @@
 	return ok
 }
 
+// lists reports whether the object API has listed n peers to the entry.
+func (e *entry) lists(n int) bool {
+	e.exchange.mu.Lock()
+	defer e.exchange.mu.Unlock()
+	return len(e.exchange.listedPeers) == n
+}
+
 // divertPeers makes the entry send its datagrams to an address that nobody reads, until the
-// returned function is called.
+// returned function is called. The entry must have found its peers.
 func (e *entry) divertPeers() (restore func()) {
 	x := e.exchange
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	before := x.peers
-	x.peers = slices.Clone(before)
-	for i := range x.peers {
-		x.peers[i].DatagramAddress = netip.MustParseAddrPort("127.0.0.1:9") // the discard port
-	}
+	listed, peers := x.listedPeers, x.peers
+	x.listedPeers, x.peers = diverted(listed), diverted(peers)
+	clear(x.hellos)
 	return func() {
 		x.mu.Lock()
 		defer x.mu.Unlock()
-		x.peers = before
+		x.listedPeers, x.peers = listed, peers
+	}
+}
+
+// diverted returns peers with the address of the discard port.
+func diverted(peers []Peer) []Peer {
+	out := slices.Clone(peers)
+	for i := range out {
+		out[i].DatagramAddress = netip.MustParseAddrPort("127.0.0.1:9")
 	}
+	return out
 }
--- a/peering/exchange.go
+++ b/peering/exchange.go
@@ -74,7 +74,7 @@
 
 	ownPresence   presence // set before the goroutines that use it start
 	started       time.Time
-	helloReceived chan struct{} // holds one token while a received hello is not yet processed
+	helloReceived chan struct{} // holds one token while a received hello or a returned peer is not yet processed
 
 	mu          sync.Mutex // guards what follows
 	listedPeers []Peer     // as listed by the object API
@@ -82,6 +82,7 @@
 	peers       []Peer               // listedPeers merged with hellos, ordered by compareRank
 	lastSeen    map[uint64]time.Time // time of the last message, by incarnation
 	idlePeers   map[uint64]bool      // incarnations without attempts at their last heartbeat
+	returned    []uint64             // incarnations of peers that were silent until lately
 
 	relayQueue    chan *wirepb.WorkNews // messages to forward within the own zone
 	relaysDropped metrics.Counter       // messages dropped because relayQueue was full
@@ -191,6 +192,7 @@
 	var throttle idleThrottle
 	for sleep.For(ctx, heartbeatInterval) {
 		x.expirePeers(time.Now())
+		x.repeatDeaths(time.Now())
 		// UpTo is read before the list: an attempt that starts in between may or may not
 		// be listed.
 		m := &wirepb.WorkNews{Owner: x.cfg.Incarnation, Beat: true, UpTo: x.outbox.lastSeq()}
@@ -282,7 +284,7 @@
 	now := time.Now()
 	owner := m.GetOwner()
 	x.mu.Lock()
-	x.lastSeen[owner] = now
+	x.noteContactLocked(owner, now)
 	switch {
 	case len(m.GetBegan()) > 0 || len(m.GetActive()) > 0:
 		delete(x.idlePeers, owner)
--- a/peering/hello.go
+++ b/peering/hello.go
@@ -53,14 +53,19 @@
 	x.mu.Lock()
 	x.hellos[peer.Name] = receivedHello{peer: peer, receivedAt: now}
 	x.mu.Unlock()
+	x.wakeHelloLoop()
+}
+
+func (x *Exchange) wakeHelloLoop() {
 	select {
 	case x.helloReceived <- struct{}{}:
 	default: // a wake-up is already pending
 	}
 }
 
-// helloLoop updates the peers after each received hello, until ctx ends. It runs outside
-// the event loop of the datagram socket, which must not block on sends.
+// helloLoop updates the peers after each received hello and sends returned peers what they
+// missed, until ctx ends. It runs outside the event loop of the datagram socket, which must
+// not block on sends.
 func (x *Exchange) helloLoop(ctx context.Context) {
 	for {
 		select {
@@ -68,6 +73,7 @@
 			return
 		case <-x.helloReceived:
 			x.updatePeers(time.Now())
+			x.syncReturnedPeers(time.Now())
 		}
 	}
 }
@@ -95,12 +101,13 @@
 	return out
 }
 
-// syncNewPeers sends all active attempts to new peers.
+// syncNewPeers sends all active attempts and all known deaths to new peers.
 func (x *Exchange) syncNewPeers(peers []Peer, now time.Time) {
 	if len(peers) == 0 {
 		return
 	}
 	messages := packMessages(x.cfg.Incarnation, x.cfg.Ledger.AttemptsOf(x.cfg.Incarnation), nil, nil, now)
+	messages = append(messages, x.knownDeaths(now)...)
 	if hello := x.hello(now); hello != nil {
 		messages = append(messages, &wirepb.WorkNews{Owner: x.cfg.Incarnation, Hello: hello})
 	}
--- a/peering/outbox.go
+++ b/peering/outbox.go
@@ -6,7 +6,6 @@
 
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/quarantine"
-	"github.com/briarturn/briarturn/wire"
 	"github.com/briarturn/briarturn/wire/wirepb"
 )
 
@@ -29,6 +28,7 @@
 	began       []placement.Attempt
 	newestSeq   uint64 // highest sequence number of all attempts that began
 	deaths      []quarantine.Record
+	reported    []reportedDeath // sent lately, oldest first
 	firstTokens []uint64
 	ended       []uint64
 }
@@ -96,12 +96,11 @@
 	o.mu.Lock()
 	began, first, ended, died := o.began, o.firstTokens, o.ended, o.deaths
 	o.began, o.firstTokens, o.ended, o.deaths = nil, nil, nil, nil
-	o.mu.Unlock()
-	out := packMessages(o.owner, began, first, ended, now)
 	for _, r := range died {
-		out = append(out, &wirepb.WorkNews{Owner: o.owner, Evidence: []*wirepb.Evidence{wire.EvidenceToProto(r)}})
+		o.reported = append(o.reported, reportedDeath{record: r, at: now})
 	}
-	return out
+	o.mu.Unlock()
+	return append(packMessages(o.owner, began, first, ended, now), deathMessages(o.owner, died)...)
 }
 
 const (
