Clear a completed request of its deaths at all entries

Callers: a call that runs well could be refused for an hour at an entry that it seldom meets.

Cause: each death is reported to all entries, but a completed run cleared the request only at the entry that saw it. The others added up the deaths of three outages, between which the call had been answered elsewhere. An entry that clears a suspect now reports its fingerprint, and stops repeating its deaths. A quarantine is not lifted, as before: a request that kills servers gets no response.

Evidence: TestCompletionClearsDeathsAtOtherEntries, TestOnlyCompletionsOfSuspectsAreReported: only the completion of a suspect is sent, so a fleet without deaths sends nothing more than before.

--- a/gateway/deaths.go
+++ b/gateway/deaths.go
@@ -35,10 +35,11 @@
 	return o
 }
 
-// DeathReporter reports to other entries that a request was running when a server died.
-// ReportDeath must not block.
+// DeathReporter reports to other entries that a request was running when a server died, and
+// that a request for which deaths were recorded ran to its end. Its methods must not block.
 type DeathReporter interface {
 	ReportDeath(r quarantine.Record)
+	ReportCompletion(fingerprint uint64)
 }
 
 // computeFingerprint returns a hash that is the same for every attempt with the same
@@ -74,9 +75,12 @@
 // callers make, with the same path and no body, would be refused after three servers had
 // died of other causes.
 func (e *exchange) recordCompletion() {
-	if e.outcome == outcomeAnswered && e.status < http.StatusInternalServerError {
-		e.gateway.suspects.remove(func(s suspect) bool { return s.fingerprint == e.fingerprint })
-		e.gateway.cfg.Quarantine.RecordCompletion(e.fingerprint, time.Now())
+	if e.outcome != outcomeAnswered || e.status >= http.StatusInternalServerError {
+		return
+	}
+	e.gateway.suspects.remove(func(s suspect) bool { return s.fingerprint == e.fingerprint })
+	if e.gateway.cfg.Quarantine.Clear(e.fingerprint, time.Now()) {
+		e.gateway.cfg.DeathReporter.ReportCompletion(e.fingerprint)
 	}
 }
 
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -85,10 +85,17 @@
 	arrivalLog []string // "server id" of each request that arrived at a server, in order
 }
 
-type deathRecorder struct{ records []quarantine.Record }
+type deathRecorder struct {
+	records   []quarantine.Record
+	completed []uint64
+}
 
 func (d *deathRecorder) ReportDeath(r quarantine.Record) { d.records = append(d.records, r) }
 
+func (d *deathRecorder) ReportCompletion(fingerprint uint64) {
+	d.completed = append(d.completed, fingerprint)
+}
+
 // firstPlacer places on the candidate whose instance name is first in order, so that
 // tests know the server.
 type firstPlacer struct{ planner *placement.Planner }
--- a/gateway/suspects_test.go
+++ b/gateway/suspects_test.go
@@ -109,6 +109,24 @@
 	}
 }
 
+// Guards against a message to all entries for each request that completes.
+func TestOnlyCompletionsOfSuspectsAreReported(t *testing.T) {
+	gw := newTestGateway(t, respondWith("ok")).withSampleConfig()
+	_, _, _ = gw.send(http.MethodPost, "/once/", "state")
+	if len(gw.deaths.completed) != 0 {
+		t.Error("a request without deaths is reported")
+	}
+	gw.directory.Remove("s1", time.Now())
+	gw.put("killed", startMortalServer(t, "", atOnce()).listener.Addr().String())
+	_, _, _ = gw.send(http.MethodPost, "/once/", "state")
+	gw.directory.Remove("killed", time.Now())
+	gw.put("well", startRespondingServer(t))
+	_, _, _ = gw.send(http.MethodPost, "/once/", "state")
+	if len(gw.deaths.completed) != 1 {
+		t.Errorf("%d completions are reported, want 1", len(gw.deaths.completed))
+	}
+}
+
 // Guards against suspects that take memory without bound while a service fails.
 func TestSuspectsAreBounded(t *testing.T) {
 	var l suspectList
--- a/peering/deaths.go
+++ b/peering/deaths.go
@@ -17,6 +17,8 @@
 	deathRepeatPeriod = 2 * time.Second
 	// maxDeathsPerMessage is the maximum number of deaths in a datagram of 1,200 bytes.
 	maxDeathsPerMessage = 24
+	// maxCompletedPerMessage is the same for completed fingerprints.
+	maxCompletedPerMessage = 100
 	// maxSyncedDeaths is the maximum number of deaths that are sent to one peer that starts
 	// or returns, the most recently used last.
 	maxSyncedDeaths = 240
@@ -49,6 +51,31 @@
 	return out
 }
 
+// forgetDeaths stops the repetition of reports about a fingerprint.
+func (o *outbox) forgetDeaths(fingerprint uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.reported = slices.DeleteFunc(o.reported, func(d reportedDeath) bool { return d.record.Fingerprint == fingerprint })
+}
+
+// completionMessages packs completed fingerprints into messages that each fit a datagram.
+func completionMessages(owner uint64, completed []uint64) []*wirepb.WorkNews {
+	var out []*wirepb.WorkNews
+	for part := range slices.Chunk(completed, maxCompletedPerMessage) {
+		out = append(out, &wirepb.WorkNews{Owner: owner, Completed: part})
+	}
+	return out
+}
+
+// handleCompletions clears the fingerprints that ran to their end at a peer.
+func (x *Exchange) handleCompletions(completed []uint64, now time.Time) {
+	for _, fingerprint := range completed {
+		if x.cfg.Quarantine.Clear(fingerprint, now) {
+			x.outbox.forgetDeaths(fingerprint)
+		}
+	}
+}
+
 // deathMessages packs deaths into messages that each fit a datagram.
 func deathMessages(owner uint64, deaths []quarantine.Record) []*wirepb.WorkNews {
 	var out []*wirepb.WorkNews
--- a/peering/deaths_test.go
+++ b/peering/deaths_test.go
@@ -70,6 +70,25 @@
 	waitFor(t, "b refuses the request", b.refuses)
 }
 
+// Guards against refusing a call at one entry for deaths between which it ran to its end at
+// others.
+func TestCompletionClearsDeathsAtOtherEntries(t *testing.T) {
+	store := memory.NewMemory(memory.Config{})
+	a, b := startEntry(t, store, "a", 1), startEntry(t, store, "b", 2)
+	waitFor(t, "a found b", func() bool { return <-a.entryCounts == 2 })
+	suspected := func(e *entry) bool { return e.quarantine.Verdict(poison, time.Now()) == quarantine.RunAlone }
+	r, _ := a.quarantine.RecordDeath(poison, firstEnd, time.Now())
+	a.exchange.DeathReporter().ReportDeath(r)
+	waitFor(t, "b receives the death", func() bool { return suspected(b) })
+	b.quarantine.Clear(poison, time.Now())
+	b.exchange.DeathReporter().ReportCompletion(poison)
+	waitFor(t, "a clears the request", func() bool { return !suspected(a) })
+	time.Sleep(2 * heartbeatInterval) // a would repeat its report
+	if suspected(a) || suspected(b) {
+		t.Error("a repeated report made the request a suspect again")
+	}
+}
+
 // sees reports whether an entry's last message is recent.
 func (e *entry) sees(incarnation uint64) bool {
 	e.exchange.mu.Lock()
--- a/peering/exchange.go
+++ b/peering/exchange.go
@@ -308,6 +308,7 @@
 		x.cfg.Ledger.End(placement.AttemptID{Owner: owner, Seq: seq})
 	}
 	wire.MergeEvidence(x.cfg.Quarantine, m.GetEvidence(), now)
+	x.handleCompletions(m.GetCompleted(), now)
 	if m.GetBeat() {
 		x.cfg.Ledger.Reconcile(owner, m.GetActive(), m.GetUpTo(), now.Add(-reorderTolerance))
 	}
--- a/peering/outbox.go
+++ b/peering/outbox.go
@@ -1,6 +1,7 @@
 package peering
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +30,7 @@
 	newestSeq   uint64 // highest sequence number of all attempts that began
 	deaths      []quarantine.Record
 	reported    []reportedDeath // sent lately, oldest first
+	completed   []uint64        // fingerprints that are suspects no longer
 	firstTokens []uint64
 	ended       []uint64
 }
@@ -77,6 +79,15 @@
 	o.signal()
 }
 
+// ReportCompletion implements gateway.DeathReporter.
+func (o *outbox) ReportCompletion(fingerprint uint64) {
+	o.forgetDeaths(fingerprint)
+	o.mu.Lock()
+	o.completed = append(o.completed, fingerprint)
+	o.mu.Unlock()
+	o.signal()
+}
+
 func (o *outbox) signal() {
 	select {
 	case o.wake <- struct{}{}:
@@ -94,13 +105,13 @@
 // drain empties the outbox and returns its updates as messages that each fit a datagram.
 func (o *outbox) drain(now time.Time) []*wirepb.WorkNews {
 	o.mu.Lock()
-	began, first, ended, died := o.began, o.firstTokens, o.ended, o.deaths
-	o.began, o.firstTokens, o.ended, o.deaths = nil, nil, nil, nil
+	began, first, ended, died, completed := o.began, o.firstTokens, o.ended, o.deaths, o.completed
+	o.began, o.firstTokens, o.ended, o.deaths, o.completed = nil, nil, nil, nil, nil
 	for _, r := range died {
 		o.reported = append(o.reported, reportedDeath{record: r, at: now})
 	}
 	o.mu.Unlock()
-	return append(packMessages(o.owner, began, first, ended, now), deathMessages(o.owner, died)...)
+	return slices.Concat(packMessages(o.owner, began, first, ended, now), deathMessages(o.owner, died), completionMessages(o.owner, completed))
 }
 
 const (
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -9,8 +9,8 @@
 // after the engine died, while the runs that an outage ends overlap.
 //
 // Invariants: the table is bounded and its records expire; a death counts once, however
-// often and from whichever process it is reported; when a fingerprint runs to its end, its
-// own entry clears it, and other processes keep their verdict until it expires.
+// often and from whichever process it is reported; when a fingerprint runs to its end, the
+// process that saw it clears a suspect, and reports that to the others if it shares records.
 package quarantine
 
 import (
@@ -169,13 +169,20 @@
 // or where the caller knows of every run of it. It clears a suspect that only ran beside the
 // request that crashed the engine. It doesn't lift a quarantine.
 func (t *Tracker) RecordCompletion(fingerprint uint64, now time.Time) {
+	t.Clear(fingerprint, now)
+}
+
+// Clear is RecordCompletion and reports whether the fingerprint was a suspect, so that other
+// processes should clear it too.
+func (t *Tracker) Clear(fingerprint uint64, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.unexpired(fingerprint, now)
 	if e == nil || e.count >= t.options.DeathThreshold {
-		return
+		return false
 	}
 	t.histories.Remove(fingerprint)
+	return true
 }
 
 // Verdict returns how a fingerprint may run now.
--- a/wire/check.go
+++ b/wire/check.go
@@ -17,6 +17,7 @@
 	maxAdapters          = 32      // adapters of one server
 	maxDigestRows        = 32      // rows of one digest
 	maxEvidence          = 40      // evidence records of one datagram
+	maxCompleted         = 120     // completed fingerprints of one datagram
 	maxEntries           = 512     // entries of a region
 	maxRequests          = 1 << 20 // running or waiting on one server
 	maxTokens            = 1 << 40 // any count or rate of tokens
@@ -72,7 +73,13 @@
 }
 
 func checkWorkNews(w *wirepb.WorkNews) error {
-	if err := firstError(require(w.GetOwner() != 0, "work.owner"), checkEvidence(w.GetEvidence()), checkWorkHello(w)); err != nil {
+	err := firstError(
+		require(w.GetOwner() != 0, "work.owner"),
+		checkEvidence(w.GetEvidence()),
+		require(len(w.GetCompleted()) <= maxCompleted, "work.completed"),
+		checkWorkHello(w),
+	)
+	if err != nil {
 		return err
 	}
 	for _, b := range w.GetBegan() {
