--- a/internal/gatewaynode/peers_test.go
+++ b/internal/gatewaynode/peers_test.go
@@ -52,12 +52,18 @@
 type peerNetwork struct {
 	services  map[string]*replica.Service
 	startedAt time.Time
+	config    bool            // the entries follow the kind as they follow the configuration
+	frozen    map[string]bool // entries that don't respond
 }
 
 // clock returns the time since the start of the test.
 func (z *peerNetwork) clock() boottime.Instant { return boottime.Instant(time.Since(z.startedAt)) }
 
 func (z *peerNetwork) PullStates(ctx context.Context, address string, in *wirepb.StatesRequest) (*wirepb.States, error) {
+	if z.frozen[address] {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	s := z.services[address]
 	if s == nil {
 		return nil, errors.New("no entry at this address")
@@ -76,11 +82,14 @@
 	h := &recordingSink{at: map[string]time.Time{}}
 	r := replica.New(h, z.clock)
 	z.services[name] = replica.NewService(r, z.clock)
-	kinds := []replica.PulledKind{{Kind: testKind, MaxAge: serversPullAge}}
-	f := newFollower(r, kinds, readers, z.clock)
+	wait, pullAge := serversWait, serversPullAge
+	if z.config {
+		wait, pullAge = configWait, configPullAge
+	}
+	f := newFollower(r, []replica.PulledKind{{Kind: testKind, MaxAge: pullAge}}, readers, z.clock)
 	f.firstStart = firstStart
-	config := watcherConfig(testKind, serversWait)
-	config.EmptyWaitIsCurrent = true
+	config := watcherConfig(testKind, wait)
+	config.EmptyWaitIsCurrent = !z.config
 	config.Store, config.Sink, config.Clock = store, r, z.clock
 	config.Suspended, config.OnCallFailed, config.CurrentRevision = f.skipsStore, f.callFailed, r.Revision
 	go objectapi.NewWatcher(config).Run(ctx)
--- /dev/null
+++ b/internal/gatewaynode/readers_test.go
@@ -0,0 +1,123 @@
+package gatewaynode
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	standin "github.com/briarturn/briarturn/internal/standin/objectapi"
+	"github.com/briarturn/briarturn/objectapi"
+	"github.com/briarturn/briarturn/peering"
+	"github.com/briarturn/briarturn/replica"
+)
+
+// cutStore is a store whose watches get no reply while cut is set.
+type cutStore struct {
+	objectapi.Store
+	cut bool
+}
+
+func (s *cutStore) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (objectapi.Listing, error) {
+	if !s.cut {
+		l, err := s.Store.Watch(ctx, kind, after, wait)
+		if !s.cut {
+			return l, err
+		}
+	}
+	const callTimeout = time.Second
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait + callTimeout):
+	}
+	return objectapi.Listing{}, context.DeadlineExceeded
+}
+
+// Changes of the configuration in quick succession.
+const (
+	changesBefore  = 6
+	changeInterval = 330 * time.Millisecond
+)
+
+// loseReaders says how an entry loses its readers.
+type loseReaders struct {
+	name string
+	lose func(z *peerNetwork, readers map[string]*cutStore, throttled map[string]*throttledStore)
+}
+
+// Guards against a configuration that is not in force two seconds after it was acknowledged,
+// at an entry that the store serves: all its readers were cut off, frozen or turned away by
+// the store just before.
+func TestConfigurationReachesEntryWithoutReaders(t *testing.T) {
+	const bound = 2 * time.Second
+	const step = 130 * time.Millisecond // not aligned with any period in the code
+	names := []string{"reader 0", "reader 1", "reader 2"}
+	for _, c := range []loseReaders{
+		{"cut off", func(_ *peerNetwork, stores map[string]*cutStore, _ map[string]*throttledStore) {
+			for _, s := range stores {
+				s.cut = true
+			}
+		}},
+		{"frozen", func(z *peerNetwork, _ map[string]*cutStore, _ map[string]*throttledStore) {
+			for _, name := range names {
+				z.frozen[name] = true
+			}
+		}},
+		{"turned away", func(_ *peerNetwork, _ map[string]*cutStore, stores map[string]*throttledStore) {
+			for _, s := range stores {
+				s.throttled = true
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			worst := time.Duration(0)
+			for begins := time.Duration(0); begins < 2*time.Second; begins += step {
+				synctest.Test(t, func(t *testing.T) {
+					worst = max(worst, lateness(t, names, c, begins))
+				})
+			}
+			if worst > bound {
+				t.Errorf("a change was received %v after it was acknowledged, want %v at most", worst, bound)
+			}
+		})
+	}
+}
+
+// lateness returns how long after its acknowledgement a change is received by an entry that
+// has lost its readers.
+func lateness(t *testing.T, names []string, c loseReaders, begins time.Duration) time.Duration {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer func() { cancel(); synctest.Wait() }()
+	store := standin.NewMemory(standin.Config{})
+	z := &peerNetwork{services: map[string]*replica.Service{}, startedAt: time.Now(), config: true, frozen: map[string]bool{}}
+	cuts, throttled := map[string]*cutStore{}, map[string]*throttledStore{}
+	for _, name := range names {
+		throttled[name] = &throttledStore{Store: store}
+		cuts[name] = &cutStore{Store: throttled[name]}
+		z.join(ctx, name, cuts[name], peering.Readers{Self: true, OtherZones: names})
+	}
+	entry := z.join(ctx, "entry", store, peering.Readers{SameZone: names[:1], OtherZones: names[1:]})
+	create := func(name string) {
+		if _, err := store.Create(ctx, testKind, name, json.RawMessage("{}")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(20*time.Second + begins)
+	for i := range changesBefore { // each makes the waiting watches return
+		create(fmt.Sprint("before ", i))
+		time.Sleep(changeInterval)
+	}
+	synctest.Wait()
+	c.lose(z, cuts, throttled)
+	acknowledged := time.Now()
+	create("change")
+	time.Sleep(20 * time.Second)
+	synctest.Wait()
+	at := entry.at["change"]
+	if at.IsZero() {
+		t.Fatal("the change was never received")
+	}
+	return at.Sub(acknowledged)
+}
