Stop relying on lost readers before a change must be in force

Cause: an entry that isn't a reader relies on the readers of its region until their state is 2.9 s old, whatever the deployment allows. The age counts from the last confirmation. In a storm of changes a watch returns at once and each return confirms, so if the readers are cut off or frozen then, the state is fresh at that moment, and the next change waits for the full 2.9 s. Without the storm a confirmation is one to two seconds old already, which is why single disruptions passed. The list of servers had the same limit (a drain), and the age limit of evacuated zones wasn't tied to its bound either.

Now the limit follows from the time within which a change must be in force (new settings config_within and drain_within, from the platform's bounds), less 0.4 s to read the store, and the waits of the watches follow from the limit. Bounds of 3.3 s and more keep their waits.

Evidence: TestConfigurationReachesEntryWithoutReaders, 2.33 s before for the configuration and for the servers, 2 s allowed.

--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -226,6 +226,8 @@
 		Region:         s.Region,
 		Regions:        g.Regions,
 		FirstStart:     g.FirstStart,
+		ConfigWithin:   time.Duration(g.ConfigWithin),
+		DrainWithin:    time.Duration(g.DrainWithin),
 		EvacuateWithin: time.Duration(g.EvacuateWithin),
 		LinkMbps:       int(g.LinkMbps),
 		Grace:          time.Duration(g.Grace),
--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -29,15 +29,12 @@
 )
 
 const (
-	// configWait is the longest time that a watch of the configuration waits for a change.
+	// maxConfigWait is the longest time that a watch of the configuration waits for a change.
 	// Each return confirms that the configuration is current, so that this bounds the age
 	// of the confirmation.
-	configWait = time.Second
-	// serversWait is the same for the list of backend servers. A watch without changes
-	// confirms the state at its end, so that without faults the list is at most one wait
-	// old, and entries that read it through peers accept it for little longer. A server must
-	// receive no new requests from three seconds after the store announces that it leaves.
-	serversWait = 2 * time.Second
+	maxConfigWait = time.Second
+	// maxServersWait is the same for the list of backend servers.
+	maxServersWait = 2 * time.Second
 	// watchInterval is the minimum time between the starts of two watches of a kind, which
 	// matters in a burst of changes. Together with the time that peers take to pull from
 	// each other, it lets a change reach every entry in half of the two seconds within
@@ -57,11 +54,12 @@
 
 // IdleReadsPerSecond returns the number of store reads per second by all entries of a fleet
 // while nothing changes: each reader of each availability zone repeats each of its watches
-// once per wait.
+// once per wait. The waits are the longest ones; where changes must be in force within less
+// than about three seconds they are shorter (configPace, serversPace).
 func IdleReadsPerSecond(entries, zones int) float64 {
 	readers := min(entries, max(zones*peering.ReadersPerZone, peering.MinReaders))
 	perReader := 0.0
-	for _, wait := range []time.Duration{configWait, serversWait, peering.PresenceWatchWait} {
+	for _, wait := range []time.Duration{maxConfigWait, maxServersWait, peering.PresenceWatchWait} {
 		perReader += float64(time.Second) / float64(wait)
 	}
 	return float64(readers) * perReader
@@ -92,6 +90,12 @@
 	// FirstStart is set if the whole fleet starts and there are no callers yet. Entries then
 	// first wait until they have discovered each other, and a few read the store for all.
 	FirstStart bool
+	// ConfigWithin is the time after its acknowledgement by which a change of the
+	// configuration must be in force; 0: any time.
+	ConfigWithin time.Duration
+	// DrainWithin is the time after a server announced that it leaves by which it must
+	// receive no new requests; 0: any time.
+	DrainWithin time.Duration
 	// EvacuateWithin is the time after an operator evacuates a zone by which no new requests
 	// may go there. 0 disables evacuation of zones.
 	EvacuateWithin time.Duration
@@ -210,11 +214,11 @@
 		return nil, err
 	}
 	follow := n.follower()
-	n.watch(ctx, cfg.Decoder.ConfigKind, configWait, follow)
-	n.watch(ctx, cfg.Decoder.ServersKind, serversWait, follow)
+	n.watch(ctx, cfg.Decoder.ConfigKind, configPace(cfg.ConfigWithin).wait, follow)
+	n.watch(ctx, cfg.Decoder.ServersKind, serversPace(cfg.DrainWithin).wait, follow)
 	n.watch(ctx, peering.KindGateway, peering.PresenceWatchWait, follow)
 	if n.evacuationEnabled() {
-		n.watch(ctx, cfg.Decoder.EvacuationsKind, n.evacuationsWait(), follow)
+		n.watch(ctx, cfg.Decoder.EvacuationsKind, evacuationsPace(cfg.EvacuateWithin).wait, follow)
 	}
 	n.startPuller(ctx, follow)
 	go n.sweepPeriodically(ctx)
--- a/internal/gatewaynode/peers.go
+++ b/internal/gatewaynode/peers.go
@@ -18,16 +18,13 @@
 )
 
 const (
-	// The ages above which a kind counts as outdated and peers are asked. A confirmation of
-	// the configuration is dated before its watch began to wait, and the next one arrives a
-	// wait later: without faults its age reaches two waits plus the duration of two calls,
-	// and that of the servers one wait. The slack covers the pull, and a reader that has to
-	// list again because the store has dropped its history; without the slack every entry
-	// would list.
-	configPullAge   = 2*configWait + pullAgeSlack
-	serversPullAge  = serversWait + pullAgeSlack
-	presencePullAge = 3 * peering.PresenceWatchWait // nothing depends on current presence data
-	pullAgeSlack    = 900 * time.Millisecond
+	// The greatest ages above which a kind counts as outdated and peers are asked. The slack
+	// covers the pull, and a reader that has to list again because the store has dropped its
+	// history; without the slack every entry would list.
+	maxConfigPullAge  = 2*maxConfigWait + pullAgeSlack
+	maxServersPullAge = maxServersWait + pullAgeSlack
+	presencePullAge   = 3 * peering.PresenceWatchWait // nothing depends on current presence data
+	pullAgeSlack      = 900 * time.Millisecond
 	// maxRetryPause is the longest pause after a failed call before an entry that isn't a
 	// reader calls the object API again; the pause is random, at least half of this. In an
 	// outage the state from the readers becomes outdated at every entry, and all would call,
@@ -64,12 +61,12 @@
 // follower returns the follower of the node. It can ask peers once the exchange runs.
 func (n *Node) follower() *follower {
 	kinds := []replica.PulledKind{
-		{Kind: n.cfg.Decoder.ConfigKind, MaxAge: configPullAge},
-		{Kind: n.cfg.Decoder.ServersKind, MaxAge: serversPullAge},
+		{Kind: n.cfg.Decoder.ConfigKind, MaxAge: configPace(n.cfg.ConfigWithin).maxAge},
+		{Kind: n.cfg.Decoder.ServersKind, MaxAge: serversPace(n.cfg.DrainWithin).maxAge},
 		{Kind: peering.KindGateway, MaxAge: presencePullAge},
 	}
 	if n.evacuationEnabled() {
-		kinds = append(kinds, replica.PulledKind{Kind: n.cfg.Decoder.EvacuationsKind, MaxAge: n.evacuationsWait() + pullAgeSlack})
+		kinds = append(kinds, replica.PulledKind{Kind: n.cfg.Decoder.EvacuationsKind, MaxAge: evacuationsPace(n.cfg.EvacuateWithin).maxAge})
 	}
 	f := newFollower(n.replica, kinds, n.exchange.Readers, boottime.Now)
 	f.firstStart = n.cfg.FirstStart
--- a/internal/gatewaynode/peers_test.go
+++ b/internal/gatewaynode/peers_test.go
@@ -53,6 +53,7 @@
 	services  map[string]*replica.Service
 	startedAt time.Time
 	config    bool            // the entries follow the kind as they follow the configuration
+	within    time.Duration   // time within which a change must be in force; if 0, any
 	frozen    map[string]bool // entries that don't respond
 }
 
@@ -82,13 +83,13 @@
 	h := &recordingSink{at: map[string]time.Time{}}
 	r := replica.New(h, z.clock)
 	z.services[name] = replica.NewService(r, z.clock)
-	wait, pullAge := serversWait, serversPullAge
+	pace := serversPace(z.within)
 	if z.config {
-		wait, pullAge = configWait, configPullAge
+		pace = configPace(z.within)
 	}
-	f := newFollower(r, []replica.PulledKind{{Kind: testKind, MaxAge: pullAge}}, readers, z.clock)
+	f := newFollower(r, []replica.PulledKind{{Kind: testKind, MaxAge: pace.maxAge}}, readers, z.clock)
 	f.firstStart = firstStart
-	config := watcherConfig(testKind, wait)
+	config := watcherConfig(testKind, pace.wait)
 	config.EmptyWaitIsCurrent = !z.config
 	config.Store, config.Sink, config.Clock = store, r, z.clock
 	config.Suspended, config.OnCallFailed, config.CurrentRevision = f.skipsStore, f.callFailed, r.Revision
--- a/internal/gatewaynode/readers_test.go
+++ b/internal/gatewaynode/readers_test.go
@@ -37,6 +37,7 @@
 
 // Changes of the configuration in quick succession.
 const (
+	bound          = 2 * time.Second // time within which a change must be in force
 	changesBefore  = 6
 	changeInterval = 330 * time.Millisecond
 )
@@ -51,7 +52,6 @@
 // at an entry that the store serves: all its readers were cut off, frozen or turned away by
 // the store just before.
 func TestConfigurationReachesEntryWithoutReaders(t *testing.T) {
-	const bound = 2 * time.Second
 	const step = 130 * time.Millisecond // not aligned with any period in the code
 	names := []string{"reader 0", "reader 1", "reader 2"}
 	for _, c := range []loseReaders{
@@ -75,23 +75,35 @@
 			worst := time.Duration(0)
 			for begins := time.Duration(0); begins < 2*time.Second; begins += step {
 				synctest.Test(t, func(t *testing.T) {
-					worst = max(worst, lateness(t, names, c, begins))
+					worst = max(worst, lateness(t, names, c, begins, true))
 				})
 			}
 			if worst > bound {
 				t.Errorf("a change was received %v after it was acknowledged, want %v at most", worst, bound)
 			}
 		})
+		t.Run(c.name+", servers", func(t *testing.T) {
+			worst := time.Duration(0)
+			for begins := time.Duration(0); begins < 2*time.Second; begins += step {
+				synctest.Test(t, func(t *testing.T) {
+					worst = max(worst, lateness(t, names, c, begins, false))
+				})
+			}
+			if worst > bound {
+				t.Errorf("a change of servers was received after %v, want %v at most", worst, bound)
+			}
+		})
 	}
 }
 
 // lateness returns how long after its acknowledgement a change is received by an entry that
-// has lost its readers.
-func lateness(t *testing.T, names []string, c loseReaders, begins time.Duration) time.Duration {
+// has lost its readers. config is set for a change of the configuration, and unset for one of
+// the servers.
+func lateness(t *testing.T, names []string, c loseReaders, begins time.Duration, config bool) time.Duration {
 	ctx, cancel := context.WithCancel(t.Context())
 	defer func() { cancel(); synctest.Wait() }()
 	store := standin.NewMemory(standin.Config{})
-	z := &peerNetwork{services: map[string]*replica.Service{}, startedAt: time.Now(), config: true, frozen: map[string]bool{}}
+	z := &peerNetwork{services: map[string]*replica.Service{}, startedAt: time.Now(), config: config, within: bound, frozen: map[string]bool{}}
 	cuts, throttled := map[string]*cutStore{}, map[string]*throttledStore{}
 	for _, name := range names {
 		throttled[name] = &throttledStore{Store: store}
--- a/internal/gatewaynode/zones.go
+++ b/internal/gatewaynode/zones.go
@@ -1,14 +1,11 @@
 package gatewaynode
 
 import (
-	"time"
-
 	"github.com/briarturn/briarturn/objectapi"
 )
 
 // evacuationsWaitShare is the fraction of Config.EvacuateWithin for which a watch of the
-// evacuated zones waits. Without faults the list of them is at most one wait old. When it
-// is older, an entry asks its peers and the store itself, which takes 1.5 seconds.
+// evacuated zones waits. Without faults the list of them is at most one wait old.
 const evacuationsWaitShare = 0.5
 
 // evacuationEnabled reports whether evacuation of zones is configured.
@@ -16,11 +13,6 @@
 	return n.cfg.Decoder.EvacuationsKind != "" && n.cfg.EvacuateWithin > 0
 }
 
-// evacuationsWait returns the longest time that a watch of the evacuated zones waits.
-func (n *Node) evacuationsWait() time.Duration {
-	return time.Duration(evacuationsWaitShare * float64(n.cfg.EvacuateWithin))
-}
-
 func (n *Node) zonesListed() bool {
 	_, ok := n.zones.Age()
 	return ok
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -56,6 +56,8 @@
 	DefaultRetryRatio   = 0.2
 	DefaultRetrySlack   = 100
 	DefaultRetryWindow  = 10 * time.Second
+	DefaultConfigWithin = 2 * time.Second
+	DefaultDrainWithin  = 2 * time.Second
 	// DefaultRoutineLines is more than four times the request rate of a gateway,
 	// 11 requests/s. At 400 bytes a line it limits these lines to 20 kB/s.
 	DefaultRoutineLines = 50
@@ -117,6 +119,8 @@
 		RetryRatio:   DefaultRetryRatio,
 		RetrySlack:   DefaultRetrySlack,
 		RetryWindow:  config.Duration(DefaultRetryWindow),
+		ConfigWithin: config.Duration(DefaultConfigWithin),
+		DrainWithin:  config.Duration(DefaultDrainWithin),
 		RoutineLines: DefaultRoutineLines,
 		Placement:    string(placement.LeastLoss),
 		Limits: GatewayLimits{
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -23,6 +23,11 @@
 	// FirstStart is set when the whole fleet starts for the first time, before there are
 	// callers. A few gateways then read the object API for all.
 	FirstStart bool `json:"first_start"`
+	// ConfigWithin is the maximum time after its acknowledgement until a change of the
+	// configuration is in force, and DrainWithin the maximum time after a server announced
+	// that it leaves until no new requests are sent to it.
+	ConfigWithin config.Duration `json:"config_within" validate:"min=1500ms,max=1h"`
+	DrainWithin  config.Duration `json:"drain_within" validate:"min=1500ms,max=1h"`
 	// EvacuateWithin is the maximum time after an operator evacuates an availability
 	// zone until no new requests are sent to its servers. It is 0 if operators don't
 	// evacuate zones.
