Read the request rate that a server names, and log its changes

Callers see no change. An engine in need names in its answers how many requests a second it takes from all entries together; no code read it, so that neither logs nor metrics could tell whether an entry knew a limit when it sent. The header is decoded in platform, each response is noted in a table of the newest observations (package serverlimit), and a change is logged and counted. Nothing is limited yet. TestDecodeResponse now also wants that a 421 is marked as another instance's: what it says isn't about the expected one.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/briarturn/briarturn/quarantine"
 	"github.com/briarturn/briarturn/reservation"
 	"github.com/briarturn/briarturn/routetable"
+	"github.com/briarturn/briarturn/serverlimit"
 	"github.com/briarturn/briarturn/upstream"
 	"github.com/briarturn/briarturn/warmup"
 )
@@ -26,6 +27,7 @@
 	Directory     *upstream.Directory
 	Zones         *evacuation.Zones
 	Warmup        *warmup.Limiter
+	Limits        *serverlimit.Table
 	Pool          *upstream.Pool
 	Placer        Placer
 	Budget        *RetryBudget
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -20,6 +20,7 @@
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/quarantine"
 	"github.com/briarturn/briarturn/routetable"
+	"github.com/briarturn/briarturn/serverlimit"
 	"github.com/briarturn/briarturn/upstream"
 	"github.com/briarturn/briarturn/warmup"
 )
@@ -132,6 +133,7 @@
 		Directory:     gw.directory,
 		Zones:         gw.zones,
 		Warmup:        gw.warmup,
+		Limits:        serverlimit.NewTable(),
 		Pool:          upstream.NewPool(r),
 		Placer:        firstPlacer{placement.NewPlanner(ledger, 1, time.Now, nil)},
 		Budget:        NewRetryBudget(0, 1000, time.Minute, 1),
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -18,6 +18,7 @@
 	retriesOverBudget metrics.Counter
 	callersGone       metrics.Counter // callers that disconnected first
 	serverDeaths      metrics.Counter // servers that died while running a request
+	limitChanges      metrics.Counter // changes of the request rates that servers name
 	// brokenAttempts counts attempts that broke, by what their server's address did then.
 	// Not changed after newCounters.
 	brokenAttempts   map[upstream.ProbeResult]metrics.Counter
@@ -46,6 +47,7 @@
 		retriesOverBudget: counter("retries.over_budget"),
 		callersGone:       counter("callers.gone"),
 		serverDeaths:      counter("servers.died"),
+		limitChanges:      counter("servers.limit_changes"),
 		brokenAttempts:    map[upstream.ProbeResult]metrics.Counter{},
 		firstByteLatency: metrics.GetOrRegisterHistogram("gateway.first_byte_ms", r,
 			metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -44,6 +44,12 @@
 	// AtFault is the server that caused a refusal, as the answering server names it,
 	// because a helper may have refused. It is empty if not given.
 	AtFault string
+	// RateLimit is the number of requests per second that the server takes from all entries
+	// together, as long as its responses say so; 0 if it names none.
+	RateLimit float64
+	// OtherInstance means that another instance than the expected one responded, so that
+	// nothing in the response is about the expected one.
+	OtherInstance bool
 }
 
 // Protocol translates between HTTP headers and the gateway's types.
--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -24,6 +24,7 @@
 	"github.com/briarturn/briarturn/replica"
 	"github.com/briarturn/briarturn/reservation"
 	"github.com/briarturn/briarturn/routetable"
+	"github.com/briarturn/briarturn/serverlimit"
 	"github.com/briarturn/briarturn/upstream"
 	"github.com/briarturn/briarturn/warmup"
 )
@@ -125,6 +126,7 @@
 	directory     *upstream.Directory
 	zones         *evacuation.Zones
 	warmup        *warmup.Limiter
+	limits        *serverlimit.Table
 	pool          *upstream.Pool
 	gateway       *gateway.Gateway
 	callers       *graceful.Server
@@ -149,6 +151,7 @@
 		directory: upstream.NewDirectory(upstream.DefaultAbsentGrace),
 		zones:     evacuation.NewZones(boottime.Now),
 		warmup:    warmup.NewLimiter(cfg.Name, time.Now()),
+		limits:    serverlimit.NewTable(),
 		pool:      upstream.NewPool(cfg.Metrics),
 	}
 	if !n.evacuationEnabled() {
@@ -197,6 +200,7 @@
 		Directory:     n.directory,
 		Zones:         n.zones,
 		Warmup:        n.warmup,
+		Limits:        n.limits,
 		Pool:          n.pool,
 		Placer:        placement.NewPlanner(n.ledger, incarnation, time.Now, exchange.AttemptPublisher()).SetPolicy(cmp.Or(cfg.Policy, placement.LeastLoss)),
 		Budget:        budget,
@@ -259,6 +263,7 @@
 		}
 		n.pool.Sweep(func(address string) bool { return known[address] })
 		n.warmup.Retain(func(instance string) bool { return instances[instance] })
+		n.limits.Sweep(func(server uint64) bool { return n.engines.contains(n.directory, server) }, time.Now())
 		n.ledger.PruneServers(func(server uint64) bool { return n.engines.contains(n.directory, server) })
 	}
 }
