Make the limit on sends to cold servers serve other rates too

No caller sees a change. The share of an entry in what a cold server takes was tied to a second and to whole requests. The package takes an allowance now, so many sends in a window, computed for a cold server as before; a rate below one request in a period gets a longer window. Package warmup becomes allowance, since cold servers are one use of it.

--- /dev/null
+++ b/allowance/doc.go
@@ -0,0 +1,14 @@
+// Package allowance limits the requests that all entries together send to one backend server:
+// to a server that is warming up, and to one that names a rate in its responses. Well above
+// such a rate the server crashes or rejects requests.
+//
+// Entries exchange no messages about what they sent. Each entry has the names of all entries
+// and computes its share of a server's allowance from them: an equal whole number of sends per
+// window, plus one more for each of the entries that rank first for that server, up to the
+// remainder. The shares of entries with the same names add up to the allowance.
+//
+// Invariants: an entry without the complete list of names sends nothing to such a server; the
+// name of a removed entry still counts for a while, because its last sends may be in flight; a
+// process sends nothing to such servers right after its start, because its predecessor of the
+// same name may just have sent.
+package allowance
--- a/warmup/entryset.go
+++ b/allowance/entryset.go
@@ -1,4 +1,4 @@
-package warmup
+package allowance
 
 import "time"
 
--- a/warmup/limiter_test.go
+++ b/allowance/limiter_test.go
@@ -1,4 +1,4 @@
-package warmup
+package allowance
 
 import (
 	"fmt"
@@ -14,6 +14,9 @@
 
 const instance = "i-1"
 
+// sendWindow is the window in which an entry sends a cold server at most its share.
+var sendWindow = PerSecond(1).Window
+
 func entryNames(n int) []string {
 	out := make([]string, n)
 	for i := range out {
@@ -33,7 +36,7 @@
 				l := NewLimiter(name, epoch)
 				now := epoch.Add(time.Minute)
 				l.SetEntries(entryNames(entries), now)
-				for l.TryAcquire(instance, rate, now) {
+				for l.TryAcquire(instance, PerSecond(rate), now) {
 					taken++
 				}
 				sum += l.shareLocked(instance, int(rate))
@@ -50,14 +53,14 @@
 func TestNoSendsRightAfterStart(t *testing.T) {
 	epoch := time.Unix(1000, 0)
 	l := NewLimiter("e0", epoch)
-	if l.CanSend(instance, 100, epoch.Add(time.Minute)) {
+	if l.CanSend(instance, PerSecond(100), epoch.Add(time.Minute)) {
 		t.Error("sends before the other entries are listed")
 	}
 	l.SetEntries(entryNames(3), epoch)
-	if l.CanSend(instance, 100, epoch.Add(sendWindow-1)) {
+	if l.CanSend(instance, PerSecond(100), epoch.Add(sendWindow-1)) {
 		t.Error("sends within sendWindow after its start")
 	}
-	if !l.CanSend(instance, 100, epoch.Add(sendWindow)) {
+	if !l.CanSend(instance, PerSecond(100), epoch.Add(sendWindow)) {
 		t.Error("does not send after sendWindow")
 	}
 }
@@ -69,12 +72,12 @@
 	l := NewLimiter("e0", epoch)
 	l.SetEntries(nil, epoch)
 	first := epoch.Add(time.Minute)
-	if !l.TryAcquire(instance, 1, first) {
+	if !l.TryAcquire(instance, PerSecond(1), first) {
 		t.Fatal("the first send is refused")
 	}
 	arrives := first.Add(upstream.DefaultDialTimeout)
 	for at := first; at.Sub(arrives) < time.Second; at = at.Add(10 * time.Millisecond) {
-		if l.TryAcquire(instance, 1, at) {
+		if l.TryAcquire(instance, PerSecond(1), at) {
 			t.Fatalf("a second send %v after the arrival of the first", at.Sub(arrives))
 		}
 	}
@@ -107,7 +110,7 @@
 	l.SetEntries(entryNames(1), removed)
 	takes := func(now time.Time) int {
 		n := 0
-		for l.TryAcquire(instance, 10, now) {
+		for l.TryAcquire(instance, PerSecond(10), now) {
 			n++
 		}
 		return n
@@ -181,7 +184,7 @@
 				}
 			default: // as many sends as allowed
 				for _, other := range members {
-					for now.After(other.frozenUntil) && other.TryAcquire(instance, float64(rate), now) {
+					for now.After(other.frozenUntil) && other.TryAcquire(instance, PerSecond(float64(rate)), now) {
 						held := time.Duration(rapid.IntRange(0, 400).Draw(t, "held")) * time.Millisecond
 						sends = append(sends, now.Add(held))
 					}
--- a/eligible/cold.go
+++ b/eligible/cold.go
@@ -3,15 +3,15 @@
 import (
 	"time"
 
+	"github.com/briarturn/briarturn/allowance"
 	"github.com/briarturn/briarturn/evacuation"
 	"github.com/briarturn/briarturn/upstream"
-	"github.com/briarturn/briarturn/warmup"
 )
 
 // ColdLimit admits warm servers, and cold ones as long as this entry may send them more
 // requests.
 type ColdLimit struct {
-	Limiter   *warmup.Limiter
+	Limiter   *allowance.Limiter
 	PerSecond float64 // requests/s that a cold server can take; 0: not declared, all servers are admitted
 	Zones     evacuation.View
 	Now       time.Time
@@ -22,7 +22,7 @@
 
 // Admits implements Condition.
 func (w ColdLimit) Admits(s upstream.Server) bool {
-	return w.PerSecond <= 0 || !w.IsCold(s) || w.Limiter.CanSend(s.Instance, w.PerSecond, w.Now)
+	return w.PerSecond <= 0 || !w.IsCold(s) || w.Limiter.CanSend(s.Instance, allowance.PerSecond(w.PerSecond), w.Now)
 }
 
 // IsCold reports whether a server is cold, or may be because its zone was just restored and its
--- a/eligible/condition_test.go
+++ b/eligible/condition_test.go
@@ -6,11 +6,11 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/briarturn/briarturn/allowance"
 	"github.com/briarturn/briarturn/evacuation"
 	"github.com/briarturn/briarturn/internal/boottime"
 	"github.com/briarturn/briarturn/routetable"
 	"github.com/briarturn/briarturn/upstream"
-	"github.com/briarturn/briarturn/warmup"
 )
 
 func instances(servers []upstream.Server) []string {
@@ -54,7 +54,7 @@
 	clock := func() boottime.Instant { return boottime.Instant(time.Hour) }
 	zones := evacuation.NewZones(clock)
 	zones.Replace([]string{"a"}, clock())
-	limiter := warmup.NewLimiter("e", now.Add(-time.Hour))
+	limiter := allowance.NewLimiter("e", now.Add(-time.Hour))
 	limiter.SetEntries(nil, now)
 	stages := func() []Condition {
 		view := zones.View(clock().Add(time.Second))
@@ -69,7 +69,7 @@
 	if left, cause := Filter([]upstream.Server{evacuated, cold, abroad}, stages()...); cause != None || len(left) != 1 || left[0].Instance != "cold" {
 		t.Errorf("cause %v, servers %v", cause, instances(left))
 	}
-	limiter.TryAcquire("cold", 1, now)
+	limiter.TryAcquire("cold", allowance.PerSecond(1), now)
 	for _, c := range []struct {
 		servers []upstream.Server
 		want    Cause
--- a/gateway/candidates.go
+++ b/gateway/candidates.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/briarturn/briarturn/allowance"
 	"github.com/briarturn/briarturn/eligible"
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/upstream"
@@ -51,7 +52,7 @@
 func (e *exchange) coldLimit(now time.Time) eligible.ColdLimit {
 	g := e.gateway
 	return eligible.ColdLimit{
-		Limiter:   g.cfg.Warmup,
+		Limiter:   g.cfg.ColdSends,
 		PerSecond: e.service.ColdPerSecond,
 		Zones:     g.cfg.Zones.View(g.cfg.Directory.CurrentAsOf()),
 		Now:       now,
@@ -72,7 +73,7 @@
 		return true
 	}
 	for _, c := range servers {
-		if c.Cold && !coldLimit.Limiter.TryAcquire(c.Instance, coldLimit.PerSecond, coldLimit.Now) {
+		if c.Cold && !coldLimit.Limiter.TryAcquire(c.Instance, allowance.PerSecond(coldLimit.PerSecond), coldLimit.Now) {
 			return false
 		}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/briarturn/briarturn/allowance"
 	"github.com/briarturn/briarturn/evacuation"
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/quarantine"
@@ -17,7 +18,6 @@
 	"github.com/briarturn/briarturn/routetable"
 	"github.com/briarturn/briarturn/serverlimit"
 	"github.com/briarturn/briarturn/upstream"
-	"github.com/briarturn/briarturn/warmup"
 )
 
 // Config holds the dependencies and the options of a Gateway.
@@ -26,7 +26,7 @@
 	Routes        *routetable.Holder
 	Directory     *upstream.Directory
 	Zones         *evacuation.Zones
-	Warmup        *warmup.Limiter
+	ColdSends     *allowance.Limiter
 	Limits        *serverlimit.Table
 	Pool          *upstream.Pool
 	Placer        Placer
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/briarturn/briarturn/allowance"
 	"github.com/briarturn/briarturn/evacuation"
 	"github.com/briarturn/briarturn/internal/boottime"
 	"github.com/briarturn/briarturn/internal/quiet"
@@ -22,7 +23,6 @@
 	"github.com/briarturn/briarturn/routetable"
 	"github.com/briarturn/briarturn/serverlimit"
 	"github.com/briarturn/briarturn/upstream"
-	"github.com/briarturn/briarturn/warmup"
 )
 
 // Headers of the test protocol.
@@ -79,7 +79,7 @@
 	clock     *boottime.Instant
 	routes    *routetable.Holder
 	zones     *evacuation.Zones
-	warmup    *warmup.Limiter
+	coldSends *allowance.Limiter
 	deaths    *deathRecorder
 
 	mu         sync.Mutex
@@ -122,8 +122,8 @@
 	gw := &testGateway{t: t, clock: &now, directory: upstream.NewDirectory(0), deaths: &deathRecorder{}}
 	gw.zones = evacuation.NewZones(func() boottime.Instant { return *gw.clock })
 	gw.zones.Replace(nil, now)
-	gw.warmup = warmup.NewLimiter("e1", time.Now().Add(-time.Minute))
-	gw.warmup.SetEntries(nil, time.Now())
+	gw.coldSends = allowance.NewLimiter("e1", time.Now().Add(-time.Minute))
+	gw.coldSends.SetEntries(nil, time.Now())
 	gw.routes = routetable.NewHolder(func() boottime.Instant { return *gw.clock })
 	r := metrics.NewRegistry()
 	ledger := placement.NewLedger(func(uint64) *placement.EngineProfile { return nil })
@@ -132,7 +132,7 @@
 		Routes:        gw.routes,
 		Directory:     gw.directory,
 		Zones:         gw.zones,
-		Warmup:        gw.warmup,
+		ColdSends:     gw.coldSends,
 		Limits:        serverlimit.NewTable(),
 		Pool:          upstream.NewPool(r),
 		Placer:        firstPlacer{placement.NewPlanner(ledger, 1, time.Now, nil)},
--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/briarturn/briarturn/allowance"
 	"github.com/briarturn/briarturn/evacuation"
 	"github.com/briarturn/briarturn/gateway"
 	"github.com/briarturn/briarturn/internal/boottime"
@@ -26,7 +27,6 @@
 	"github.com/briarturn/briarturn/routetable"
 	"github.com/briarturn/briarturn/serverlimit"
 	"github.com/briarturn/briarturn/upstream"
-	"github.com/briarturn/briarturn/warmup"
 )
 
 const (
@@ -125,7 +125,7 @@
 	routes        *routetable.Holder
 	directory     *upstream.Directory
 	zones         *evacuation.Zones
-	warmup        *warmup.Limiter
+	coldSends     *allowance.Limiter
 	limits        *serverlimit.Table
 	pool          *upstream.Pool
 	gateway       *gateway.Gateway
@@ -150,7 +150,7 @@
 		routes:    routetable.NewHolder(boottime.Now),
 		directory: upstream.NewDirectory(upstream.DefaultAbsentGrace),
 		zones:     evacuation.NewZones(boottime.Now),
-		warmup:    warmup.NewLimiter(cfg.Name, time.Now()),
+		coldSends: allowance.NewLimiter(cfg.Name, time.Now()),
 		limits:    serverlimit.NewTable(),
 		pool:      upstream.NewPool(cfg.Metrics),
 	}
@@ -183,7 +183,7 @@
 		OnEntriesChanged: func(names []string, listed bool) {
 			budget.SetEntries(len(names))
 			if listed {
-				n.warmup.SetEntries(names, time.Now())
+				n.coldSends.SetEntries(names, time.Now())
 			}
 		},
 		Log:     cfg.Log,
@@ -199,7 +199,7 @@
 		Routes:        n.routes,
 		Directory:     n.directory,
 		Zones:         n.zones,
-		Warmup:        n.warmup,
+		ColdSends:     n.coldSends,
 		Limits:        n.limits,
 		Pool:          n.pool,
 		Placer:        placement.NewPlanner(n.ledger, incarnation, time.Now, exchange.AttemptPublisher()).SetPolicy(cmp.Or(cfg.Policy, placement.LeastLoss)),
@@ -262,7 +262,7 @@
 			known[s.Address], instances[s.Instance] = true, true
 		}
 		n.pool.Sweep(func(address string) bool { return known[address] })
-		n.warmup.Retain(func(instance string) bool { return instances[instance] })
+		n.coldSends.Retain(func(instance string) bool { return instances[instance] })
 		n.limits.Sweep(func(server uint64) bool { return n.engines.contains(n.directory, server) }, time.Now())
 		n.ledger.PruneServers(func(server uint64) bool { return n.engines.contains(n.directory, server) })
 	}
