Keep to the request rate that a server names, over all entries

Cause: nothing applied the rate. One entry learns it from a single response, and all entries have to act on it. An entry now reports a change to the others at once; heartbeats repeat what it observed itself, and an entry that starts or returns is sent all of it. Each report carries its age, the newest wins, and the end of a rate counts only from a request that was sent after the rate was seen. A rate that nobody has seen for 30 s has ended. A request that finds no server with room is refused at once as servers_limited; Retry-After is when the entry's next share is free, two seconds at most, spread.

--- a/gateway/candidates.go
+++ b/gateway/candidates.go
@@ -22,7 +22,7 @@
 	coldLimit := e.coldLimit(now)
 	var servers []upstream.Server
 	servers, e.exclusionCause = eligible.Filter(g.cfg.Directory.AvailableServers(e.service.Name, now),
-		e.regionCondition(), eligible.NotEvacuated{Zones: coldLimit.Zones}, coldLimit)
+		e.regionCondition(), eligible.NotEvacuated{Zones: coldLimit.Zones}, coldLimit, e.rateLimit(now))
 	var candidates, alreadyTried []placement.Candidate
 	for _, s := range servers {
 		c := placement.Candidate{
@@ -61,14 +61,18 @@
 
 // stillEligible reports whether a request may be sent where it was placed. It is called
 // right before the send. Operators may have evacuated a zone while memory was reserved,
-// and if several requests of this entry were placed on a cold server at the same moment,
-// only its share of them may go there.
+// and if several requests of this entry were placed on a cold server, or on one that names a
+// rate, at the same moment, only its share of them may go there.
 func (e *exchange) stillEligible(placed placement.Placement) bool {
-	coldLimit := e.coldLimit(time.Now())
+	now := time.Now()
+	coldLimit := e.coldLimit(now)
 	servers := slices.Concat([]placement.Candidate{placed.Server}, placed.Helpers)
 	if slices.ContainsFunc(servers, func(c placement.Candidate) bool { return coldLimit.Zones.Evacuated(c.Zone) }) {
 		return false
 	}
+	if !e.acquireRates(servers, now) {
+		return false
+	}
 	if coldLimit.PerSecond <= 0 {
 		return true
 	}
@@ -90,6 +94,8 @@
 		return ReasonZoneEvacuated
 	case eligible.ColdLimitReached:
 		return ReasonServersCold
+	case eligible.RateLimitReached:
+		return ReasonServersLimited
 	}
 	return ""
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -336,5 +336,8 @@
 	if reason == ReasonDeadlineUnmeetable {
 		after = max(after, e.lateForecast-time.Until(e.deadline))
 	}
+	if reason == ReasonServersLimited {
+		after = e.limitRetryAfter(after)
+	}
 	return after
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,7 +27,9 @@
 	Directory     *upstream.Directory
 	Zones         *evacuation.Zones
 	ColdSends     *allowance.Limiter
-	Limits        *serverlimit.Table
+	Limits        *serverlimit.Table // rates that servers name
+	LimitedSends  *allowance.Limiter // of the servers that name a rate
+	LimitReporter LimitReporter
 	Pool          *upstream.Pool
 	Placer        Placer
 	Budget        *RetryBudget
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -35,6 +35,7 @@
 	hNotRun    = "T-Not-Run"
 	hLastEvent = "T-Last"
 	hPrompt    = "T-Prompt"
+	hRate      = "T-Rate"
 )
 
 type testProtocol struct{}
@@ -67,25 +68,34 @@
 }
 
 func (testProtocol) DecodeResponse(_ int, h http.Header) ResponseInfo {
-	return ResponseInfo{ID: h.Get(hID), NotRun: h.Get(hNotRun) != ""}
+	rate, _ := strconv.ParseFloat(h.Get(hRate), 64) // 0 if absent
+	return ResponseInfo{ID: h.Get(hID), NotRun: h.Get(hNotRun) != "", RateLimit: rate}
 }
 
 // testGateway is a Gateway in front of some backend servers.
 type testGateway struct {
-	t         testing.TB
-	gateway   *Gateway
-	server    *httptest.Server
-	directory *upstream.Directory
-	clock     *boottime.Instant
-	routes    *routetable.Holder
-	zones     *evacuation.Zones
-	coldSends *allowance.Limiter
-	deaths    *deathRecorder
+	t            testing.TB
+	gateway      *Gateway
+	server       *httptest.Server
+	directory    *upstream.Directory
+	clock        *boottime.Instant
+	routes       *routetable.Holder
+	zones        *evacuation.Zones
+	coldSends    *allowance.Limiter
+	limitedSends *allowance.Limiter
+	deaths       *deathRecorder
+	limits       *limitRecorder
 
 	mu         sync.Mutex
 	arrivalLog []string // "server id" of each request that arrived at a server, in order
 }
 
+type limitRecorder struct{ observations []serverlimit.Observation }
+
+func (l *limitRecorder) ReportLimit(o serverlimit.Observation) {
+	l.observations = append(l.observations, o)
+}
+
 type deathRecorder struct {
 	records   []quarantine.Record
 	completed []uint64
@@ -119,11 +129,13 @@
 func newTestGateway(t testing.TB, servers ...http.HandlerFunc) *testGateway {
 	t.Helper()
 	now := boottime.Instant(time.Hour)
-	gw := &testGateway{t: t, clock: &now, directory: upstream.NewDirectory(0), deaths: &deathRecorder{}}
+	gw := &testGateway{t: t, clock: &now, directory: upstream.NewDirectory(0), deaths: &deathRecorder{}, limits: &limitRecorder{}}
 	gw.zones = evacuation.NewZones(func() boottime.Instant { return *gw.clock })
 	gw.zones.Replace(nil, now)
 	gw.coldSends = allowance.NewLimiter("e1", time.Now().Add(-time.Minute))
 	gw.coldSends.SetEntries(nil, time.Now())
+	gw.limitedSends = allowance.NewLimiter("e1", time.Now().Add(-time.Minute))
+	gw.limitedSends.SetEntries(nil, time.Now())
 	gw.routes = routetable.NewHolder(func() boottime.Instant { return *gw.clock })
 	r := metrics.NewRegistry()
 	ledger := placement.NewLedger(func(uint64) *placement.EngineProfile { return nil })
@@ -134,6 +146,8 @@
 		Zones:         gw.zones,
 		ColdSends:     gw.coldSends,
 		Limits:        serverlimit.NewTable(),
+		LimitedSends:  gw.limitedSends,
+		LimitReporter: gw.limits,
 		Pool:          upstream.NewPool(r),
 		Placer:        firstPlacer{placement.NewPlanner(ledger, 1, time.Now, nil)},
 		Budget:        NewRetryBudget(0, 1000, time.Minute, 1),
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -32,12 +32,13 @@
 	ReasonOutOfRegion        Reason = "no_server_in_region"
 	ReasonZoneEvacuated      Reason = "zones_evacuated"
 	ReasonServersCold        Reason = "servers_cold"
+	ReasonServersLimited     Reason = "servers_limited"
 )
 
 var allReasons = []Reason{
 	ReasonNoConfig, ReasonStaleConfig, ReasonNoRoute, ReasonUnknownKey, ReasonMalformed, ReasonHeaderTooLarge, ReasonBodyTooLarge, ReasonBodyIncomplete,
 	ReasonBodyMemoryFull, ReasonNoServer, ReasonServersRefused, ReasonDeadlineUnmeetable, ReasonShuttingDown, ReasonTimeout, ReasonOutcomeUnknown, ReasonKillsServers,
-	ReasonOutOfRegion, ReasonZoneEvacuated, ReasonServersCold,
+	ReasonOutOfRegion, ReasonZoneEvacuated, ReasonServersCold, ReasonServersLimited,
 }
 
 // Reasons returns all reasons.
--- a/internal/capacity/measure_gateway.go
+++ b/internal/capacity/measure_gateway.go
@@ -13,6 +13,7 @@
 	"github.com/briarturn/briarturn/peering"
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/quarantine"
+	"github.com/briarturn/briarturn/serverlimit"
 )
 
 const (
@@ -48,7 +49,7 @@
 		}
 		x, err := peering.Start(ctx, peering.Config{
 			Name: name, ListenAddress: "127.0.0.1:0", Incarnation: uint64(i) + 1, Zone: "z", Region: "r", Store: store,
-			Ledger: l, Quarantine: quarantine.NewTracker(quarantine.DefaultOptions),
+			Ledger: l, Quarantine: quarantine.NewTracker(quarantine.DefaultOptions), Limits: serverlimit.NewTable(),
 			OnEntriesChanged: func(names []string, _ bool) { known[i] <- len(names) }, Log: quiet.Logger(), Metrics: r,
 		})
 		if err != nil {
--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -127,6 +127,7 @@
 	zones         *evacuation.Zones
 	coldSends     *allowance.Limiter
 	limits        *serverlimit.Table
+	limitedSends  *allowance.Limiter
 	pool          *upstream.Pool
 	gateway       *gateway.Gateway
 	callers       *graceful.Server
@@ -146,13 +147,14 @@
 // it has read the configuration.
 func Start(cfg Config) (*Node, error) {
 	n := &Node{
-		cfg:       cfg,
-		routes:    routetable.NewHolder(boottime.Now),
-		directory: upstream.NewDirectory(upstream.DefaultAbsentGrace),
-		zones:     evacuation.NewZones(boottime.Now),
-		coldSends: allowance.NewLimiter(cfg.Name, time.Now()),
-		limits:    serverlimit.NewTable(),
-		pool:      upstream.NewPool(cfg.Metrics),
+		cfg:          cfg,
+		routes:       routetable.NewHolder(boottime.Now),
+		directory:    upstream.NewDirectory(upstream.DefaultAbsentGrace),
+		zones:        evacuation.NewZones(boottime.Now),
+		coldSends:    allowance.NewLimiter(cfg.Name, time.Now()),
+		limits:       serverlimit.NewTable(),
+		limitedSends: allowance.NewLimiter(cfg.Name, time.Now()),
+		pool:         upstream.NewPool(cfg.Metrics),
 	}
 	if !n.evacuationEnabled() {
 		n.zones.Replace(nil, boottime.Now())
@@ -180,10 +182,12 @@
 		Store:         cfg.Store,
 		Ledger:        n.ledger,
 		Quarantine:    suspects,
+		Limits:        n.limits,
 		OnEntriesChanged: func(names []string, listed bool) {
 			budget.SetEntries(len(names))
 			if listed {
 				n.coldSends.SetEntries(names, time.Now())
+				n.limitedSends.SetEntries(names, time.Now())
 			}
 		},
 		Log:     cfg.Log,
@@ -201,6 +205,8 @@
 		Zones:         n.zones,
 		ColdSends:     n.coldSends,
 		Limits:        n.limits,
+		LimitedSends:  n.limitedSends,
+		LimitReporter: exchange.LimitReporter(),
 		Pool:          n.pool,
 		Placer:        placement.NewPlanner(n.ledger, incarnation, time.Now, exchange.AttemptPublisher()).SetPolicy(cmp.Or(cfg.Policy, placement.LeastLoss)),
 		Budget:        budget,
@@ -263,6 +269,7 @@
 		}
 		n.pool.Sweep(func(address string) bool { return known[address] })
 		n.coldSends.Retain(func(instance string) bool { return instances[instance] })
+		n.limitedSends.Retain(func(instance string) bool { return instances[instance] })
 		n.limits.Sweep(func(server uint64) bool { return n.engines.contains(n.directory, server) }, time.Now())
 		n.ledger.PruneServers(func(server uint64) bool { return n.engines.contains(n.directory, server) })
 	}
--- a/peering/deaths.go
+++ b/peering/deaths.go
@@ -19,9 +19,6 @@
 	maxDeathsPerMessage = 24
 	// maxCompletedPerMessage is the same for completed fingerprints.
 	maxCompletedPerMessage = 100
-	// maxSyncedDeaths is the maximum number of deaths that are sent to one peer that starts
-	// or returns, the most recently used last.
-	maxSyncedDeaths = 240
 )
 
 // reportedDeath is a death that this entry has reported.
@@ -95,42 +92,3 @@
 		x.broadcast(m)
 	}
 }
-
-// knownDeaths returns all deaths that this entry knows of, as messages for one peer.
-func (x *Exchange) knownDeaths(now time.Time) []*wirepb.WorkNews {
-	deaths := x.cfg.Quarantine.Records(now)
-	deaths = deaths[max(len(deaths)-maxSyncedDeaths, 0):]
-	return deathMessages(x.cfg.Incarnation, deaths)
-}
-
-// noteContactLocked notes a message of a peer. A peer of which none came lately may have
-// been cut off, and is sent all deaths by helloLoop.
-func (x *Exchange) noteContactLocked(owner uint64, now time.Time) {
-	if _, seen := x.lastSeen[owner]; !seen {
-		x.returned = append(x.returned, owner)
-		x.wakeHelloLoop()
-	}
-	x.lastSeen[owner] = now
-}
-
-// syncReturnedPeers sends all deaths to the peers that returned since the last call.
-func (x *Exchange) syncReturnedPeers(now time.Time) {
-	x.mu.Lock()
-	var returned []Peer
-	for _, p := range x.peers {
-		if slices.Contains(x.returned, p.Incarnation) {
-			returned = append(returned, p)
-		}
-	}
-	x.returned = nil
-	x.mu.Unlock()
-	if len(returned) == 0 {
-		return
-	}
-	messages := x.knownDeaths(now)
-	for _, p := range returned {
-		for _, m := range messages {
-			x.sendTo(p.DatagramAddress, m)
-		}
-	}
-}
--- a/peering/exchange.go
+++ b/peering/exchange.go
@@ -16,6 +16,7 @@
 	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/quarantine"
+	"github.com/briarturn/briarturn/serverlimit"
 	"github.com/briarturn/briarturn/wire"
 	"github.com/briarturn/briarturn/wire/wirepb"
 )
@@ -54,6 +55,7 @@
 	Store         objectapi.Store
 	Ledger        *placement.Ledger
 	Quarantine    *quarantine.Tracker
+	Limits        *serverlimit.Table
 	// OnEntriesChanged is called with the names of all known entries, including this one,
 	// and with whether the object API has listed them at least once. Before the first
 	// listing the names may be incomplete.
@@ -129,6 +131,10 @@
 // DeathReporter returns the reporter to which the entry's gateway reports server deaths.
 func (x *Exchange) DeathReporter() gateway.DeathReporter { return x.outbox }
 
+// LimitReporter returns the reporter to which the entry's gateway reports the rates that
+// servers name.
+func (x *Exchange) LimitReporter() gateway.LimitReporter { return x.outbox }
+
 // Close closes the datagram socket.
 func (x *Exchange) Close() error { return errors.Trace(x.datagrams.Close()) }
 
@@ -168,8 +174,8 @@
 	return out
 }
 
-// publishLoop broadcasts the contents of the outbox until ctx ends. Attempt starts and
-// server deaths go out at once; other updates wait for batchDelay.
+// publishLoop broadcasts the contents of the outbox until ctx ends. Attempt starts, server
+// deaths and limits of servers go out at once; other updates wait for batchDelay.
 func (x *Exchange) publishLoop(ctx context.Context) {
 	for {
 		select {
@@ -193,6 +199,7 @@
 	for sleep.For(ctx, heartbeatInterval) {
 		x.expirePeers(time.Now())
 		x.repeatDeaths(time.Now())
+		x.repeatLimits(time.Now())
 		// UpTo is read before the list: an attempt that starts in between may or may not
 		// be listed.
 		m := &wirepb.WorkNews{Owner: x.cfg.Incarnation, Beat: true, UpTo: x.outbox.lastSeq()}
@@ -309,6 +316,7 @@
 	}
 	wire.MergeEvidence(x.cfg.Quarantine, m.GetEvidence(), now)
 	x.handleCompletions(m.GetCompleted(), now)
+	x.handleRates(m.GetRates(), now)
 	if m.GetBeat() {
 		x.cfg.Ledger.Reconcile(owner, m.GetActive(), m.GetUpTo(), now.Add(-reorderTolerance))
 	}
--- a/peering/exchange_test.go
+++ b/peering/exchange_test.go
@@ -13,6 +13,7 @@
 	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/quarantine"
+	"github.com/briarturn/briarturn/serverlimit"
 	"github.com/briarturn/briarturn/wire/wirepb"
 )
 
@@ -21,6 +22,7 @@
 	exchange    *Exchange
 	ledger      *placement.Ledger
 	quarantine  *quarantine.Tracker
+	limits      *serverlimit.Table
 	stop        context.CancelFunc
 	entryCounts chan int
 }
@@ -36,11 +38,12 @@
 	e := &entry{
 		ledger:      placement.NewLedger(func(uint64) *placement.EngineProfile { return nil }),
 		quarantine:  quarantine.NewTracker(quarantine.DefaultOptions),
+		limits:      serverlimit.NewTable(),
 		stop:        stop,
 		entryCounts: make(chan int, 64),
 	}
 	x, err := Start(ctx, Config{
-		Name: name, Zone: zone, ListenAddress: "127.0.0.1:0", Incarnation: incarnation, Store: store, Ledger: e.ledger, Quarantine: e.quarantine,
+		Name: name, Zone: zone, ListenAddress: "127.0.0.1:0", Incarnation: incarnation, Store: store, Ledger: e.ledger, Quarantine: e.quarantine, Limits: e.limits,
 		OnEntriesChanged: func(names []string, _ bool) { e.entryCounts <- len(names) }, Log: quiet.Logger(), Metrics: metrics.NewRegistry(),
 	})
 	if err != nil {
--- a/peering/hello.go
+++ b/peering/hello.go
@@ -101,13 +101,13 @@
 	return out
 }
 
-// syncNewPeers sends all active attempts and all known deaths to new peers.
+// syncNewPeers sends all active attempts, and the known deaths and limits of servers, to new peers.
 func (x *Exchange) syncNewPeers(peers []Peer, now time.Time) {
 	if len(peers) == 0 {
 		return
 	}
 	messages := packMessages(x.cfg.Incarnation, x.cfg.Ledger.AttemptsOf(x.cfg.Incarnation), nil, nil, now)
-	messages = append(messages, x.knownDeaths(now)...)
+	messages = append(messages, x.knownState(now)...)
 	if hello := x.hello(now); hello != nil {
 		messages = append(messages, &wirepb.WorkNews{Owner: x.cfg.Incarnation, Hello: hello})
 	}
--- /dev/null
+++ b/peering/limits.go
@@ -0,0 +1,56 @@
+package peering
+
+import (
+	"slices"
+	"time"
+
+	"github.com/briarturn/briarturn/serverlimit"
+	"github.com/briarturn/briarturn/wire"
+	"github.com/briarturn/briarturn/wire/wirepb"
+)
+
+// One entry learns from a single response that a server names a request rate, and all entries
+// must keep to it. A change is sent at once; heartbeats repeat what the entry has observed
+// itself, since datagrams can be lost and an observation applies for a limited time.
+const (
+	// limitRepeatPeriod is the age up to which heartbeats repeat an observation: four times.
+	limitRepeatPeriod = 2 * time.Second
+	// maxRatesPerMessage is the maximum number of rates in a datagram of 1,200 bytes.
+	maxRatesPerMessage = 45
+)
+
+// ReportLimit implements gateway.LimitReporter.
+func (o *outbox) ReportLimit(observation serverlimit.Observation) {
+	o.mu.Lock()
+	o.limits = append(o.limits, observation)
+	o.mu.Unlock()
+	o.signal()
+}
+
+// limitMessages packs observations into messages that each fit a datagram.
+func limitMessages(owner uint64, list []serverlimit.Observation) []*wirepb.WorkNews {
+	var out []*wirepb.WorkNews
+	for part := range slices.Chunk(list, maxRatesPerMessage) {
+		m := &wirepb.WorkNews{Owner: owner}
+		for _, observation := range part {
+			m.Rates = append(m.Rates, wire.ServerRateToProto(observation))
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+// repeatLimits sends the entry's own recent observations again. They aren't urgent, and go
+// through relays.
+func (x *Exchange) repeatLimits(now time.Time) {
+	for _, m := range limitMessages(x.cfg.Incarnation, x.cfg.Limits.OwnObservations(limitRepeatPeriod, now)) {
+		x.broadcastRelayed(m)
+	}
+}
+
+// handleRates merges the observations of a peer.
+func (x *Exchange) handleRates(rates []*wirepb.ServerRate, now time.Time) {
+	for _, r := range rates {
+		x.cfg.Limits.Merge(wire.ServerRateFromProto(r), now)
+	}
+}
--- a/peering/outbox.go
+++ b/peering/outbox.go
@@ -7,6 +7,7 @@
 
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/quarantine"
+	"github.com/briarturn/briarturn/serverlimit"
 	"github.com/briarturn/briarturn/wire/wirepb"
 )
 
@@ -20,7 +21,7 @@
 const maxBegunPerMessage = 3
 
 // outbox collects this entry's updates until publishLoop sends them. It implements
-// placement.AttemptPublisher and gateway.DeathReporter.
+// placement.AttemptPublisher, gateway.DeathReporter and gateway.LimitReporter.
 type outbox struct {
 	owner uint64
 	wake  chan struct{} // holds one token while updates are pending
@@ -31,6 +32,7 @@
 	deaths      []quarantine.Record
 	reported    []reportedDeath // sent lately, oldest first
 	completed   []uint64        // fingerprints that are suspects no longer
+	limits      []serverlimit.Observation
 	firstTokens []uint64
 	ended       []uint64
 }
@@ -95,23 +97,28 @@
 	}
 }
 
-// urgent reports whether attempt starts or server deaths are pending.
+// urgent reports whether attempt starts, server deaths or limits of servers are pending.
 func (o *outbox) urgent() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.began)+len(o.deaths) > 0
+	return len(o.began)+len(o.deaths)+len(o.limits) > 0
 }
 
 // drain empties the outbox and returns its updates as messages that each fit a datagram.
 func (o *outbox) drain(now time.Time) []*wirepb.WorkNews {
 	o.mu.Lock()
-	began, first, ended, died, completed := o.began, o.firstTokens, o.ended, o.deaths, o.completed
-	o.began, o.firstTokens, o.ended, o.deaths, o.completed = nil, nil, nil, nil, nil
+	began, first, ended, died, completed, limits := o.began, o.firstTokens, o.ended, o.deaths, o.completed, o.limits
+	o.began, o.firstTokens, o.ended, o.deaths, o.completed, o.limits = nil, nil, nil, nil, nil, nil
 	for _, r := range died {
 		o.reported = append(o.reported, reportedDeath{record: r, at: now})
 	}
 	o.mu.Unlock()
-	return slices.Concat(packMessages(o.owner, began, first, ended, now), deathMessages(o.owner, died), completionMessages(o.owner, completed))
+	return slices.Concat(
+		packMessages(o.owner, began, first, ended, now),
+		deathMessages(o.owner, died),
+		completionMessages(o.owner, completed),
+		limitMessages(o.owner, limits),
+	)
 }
 
 const (
--- a/peering/relay.go
+++ b/peering/relay.go
@@ -37,6 +37,11 @@
 		x.sendToAll(m)
 		return
 	}
+	x.broadcastRelayed(m)
+}
+
+// broadcastRelayed sends a message to all peers, those of other zones through relays.
+func (x *Exchange) broadcastRelayed(m *wirepb.WorkNews) {
 	direct, relays := x.recipients()
 	for _, p := range direct {
 		x.sendTo(p.DatagramAddress, m)
@@ -53,7 +58,7 @@
 
 // bypassesRelays reports whether a message goes directly to every peer.
 func (x *Exchange) bypassesRelays(m *wirepb.WorkNews) bool {
-	if len(m.GetEvidence()) > 0 || m.GetHello() != nil {
+	if len(m.GetEvidence())+len(m.GetRates()) > 0 || m.GetHello() != nil {
 		return true
 	}
 	x.mu.Lock()
--- a/serverlimit/table_test.go
+++ b/serverlimit/table_test.go
@@ -11,7 +11,7 @@
 
 func wantRate(t *testing.T, table *Table, want float64, now time.Time) {
 	t.Helper()
-	if got := table.PerSecond(server, now); got != want {
+	if got := table.Rates(now)[server]; got != want {
 		t.Errorf("rate %v, want %v", got, want)
 	}
 }
@@ -70,3 +70,21 @@
 	table.Sweep(func(uint64) bool { return false }, t0)
 	wantRate(t, table, 0, t0)
 }
+
+// Guards against rates below one request per second and entry that leave no entry a share, so
+// that nobody would learn the end of the limit.
+func TestAllowanceOfAnyRateIsUsable(t *testing.T) {
+	const bound = 4 * time.Second // period in which the platform counts
+	for _, rate := range []float64{0.01, 0.07, 0.25, 0.3, 1, 2.1, 7.9, 300} {
+		a := Allowance(rate)
+		if a.Sends < 1 {
+			t.Errorf("rate %v: %+v", rate, a)
+		}
+		if most := rate * a.Window.Seconds(); float64(a.Sends) > most {
+			t.Errorf("rate %v: %d sends in %v, %v are allowed", rate, a.Sends, a.Window, most)
+		}
+		if a.Window < bound {
+			t.Errorf("rate %v: window %v", rate, a.Window)
+		}
+	}
+}
--- a/wire/check.go
+++ b/wire/check.go
@@ -12,11 +12,13 @@
 
 // Bounds of the fields of a datagram.
 const (
-	maxNameBytes         = 64      // names of servers, pools, zones and models
-	maxModels            = 16      // models of one server
-	maxAdapters          = 32      // adapters of one server
-	maxDigestRows        = 32      // rows of one digest
-	maxEvidence          = 40      // evidence records of one datagram
+	maxNameBytes         = 64 // names of servers, pools, zones and models
+	maxModels            = 16 // models of one server
+	maxAdapters          = 32 // adapters of one server
+	maxDigestRows        = 32 // rows of one digest
+	maxEvidence          = 40 // evidence records of one datagram
+	maxRates             = 60 // server rates of one datagram
+	maxRatePerSecond     = 1e6
 	maxCompleted         = 120     // completed fingerprints of one datagram
 	maxEntries           = 512     // entries of a region
 	maxRequests          = 1 << 20 // running or waiting on one server
@@ -77,6 +79,7 @@
 		require(w.GetOwner() != 0, "work.owner"),
 		checkEvidence(w.GetEvidence()),
 		require(len(w.GetCompleted()) <= maxCompleted, "work.completed"),
+		checkRates(w.GetRates()),
 		checkWorkHello(w),
 	)
 	if err != nil {
@@ -100,6 +103,23 @@
 	return nil
 }
 
+func checkRates(list []*wirepb.ServerRate) error {
+	if err := require(len(list) <= maxRates, "work.rates"); err != nil {
+		return err
+	}
+	for _, r := range list {
+		err := firstError(
+			require(r.GetServer() != 0, "work.rates.server"),
+			require(r.GetPerSecond() >= 0 && r.GetPerSecond() <= maxRatePerSecond, "work.rates.per_second"),
+			require(r.GetAgeMs() <= maxMillis, "work.rates.age_ms"),
+		)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // checkWorkHello checks the peer information with which an entry introduces
 // itself. Its incarnation must be the owner of the message.
 func checkWorkHello(w *wirepb.WorkNews) error {
