Soak servers that name a request rate

It counts what the server gets in any 4 s from entries that relayed its rate and were not ended or paused since.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -103,6 +103,8 @@
 		return b.evacuate(f.servers[s.Target].zone, s.For)
 	case ServerCold:
 		return b.chill(f.servers[s.Target], s.For)
+	case ServerNeed:
+		return b.needs(f.servers[s.Target], s.For)
 	}
 	return b.onStore(s)
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -34,6 +34,7 @@
 	Revoke       Fault = "revoke"        // a key is taken away
 	Evacuate     Fault = "evacuate"      // the zone of a server is evacuated, and restored
 	ServerCold   Fault = "server_cold"   // a server says that it has become cold
+	ServerNeed   Fault = "server_need"   // a server names a request rate
 )
 
 // kinds that a plan draws from. Revoke comes once by itself.
@@ -74,6 +75,7 @@
 	}
 	out = append(out, Step{At: calmStart + time.Duration(r.Int64N(int64(max(1, lasts/2)))), Fault: Revoke})
 	out = append(out, declaredSteps(seed, lasts, servers)...)
+	out = append(out, needSteps(seed, lasts, servers)...)
 	slices.SortStableFunc(out, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return out
 }
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -66,6 +66,7 @@
 	zones     map[string]string // of each server
 	evacuated []evacuated
 	cold      []cold
+	needs     []need
 	revoked   time.Time // when the store acknowledged that the key is gone
 	settled   bool      // all entries served again after the last fault
 	ended     []string  // processes that ended without being told to
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -90,7 +90,7 @@
 			met[s.Fault] = true
 		}
 	}
-	for _, kind := range append(kinds, Revoke, Evacuate, ServerCold) {
+	for _, kind := range append(kinds, Revoke, Evacuate, ServerCold, ServerNeed) {
 		if !met[kind] {
 			t.Errorf("%s is in none of twenty plans", kind)
 		}
@@ -143,6 +143,15 @@
 				r.arrivals = append(r.arrivals, arrival{ReceivedRequest: standin.ReceivedRequest{ID: r.requests[len(r.requests)-1].ID, Instance: "server-0", Ran: true}, At: now})
 			}
 		},
+		PromiseNeed: func(r *record) {
+			r.needs = []need{{instance: "server-0", from: now.Add(-2 * needSettles), to: now.Add(2 * needWindow)}}
+			r.arrivals[0].At = now.Add(-needSettles) // from then on its entry knows the rate
+			for i := range int(needOverage*needPerSecond*needWindow.Seconds()) + needSlack {
+				at := now.Add(time.Duration(i) * 100 * time.Millisecond)
+				r.requests = append(r.requests, request{ID: fmt.Sprint(i), Path: standin.PathIdempotent, Key: keptKey, Sent: at, Ended: at, Outcome: Whole})
+				r.arrivals = append(r.arrivals, arrival{ReceivedRequest: standin.ReceivedRequest{ID: fmt.Sprint(i), Instance: "server-0", Ran: true}, At: at})
+			}
+		},
 		PromiseRegion:   func(r *record) { r.requests[0].Key = boundKey },
 		PromiseGrace:    func(r *record) { r.stuck = []string{"entry-0"} },
 		PromiseLives:    func(r *record) { r.ended = []string{"entry-0"} },
--- a/internal/soak/verdict.go
+++ b/internal/soak/verdict.go
@@ -44,6 +44,7 @@
 	PromiseDrain     = "an entry that is told to end cuts nothing"
 	PromiseEvacuated = "an evacuated zone gets nothing new"
 	PromiseCold      = "a cold server gets no more than it bears"
+	PromiseNeed      = "a server that names a rate gets no more than that"
 	PromiseRegion    = "a request runs in its allowed regions only"
 	PromiseGrace     = "an entry that is told to end does so in time"
 	PromiseLives     = "no process ends by itself"
@@ -66,6 +67,9 @@
 	}
 	out = append(out, r.judgeBudget()...)
 	out = append(out, r.judgePlaces()...)
+	for _, n := range r.needs {
+		out = append(out, r.judgeNeed(n)...)
+	}
 	for _, name := range r.ended {
 		out = append(out, Violation{PromiseLives, name})
 	}
