--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -184,7 +184,7 @@
 		e.logRefused(r.Status, v.AtFault)
 		return e.decideNext(request.AttemptOutcome{Refused: true, Sent: true})
 	}
-	e.gateway.suspects.remove(func(s suspect) bool {
+	e.gateway.possibleDeaths.remove(func(s possibleDeath) bool {
 		return s.server.Instance == attempt.Server.Instance && s.death.Ended.Before(e.placedAt)
 	})
 	if e.stream != nil && r.Status == http.StatusOK && isEventStream(r.Header) {
--- a/gateway/deaths.go
+++ b/gateway/deaths.go
@@ -66,7 +66,7 @@
 // isQuarantined reports whether the request is refused because of the servers that died
 // while running it.
 func (e *exchange) isQuarantined() bool {
-	e.gateway.recordSuspects(e.fingerprint)
+	e.gateway.recordPossibleDeaths(e.fingerprint)
 	return e.gateway.cfg.Quarantine.Verdict(e.fingerprint, time.Now()) == quarantine.Refuse
 }
 
@@ -78,7 +78,7 @@
 	if e.outcome != outcomeAnswered || e.status >= http.StatusInternalServerError {
 		return
 	}
-	e.gateway.suspects.remove(func(s suspect) bool { return s.fingerprint == e.fingerprint })
+	e.gateway.possibleDeaths.remove(func(s possibleDeath) bool { return s.fingerprint == e.fingerprint })
 	if e.gateway.cfg.Quarantine.Clear(e.fingerprint, time.Now()) {
 		e.gateway.cfg.DeathReporter.ReportCompletion(e.fingerprint)
 	}
@@ -94,22 +94,22 @@
 )
 
 // recordBreak records the death of the server of an attempt that broke with err, if the
-// server is gone. If that isn't known yet, the server becomes a suspect, also if it was
+// server is gone. If that isn't known yet, the death is possible, also if the server was
 // silent until the request timed out. An attempt that its caller ended shows nothing.
 func (e *exchange) recordBreak(ctx context.Context, placed placement.Placement, stage brokenStage, err error) {
 	ended := time.Now()
 	if timedOut := errors.Is(ctx.Err(), context.DeadlineExceeded); timedOut {
-		e.suspect(placed, ended)
+		e.addPossibleDeaths(placed, ended)
 		return
 	}
 	if ctx.Err() != nil {
 		return
 	}
 	if e.inspectServer(ctx, placed, stage, err) != upstream.ProbeRefused {
-		e.suspect(placed, ended)
+		e.addPossibleDeaths(placed, ended)
 		return
 	}
-	e.gateway.recordDeath(suspect{
+	e.gateway.recordDeath(possibleDeath{
 		fingerprint: e.fingerprint, requestID: e.info.ID, server: placed.Server, death: deathOf(placed.Server, e.placedAt, ended),
 	})
 }
@@ -145,7 +145,7 @@
 }
 
 // recordDeath records and reports that a server died under a request.
-func (g *Gateway) recordDeath(s suspect) {
+func (g *Gateway) recordDeath(s possibleDeath) {
 	record, isNew := g.cfg.Quarantine.RecordRunDeath(s.fingerprint, s.death, time.Now())
 	if !isNew {
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,7 +58,7 @@
 	activeRequests    atomic.Int64
 	phase             atomic.Int32 // shutdown phase
 	bufferedBodyBytes atomic.Int64 // bytes of request bodies held in memory
-	suspects          suspectList
+	possibleDeaths    possibleDeathList
 }
 
 // New returns a Gateway. Options that are not set take their defaults.
--- a/gateway/suspects_test.go
+++ b/gateway/possibledeaths_test.go
@@ -24,7 +24,7 @@
 		_, _, _ = gw.send(http.MethodPost, "/once/", "poison", hTimeout, "50")
 		gw.directory.Remove(instance, time.Now())
 		_ = m.listener.Close()
-		gw.gateway.CheckSuspects(t.Context())
+		gw.gateway.CheckPossibleDeaths(t.Context())
 		close(never)
 	}
 	gw.put("well", startRespondingServer(t))
@@ -60,7 +60,7 @@
 		}},
 		{"drained, its address used again", func(gw *testGateway, instance, address string) {
 			gw.directory.Put(upstream.Server{Instance: instance, Service: "s", Address: address, Capacity: 4, Draining: true})
-			gw.gateway.CheckSuspects(gw.t.Context())
+			gw.gateway.CheckPossibleDeaths(gw.t.Context())
 			gw.directory.Remove(instance, time.Now())
 			gw.directory.Put(upstream.Server{Instance: instance + "-next", Service: "other", Address: address, Capacity: 4})
 		}},
@@ -79,7 +79,7 @@
 				r, _, err := gw.send(http.MethodPost, "/once/", "break")
 				wantStatus(t, r, err, http.StatusBadGateway)
 				c.after(gw, instance, address)
-				gw.gateway.CheckSuspects(t.Context())
+				gw.gateway.CheckPossibleDeaths(t.Context())
 			}
 			gw.put("well", startRespondingServer(t))
 			r, _, err := gw.send(http.MethodPost, "/once/", "break")
@@ -90,7 +90,7 @@
 
 // Guards against attributing a death to a request that got its response from another server
 // meanwhile.
-func TestCompletedRequestHasNoSuspects(t *testing.T) {
+func TestCompletedRequestHasNoPossibleDeaths(t *testing.T) {
 	gw := newTestGateway(t).withSampleConfig()
 	for i := range deathThreshold {
 		instance, address := fmt.Sprint("broke-", i), startBreakingServer(t)
@@ -102,7 +102,7 @@
 		wantStatus(t, r, err, http.StatusOK)
 		gw.directory.Remove("well", time.Now())
 		gw.directory.Put(upstream.Server{Instance: instance + "-next", Service: "other", Address: address, Capacity: 4})
-		gw.gateway.CheckSuspects(t.Context())
+		gw.gateway.CheckPossibleDeaths(t.Context())
 	}
 	if len(gw.deaths.records) != 0 {
 		t.Errorf("%d deaths were reported, want none", len(gw.deaths.records))
@@ -127,17 +127,17 @@
 	}
 }
 
-// Guards against suspects that take memory without bound while a service fails.
-func TestSuspectsAreBounded(t *testing.T) {
-	var l suspectList
+// Guards against possible deaths that take memory without bound while a service fails.
+func TestPossibleDeathsAreBounded(t *testing.T) {
+	var l possibleDeathList
 	now := time.Now()
-	for i := range 2 * maxSuspects {
-		l.add(suspect{fingerprint: uint64(i), expires: now.Add(suspectTTL)})
+	for i := range 2 * maxPossibleDeaths {
+		l.add(possibleDeath{fingerprint: uint64(i), expires: now.Add(possibleDeathTTL)})
 	}
-	if got := l.snapshot(now); len(got) != maxSuspects || got[0].fingerprint != maxSuspects {
-		t.Errorf("%d suspects from %d on, want %d from %d on", len(got), got[0].fingerprint, maxSuspects, maxSuspects)
+	if got := l.snapshot(now); len(got) != maxPossibleDeaths || got[0].fingerprint != maxPossibleDeaths {
+		t.Errorf("%d possible deaths from %d on, want %d from %d on", len(got), got[0].fingerprint, maxPossibleDeaths, maxPossibleDeaths)
 	}
-	if got := l.snapshot(now.Add(suspectTTL)); len(got) != 0 {
-		t.Errorf("%d suspects after their time", len(got))
+	if got := l.snapshot(now.Add(possibleDeathTTL)); len(got) != 0 {
+		t.Errorf("%d possible deaths after their time", len(got))
 	}
 }
--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -232,7 +232,7 @@
 	}
 	n.startPuller(ctx, follow)
 	go n.sweepPeriodically(ctx)
-	go n.checkSuspectsPeriodically(ctx)
+	go n.checkPossibleDeathsPeriodically(ctx)
 	return n, nil
 }
 
@@ -275,10 +275,10 @@
 	}
 }
 
-// checkSuspectsPeriodically checks what became of the servers of broken attempts. It has a
+// checkPossibleDeathsPeriodically checks what became of the servers of broken attempts. It has a
 // goroutine of its own, because it waits for servers that don't reply.
-func (n *Node) checkSuspectsPeriodically(ctx context.Context) {
+func (n *Node) checkPossibleDeathsPeriodically(ctx context.Context) {
 	for sleep.For(ctx, sweepInterval) {
-		n.gateway.CheckSuspects(ctx)
+		n.gateway.CheckPossibleDeaths(ctx)
 	}
 }
