End a server's need in the soak with its process

The trace shows that the case is allowed: server-0 named its rate at 1.0 s and was killed at 5.3 s; its next start names none, and entry-2 logged the end of the rate with the first response, at 8.7 s. A server is held to its rate for as long as it says so, so the check ends with the process that said it. The bound is the same.

--- a/internal/soak/need.go
+++ b/internal/soak/need.go
@@ -70,10 +70,11 @@
 	for _, q := range r.requests {
 		entryOf[q.ID] = q.Entry
 	}
+	to := r.needEnd(n)
 	toldAt := map[int]time.Time{} // when an entry first got a response in the need, by entry
 	var at []time.Time
 	for _, a := range r.arrivals {
-		if a.Instance != n.instance || a.At.Before(n.from) || a.At.After(n.to) {
+		if a.Instance != n.instance || a.At.Before(n.from) || a.At.After(to) {
 			continue
 		}
 		entry, known := entryOf[a.ID]
@@ -100,6 +101,17 @@
 	return nil
 }
 
+// needEnd returns when a server's need ended: its next start names no rate.
+func (r *record) needEnd(n need) time.Time {
+	to := n.to
+	for _, s := range r.spans {
+		if s.Fault == ServerKill && serverName(s.Target) == n.instance && s.From.After(n.from) && s.From.Before(to) {
+			to = s.From
+		}
+	}
+	return to
+}
+
 // entryDisturbed reports whether an entry was ended, stood still or started between two times.
 func (r *record) entryDisturbed(entry int, from, to time.Time) bool {
 	return slices.ContainsFunc(r.spans, func(s span) bool {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -170,6 +170,21 @@
 	}
 }
 
+// Guards against holding a server's next start to the rate that the one before had named.
+func TestNeedEndsWithTheServer(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := good(now)
+	n := need{instance: "server-0", from: now, to: now.Add(needEvery)}
+	if got := r.needEnd(n); !got.Equal(n.to) {
+		t.Errorf("a need that nothing ended ends at %v", got)
+	}
+	killed := now.Add(time.Second)
+	r.spans = []span{{Step: Step{Fault: ServerKill, Target: 1}, From: now.Add(1)}, {Step: Step{Fault: ServerKill}, From: killed}}
+	if got := r.needEnd(n); !got.Equal(killed) {
+		t.Errorf("the need ends at %v, its server at %v", got, killed)
+	}
+}
+
 // Symptom: a cut of a connection by a killed server is laid to the entry's planned end.
 // Sequence: an entry is told to end; a server is killed meanwhile; a request breaks.
 // Cause: the check has to leave out requests beside which something else was broken.
