--- a/peering/limits.go
+++ b/peering/limits.go
@@ -33,7 +33,7 @@
 	for part := range slices.Chunk(list, maxRatesPerMessage) {
 		m := &wirepb.WorkNews{Owner: owner}
 		for _, observation := range part {
-			m.Rates = append(m.Rates, wire.ServerRateToProto(observation))
+			m.Rates = append(m.Rates, encodeRate(observation))
 		}
 		out = append(out, m)
 	}
@@ -51,6 +51,24 @@
 // handleRates merges the observations of a peer.
 func (x *Exchange) handleRates(rates []*wirepb.ServerRate, now time.Time) {
 	for _, r := range rates {
-		x.cfg.Limits.Merge(wire.ServerRateFromProto(r), now)
+		x.cfg.Limits.Merge(decodeRate(r), now)
+	}
+}
+
+// encodeRate converts an observation of a server's rate to its message.
+func encodeRate(o serverlimit.Observation) *wirepb.ServerRate {
+	return &wirepb.ServerRate{
+		Server:    o.Server,
+		PerSecond: min(o.PerSecond, wire.MaxRatePerSecond),
+		AgeMs:     uint64(max(o.Age, 0).Milliseconds()),
+	}
+}
+
+// decodeRate converts a message that passed wire.Check.
+func decodeRate(m *wirepb.ServerRate) serverlimit.Observation {
+	return serverlimit.Observation{
+		Server:    m.GetServer(),
+		PerSecond: m.GetPerSecond(),
+		Age:       time.Duration(m.GetAgeMs()) * time.Millisecond,
 	}
 }
--- a/wire/check.go
+++ b/wire/check.go
@@ -12,13 +12,12 @@
 
 // Bounds of the fields of a datagram.
 const (
-	maxNameBytes         = 64 // names of servers, pools, zones and models
-	maxModels            = 16 // models of one server
-	maxAdapters          = 32 // adapters of one server
-	maxDigestRows        = 32 // rows of one digest
-	maxEvidence          = 40 // evidence records of one datagram
-	maxRates             = 60 // server rates of one datagram
-	maxRatePerSecond     = 1e6
+	maxNameBytes         = 64      // names of servers, pools, zones and models
+	maxModels            = 16      // models of one server
+	maxAdapters          = 32      // adapters of one server
+	maxDigestRows        = 32      // rows of one digest
+	maxEvidence          = 40      // evidence records of one datagram
+	maxRates             = 60      // server rates of one datagram
 	maxCompleted         = 120     // completed fingerprints of one datagram
 	maxEntries           = 512     // entries of a region
 	maxRequests          = 1 << 20 // running or waiting on one server
@@ -103,6 +102,9 @@
 	return nil
 }
 
+// MaxRatePerSecond is the greatest request rate of a server that a message may carry.
+const MaxRatePerSecond = 1e6
+
 func checkRates(list []*wirepb.ServerRate) error {
 	if err := require(len(list) <= maxRates, "work.rates"); err != nil {
 		return err
@@ -110,7 +112,7 @@
 	for _, r := range list {
 		err := firstError(
 			require(r.GetServer() != 0, "work.rates.server"),
-			require(r.GetPerSecond() >= 0 && r.GetPerSecond() <= maxRatePerSecond, "work.rates.per_second"),
+			require(r.GetPerSecond() >= 0 && r.GetPerSecond() <= MaxRatePerSecond, "work.rates.per_second"),
 			require(r.GetAgeMs() <= maxMillis, "work.rates.age_ms"),
 		)
 		if err != nil {
