Explain kills_servers by workspace and host

The tool that explains refusals named the caller and the path; a request that crashes servers is recognised by its workspace, host, path and body. Tests of the package pass.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -130,7 +130,7 @@
 		return "an attempt ended without proof that it had not run; " + r.attempts()
 	},
 	"kills_servers": func(Line, *Report) string {
-		return "requests with the same path, caller and body ended servers before it (lines \"server died under a request\")"
+		return "requests with the same workspace, host, path and body ended servers before it (lines \"server died under a request\")"
 	},
 	"no_server_in_region": func(Line, *Report) string {
 		return "no backend server stands in a region that its route and its workspace both allow"
