Log when a listener closes and which connections get no response

The list of known failures has an entry that cut connections at its end, and its log said cut: 0. The counter knows only connections on which a request is handled; one that was just opened, or whose request is on its way, is closed uncounted.

"listener closed" gives the moment and how many connections are open. "connections ended" counts as unanswered the connections that were closed at the end before a whole request had come, how many of them had sent something, and the age of the youngest.

--- a/internal/graceful/conn.go
+++ b/internal/graceful/conn.go
@@ -115,11 +115,26 @@
 	return true
 }
 
-// isHandling reports whether closing the connection now would interrupt a request.
-func (c *conn) isHandling() bool {
+// connPhase tells what closing a connection now would do to its caller.
+type connPhase uint8
+
+const (
+	phaseReading  connPhase = iota // no request is handled, but one may be in transit
+	phaseHandling                  // a request would be interrupted
+	phaseRefused                   // nothing: the caller was sent the refusal
+)
+
+// phase returns the connection's phase, and whether it has received input.
+func (c *conn) phase() (phase connPhase, received bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.active && !c.refused
+	switch {
+	case c.refused:
+		phase = phaseRefused
+	case c.active:
+		phase = phaseHandling
+	}
+	return phase, c.received
 }
 
 // refuse sends the refusal once; unread is the number of bytes read but not handled.
--- a/internal/graceful/server.go
+++ b/internal/graceful/server.go
@@ -65,6 +65,22 @@
 	crossing int // refused, and had sent input that the refusal answered
 	leftOpen int // refused, and not closed by the caller in time
 	aborted  int // closed while a request was handled
+	// unanswered connections were closed at the end without any response to their caller's
+	// last bytes, if there were any: neither refused nor handling a request.
+	unanswered int
+	received   int           // unanswered, and had sent input
+	youngest   time.Duration // age of the youngest unanswered one
+}
+
+// addUnanswered counts a connection of the given age.
+func (s *connStats) addUnanswered(age time.Duration, received bool) {
+	if s.unanswered == 0 || age < s.youngest {
+		s.youngest = age
+	}
+	s.unanswered++
+	if received {
+		s.received++
+	}
 }
 
 // deadlineListener is a listener whose Accept can be given a deadline.
@@ -137,6 +153,7 @@
 	defer s.mu.Unlock()
 	s.listening = false
 	s.checkDrained()
+	s.log.WithFields(logrus.Fields{"open": len(s.conns), "shutting_down": s.shuttingDown}).Info("listener closed")
 	return s.shuttingDown
 }
 
@@ -152,7 +169,7 @@
 	select {
 	case <-s.drained:
 	case <-ctx.Done():
-		if aborted := s.countAborted(); aborted > 0 {
+		if aborted := s.countUnfinished(); aborted > 0 {
 			err = errors.Annotatef(ctx.Err(), "step shut down server, %d connections closed during a request", aborted)
 		}
 	}
@@ -217,13 +234,18 @@
 	return errors.Trace(s.http.Close())
 }
 
-// countAborted counts the connections on which a request is being handled.
-func (s *Server) countAborted() int {
+// countUnfinished counts the connections that are closed without the response that their
+// callers may wait for, and returns those on which a request is being handled.
+func (s *Server) countUnfinished() (aborted int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now()
 	for c := range s.conns {
-		if c.isHandling() {
+		switch phase, received := c.phase(); phase {
+		case phaseHandling:
 			s.stats.aborted++
+		case phaseReading:
+			s.stats.addUnanswered(now.Sub(c.opened), received)
 		}
 	}
 	return s.stats.aborted
@@ -237,9 +259,14 @@
 	if e == (connStats{}) {
 		return
 	}
-	s.log.WithFields(logrus.Fields{
-		"notified": e.refused, "crossed": e.crossing, "left_open": e.leftOpen, "cut": e.aborted,
-	}).Info("connections ended")
+	fields := logrus.Fields{
+		"notified": e.refused, "crossed": e.crossing, "left_open": e.leftOpen, "cut": e.aborted, "unanswered": e.unanswered,
+	}
+	if e.unanswered > 0 {
+		fields["unanswered_received"] = e.received
+		fields["unanswered_youngest_ms"] = e.youngest.Milliseconds()
+	}
+	s.log.WithFields(fields).Info("connections ended")
 }
 
 // track wraps and registers an accepted connection.
