Stop listening early enough to answer the connections accepted last

What callers saw: a request on a connection that they had just opened to an entry that ended got EOF or a reset, so that they couldn't know whether it had run (TestBrokenProcessesAreNoticed/sound).

Cause: Shutdown closed the listener only once no connection was open. Callers that are refused dial again and others leave connections open, so that there was hardly ever such an instant, and the listener was closed by the end of the context, together with all that had just been accepted.

Change: Shutdown stops accepting before the deadline of its context by the time that a connection needs to be accepted, to send its first request and to get the response (0.8 s). StopAccepting does the same by itself. Callers then get "connection refused", which tells them that nothing was sent.

Not mended by this alone: the close of the listener itself.

--- a/internal/graceful/server.go
+++ b/internal/graceful/server.go
@@ -18,6 +18,8 @@
 	// maxAcceptDrain is the longest time for which new connections can delay closing the
 	// listener.
 	maxAcceptDrain = 200 * time.Millisecond
+	// responseTime is the time that the response to a connection's last request takes.
+	responseTime = 100 * time.Millisecond
 	// firstRequestTimeout is the time after its opening for which a connection waits for
 	// its first request during shutdown. A connection that was opened for a request has
 	// received it by then; other connections are spares of the client.
@@ -50,7 +52,8 @@
 	listener       deadlineListener
 	conns          map[*conn]struct{}
 	shuttingDown   bool
-	acceptDeadline time.Time     // latest closing of the listener; set when no connection is left at shutdown
+	stopping       bool          // no more connections are accepted than those in the listener's queue
+	acceptDeadline time.Time     // latest closing of the listener; set by StopAccepting
 	drained        chan struct{} // closed once the server is shutting down, doesn't listen and has no connections
 	listening      bool
 	stats          connStats
@@ -59,6 +62,10 @@
 // timeouts limit the waits for callers: see firstRequestTimeout and peerCloseTimeout.
 type timeouts struct{ firstRequest, peerClose time.Duration }
 
+// answer returns the longest time from StopAccepting to the response to the first request
+// on the connection that is accepted last.
+func (t timeouts) answer() time.Duration { return maxAcceptDrain + t.firstRequest + responseTime }
+
 // connStats counts the outcomes of the connections at shutdown.
 type connStats struct {
 	refused  int // were refused
@@ -83,12 +90,6 @@
 	}
 }
 
-// deadlineListener is a listener whose Accept can be given a deadline.
-type deadlineListener interface {
-	net.Listener
-	SetDeadline(time.Time) error
-}
-
 // New returns a Server. It takes ownership of cfg.HTTP.
 func New(cfg Config) *Server {
 	s := &Server{
@@ -114,8 +115,8 @@
 	return s
 }
 
-// Serve accepts connections on lis until Shutdown or Close, and closes lis. It returns nil
-// if Shutdown or Close stopped it. It must be called only once.
+// Serve accepts connections on lis until StopAccepting, Shutdown or Close, and closes lis. It
+// returns nil if one of them stopped it. It must be called only once.
 func (s *Server) Serve(lis net.Listener) error {
 	stoppable, ok := lis.(deadlineListener)
 	if !ok {
@@ -133,12 +134,12 @@
 	return errors.Trace(err)
 }
 
-// setListener stores the listener for Shutdown. It returns false if the server is
-// shutting down.
+// setListener stores the listener for Shutdown. It returns false if the server has stopped
+// accepting.
 func (s *Server) setListener(lis deadlineListener) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.shuttingDown {
+	if s.stopping || s.shuttingDown {
 		return false
 	}
 	s.listener = lis
@@ -146,22 +147,27 @@
 	return true
 }
 
-// clearListener records that no more connections are accepted, and reports whether the
-// server is shutting down.
+// clearListener records that no more connections are accepted, and reports whether this was
+// requested.
 func (s *Server) clearListener() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.listening = false
 	s.checkDrained()
 	s.log.WithFields(logrus.Fields{"open": len(s.conns), "shutting_down": s.shuttingDown}).Info("listener closed")
-	return s.shuttingDown
+	return s.stopping || s.shuttingDown
 }
 
 // Shutdown refuses further requests on every connection once its active request is
 // answered, and on connections that are accepted while others are still open. It returns
 // when all connections are closed. If ctx ends first, it closes the remaining connections,
-// and returns the error of ctx if requests were being handled on them.
+// and returns the error of ctx if requests were being handled on them. It stops accepting
+// early enough before the deadline of ctx that each accepted connection gets a response.
 func (s *Server) Shutdown(ctx context.Context) error {
+	if deadline, ok := ctx.Deadline(); ok {
+		timer := time.AfterFunc(time.Until(deadline)-s.timeouts.answer(), s.StopAccepting)
+		defer timer.Stop()
+	}
 	for _, c := range s.beginShutdown() {
 		c.shutdown()
 	}
@@ -195,27 +201,14 @@
 	return open
 }
 
-// extendAcceptDeadline sets the listener's deadline to acceptQuietPeriod from now, but at
-// most to acceptDeadline. s.mu is held.
-func (s *Server) extendAcceptDeadline() {
-	if s.acceptDeadline.IsZero() {
-		s.acceptDeadline = time.Now().Add(maxAcceptDrain)
-	}
-	at := time.Now().Add(acceptQuietPeriod)
-	if at.After(s.acceptDeadline) {
-		at = s.acceptDeadline
-	}
-	_ = s.listener.SetDeadline(at) // fails only on a closed listener, which accepts nothing
-}
-
 // checkDrained continues the shutdown once no connection is open: while the server
-// listens, it sets the listener's deadline; afterwards it closes s.drained. s.mu is held.
+// listens, it stops accepting; afterwards it closes s.drained. s.mu is held.
 func (s *Server) checkDrained() {
 	if !s.shuttingDown || len(s.conns) > 0 {
 		return
 	}
 	if s.listening {
-		s.extendAcceptDeadline()
+		s.stopAccepting()
 		return
 	}
 	select {
@@ -298,22 +291,3 @@
 	defer s.mu.Unlock()
 	return s.shuttingDown
 }
-
-// trackingListener wraps each accepted connection in a conn.
-type trackingListener struct {
-	net.Listener
-	server *Server
-}
-
-// Accept implements net.Listener.
-func (a trackingListener) Accept() (net.Conn, error) {
-	raw, err := a.Listener.Accept()
-	if err != nil {
-		if a.server.isShuttingDown() {
-			// The http.Server would retry after a timeout, which is a temporary error.
-			return nil, net.ErrClosed
-		}
-		return nil, err
-	}
-	return a.server.track(raw), nil
-}
--- a/internal/graceful/server_test.go
+++ b/internal/graceful/server_test.go
@@ -46,11 +46,21 @@
 // startServerWithFirstWait starts a server that waits up to first for the first request of a
 // connection.
 func startServerWithFirstWait(t *testing.T, srv *http.Server, first time.Duration) *testServer {
+	t.Helper()
+	return startServerOn(t, listen(t), srv, first)
+}
+
+func listen(t *testing.T) *net.TCPListener {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	return lis.(*net.TCPListener)
+}
+
+func startServerOn(t *testing.T, lis net.Listener, srv *http.Server, first time.Duration) *testServer {
+	t.Helper()
 	s := &testServer{
 		Server:  graceful.New(graceful.Config{HTTP: srv, Refuse: refuse, Log: quiet.Logger()}),
 		address: lis.Addr().String(),
@@ -85,6 +95,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return newCaller(t, conn)
+}
+
+func newCaller(t *testing.T, conn net.Conn) *caller {
 	t.Cleanup(func() { _ = conn.Close() })
 	return &caller{Conn: conn, answers: bufio.NewReader(conn)}
 }
@@ -423,10 +437,7 @@
 // without resetting queued connections: Serve rejects it, so that this isn't found only
 // at shutdown.
 func TestListenerWithoutDeadlinesIsNotServed(t *testing.T) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	lis := listen(t)
 	s := graceful.New(graceful.Config{HTTP: &http.Server{}, Refuse: refuse, Log: quiet.Logger()})
 	if err := s.Serve(struct{ net.Listener }{lis}); !errors.Is(err, errors.NotSupported) {
 		t.Errorf("Serve returned %v, want NotSupported", err)
