Accept what is queued when the deadline of a listener that closes has passed

What callers saw: a reset on a connection that was established, and on which they had sent a request, when an entry stopped to listen.

Cause: the listener was closed as soon as Accept returned a timeout. Accept of package net checks its deadline before it looks at the queue. A process that wasn't scheduled for the 20 ms that the listener is to be quiet found its deadline passed and the queue full, and closing the listener resets what is queued.

TestQueueIsEmptiedAfterItsDeadline stalls Accept until the deadline has passed: before, 10 of 10 queued callers were reset; now all are refused.

--- a/internal/graceful/listener_test.go
+++ b/internal/graceful/listener_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -74,3 +75,55 @@
 		t.Errorf("dial: %v, want ECONNREFUSED", err)
 	}
 }
+
+// stallingListener stops in Accept, as a process that isn't scheduled, until resume is
+// closed, and tells when its deadline is set.
+type stallingListener struct {
+	*net.TCPListener
+	accepts  atomic.Int64
+	stall    int64 // the call of Accept that stalls, from 1
+	resume   chan struct{}
+	deadline chan time.Time
+}
+
+// Accept implements net.Listener.
+func (l *stallingListener) Accept() (net.Conn, error) {
+	if l.accepts.Add(1) == l.stall {
+		<-l.resume
+	}
+	return l.TCPListener.Accept()
+}
+
+// SetDeadline implements graceful's listener.
+func (l *stallingListener) SetDeadline(at time.Time) error {
+	err := l.TCPListener.SetDeadline(at)
+	select {
+	case l.deadline <- at:
+	default: // only the first one is waited for
+	}
+	return err
+}
+
+// Guards against resetting the connections in the listener's queue if its deadline passes
+// while the process isn't scheduled: they are accepted and get a response.
+func TestQueueIsEmptiedAfterItsDeadline(t *testing.T) {
+	const queued = 10
+	lis := &stallingListener{
+		TCPListener: listen(t), stall: 2, resume: make(chan struct{}), deadline: make(chan time.Time, 1),
+	}
+	s := startServerOn(t, lis, &http.Server{Handler: &countingHandler{}}, firstWait)
+	first := dialAnswered(t, s.address)
+	var callers []*caller
+	for range queued {
+		callers = append(callers, dial(t, s.address))
+	}
+	done := s.shutdownWithin(t, stepTimeout)
+	first.wantRefusal(t) // and closes, so that no connection is open
+	time.Sleep(time.Until(<-lis.deadline) + time.Millisecond)
+	close(lis.resume)
+	for _, c := range callers {
+		_ = c.send(post("queued")) // if it fails, there is no refusal either
+		c.wantRefusal(t)
+	}
+	<-done
+}
--- a/internal/graceful/server.go
+++ b/internal/graceful/server.go
@@ -126,7 +126,7 @@
 	if !s.setListener(stoppable) {
 		return errors.Trace(lis.Close())
 	}
-	err := s.http.Serve(trackingListener{lis, s})
+	err := s.http.Serve(trackingListener{stoppable, s})
 	_ = lis.Close() // already closed if Shutdown or Close stopped serving
 	if s.clearListener() || errors.Is(err, http.ErrServerClosed) {
 		return nil
