Refuse new connections before the listener closes

What callers saw: a reset, or EOF where the reset had already failed the sending, on a connection that was established in the moment in which an entry closed its listener; some dials themselves failed with a reset.

Cause: the kernel goes on to complete handshakes until the listener is closed, and closing resets what came after the last accept. No order of accept and close can help: the queue has to be shut before it is emptied.

Change: StopAccepting first binds the listener to a network interface that doesn't exist. The kernel then finds no listener for packets that open a connection and refuses them, as it does once the listener is closed, while handshakes that have begun are found by their own entry and still end in the queue. They have 0.1 s for this, longer than a round trip between regions; then the queue is emptied and the listener closed. This replaces the wait for 20 ms without a new connection, which callers that dial without a pause could extend to 0.2 s. If it fails, the server logs that and closes as before.

--- a/internal/graceful/doc.go
+++ b/internal/graceful/doc.go
@@ -12,10 +12,14 @@
 // Guarantees:
 //   - No request is handled on a connection after it was refused.
 //   - A request that is handled gets its response before its connection is refused.
+//   - A connection that was established gets a response: before the listener closes, the
+//     kernel refuses further ones, which tells a caller that nothing was sent.
 //   - Shutdown returns when every caller has closed its side, so that none sends on a
 //     connection of this server to the next process that listens on the address. It waits
 //     for a caller that doesn't close for one second, and never longer than the context.
 //
-// Not covered: a connection that the kernel accepts between the last Accept and the close
-// of the listener is reset. Remove the address from the load balancer first.
+// Not covered: a connection whose handshake takes longer than a tenth of a second while the
+// listener closes is reset, and so is any that is established in this moment if the
+// listener was bound to a network interface. Remove the address from the load balancer
+// first.
 package graceful
--- a/internal/graceful/listener.go
+++ b/internal/graceful/listener.go
@@ -1,14 +1,25 @@
 package graceful
 
 import (
+	"cmp"
+	"math"
 	"net"
 	"os"
 	"syscall"
 	"time"
 
+	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
 )
 
+const (
+	// handshakeTime is the time that connections whose handshake has begun have to complete
+	// it before the listener is closed. It is longer than a round trip between regions.
+	handshakeTime = 100 * time.Millisecond
+	// noInterface is the index of a network interface that doesn't exist.
+	noInterface = math.MaxInt32
+)
+
 // deadlineListener is a listener whose Accept can be given a deadline, and whose queue can
 // be read after it. *net.TCPListener is one.
 type deadlineListener interface {
@@ -17,7 +28,8 @@
 	SetDeadline(time.Time) error
 }
 
-// StopAccepting closes the listener once the connections in its queue are accepted. Open
+// StopAccepting refuses new connections as if nothing listened on the address, accepts
+// those whose handshake has begun, and closes the listener. It doesn't wait for this. Open
 // connections are served as before.
 func (s *Server) StopAccepting() {
 	s.mu.Lock()
@@ -27,23 +39,35 @@
 
 // stopAccepting is StopAccepting with s.mu held.
 func (s *Server) stopAccepting() {
+	if s.stopping {
+		return
+	}
 	s.stopping = true
-	if s.listening {
-		s.extendAcceptDeadline()
+	if !s.listening {
+		return
+	}
+	if err := refuseHandshakes(s.listener); err != nil {
+		s.log.WithError(err).Warn("connections that are opened while the listener closes may be reset")
 	}
+	_ = s.listener.SetDeadline(time.Now().Add(handshakeTime)) // fails only on a closed listener, which accepts nothing
 }
 
-// extendAcceptDeadline sets the listener's deadline to acceptQuietPeriod from now, but at
-// most to acceptDeadline. s.mu is held.
-func (s *Server) extendAcceptDeadline() {
-	if s.acceptDeadline.IsZero() {
-		s.acceptDeadline = time.Now().Add(maxAcceptDrain)
-	}
-	at := time.Now().Add(acceptQuietPeriod)
-	if at.After(s.acceptDeadline) {
-		at = s.acceptDeadline
+// refuseHandshakes makes the kernel refuse new connections to the listener as if it were
+// closed, while handshakes that have begun still end in its queue. It binds the listener to
+// a network interface that doesn't exist, so that no packet that opens a connection is for
+// it. Linux allows this from version 5.7 without privileges, unless the listener is bound to
+// an interface already.
+func refuseHandshakes(lis syscall.Conn) error {
+	const step = "step refuse new connections"
+	raw, err := lis.SyscallConn()
+	if err != nil {
+		return errors.Annotate(err, step)
 	}
-	_ = s.listener.SetDeadline(at) // fails only on a closed listener, which accepts nothing
+	var setErr error
+	err = raw.Control(func(fd uintptr) {
+		setErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_BINDTOIFINDEX, noInterface)
+	})
+	return errors.Annotate(cmp.Or(err, setErr), step)
 }
 
 func (s *Server) isStopping() bool {
--- a/internal/graceful/server.go
+++ b/internal/graceful/server.go
@@ -12,12 +12,6 @@
 )
 
 const (
-	// acceptQuietPeriod is the time without a new connection after which the listener is
-	// closed at shutdown. Closing it earlier would reset connections in its accept queue.
-	acceptQuietPeriod = 20 * time.Millisecond
-	// maxAcceptDrain is the longest time for which new connections can delay closing the
-	// listener.
-	maxAcceptDrain = 200 * time.Millisecond
 	// responseTime is the time that the response to a connection's last request takes.
 	responseTime = 100 * time.Millisecond
 	// firstRequestTimeout is the time after its opening for which a connection waits for
@@ -48,15 +42,14 @@
 	log                 logrus.FieldLogger
 	timeouts            timeouts
 
-	mu             sync.Mutex // guards the fields below; locked before conn.mu
-	listener       deadlineListener
-	conns          map[*conn]struct{}
-	shuttingDown   bool
-	stopping       bool          // no more connections are accepted than those in the listener's queue
-	acceptDeadline time.Time     // latest closing of the listener; set by StopAccepting
-	drained        chan struct{} // closed once the server is shutting down, doesn't listen and has no connections
-	listening      bool
-	stats          connStats
+	mu           sync.Mutex // guards the fields below; locked before conn.mu
+	listener     deadlineListener
+	conns        map[*conn]struct{}
+	shuttingDown bool
+	stopping     bool          // new connections are refused, and the listener is about to close
+	drained      chan struct{} // closed once the server is shutting down, doesn't listen and has no connections
+	listening    bool
+	stats        connStats
 }
 
 // timeouts limit the waits for callers: see firstRequestTimeout and peerCloseTimeout.
@@ -64,7 +57,7 @@
 
 // answer returns the longest time from StopAccepting to the response to the first request
 // on the connection that is accepted last.
-func (t timeouts) answer() time.Duration { return maxAcceptDrain + t.firstRequest + responseTime }
+func (t timeouts) answer() time.Duration { return handshakeTime + t.firstRequest + responseTime }
 
 // connStats counts the outcomes of the connections at shutdown.
 type connStats struct {
