Stop accepting at an entry early enough before its grace ends

Cause: with a grace of 4 s the shutdown of the callers' server began 3.5 s after the signal and had to end at 3.7 s. A connection that was just opened may take 0.5 s to send its first request, so that it was still waited for when all were closed. With 8 s there is time: the server stops 0.7 s before 7.7 s by itself.

Change: DrainAndWait stops accepting AnswerTime (0.7 s) before the end, here 3.0 s after the signal; open connections are served and refused as before, from 3.5 s on. What the load balancer needs stays: it checks once a second and takes an entry out after two failed checks, at the latest 2 s after the signal and the time of a check, so that a second is left for connections on their way to it. A caller that dials after 3.0 s is refused at once and knows that nothing was sent; it would have got a refusal before, too, since all requests are refused from 2.5 s on. With a grace of 8 s accepting ends 7.0 s after the signal at the latest.

--- a/internal/gatewaynode/end.go
+++ b/internal/gatewaynode/end.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/briarturn/briarturn/internal/graceful"
 	"github.com/briarturn/briarturn/internal/sleep"
 )
 
@@ -14,8 +15,8 @@
 	// might not end within the grace period. Streams that begin earlier may run until the
 	// last sixth of the grace period.
 	refuseStreamsAfter = 2500 * time.Millisecond
-	// minServeTime is the shortest time for which the node continues to serve: the load
-	// balancer checks readiness once a second and needs two failed checks, and a
+	// minServeTime is the shortest time for which the node continues to serve open
+	// connections: the load balancer checks readiness once a second and needs two failed checks, and a
 	// connection may be in transit.
 	minServeTime = 3500 * time.Millisecond
 	// refuseAllBefore and exitBefore are counted back from the end of the grace period.
@@ -33,12 +34,16 @@
 
 // DrainAndWait reports the node as not ready to the load balancer, continues to serve
 // requests until none is active or every new request is refused, and then closes the
-// connections as they become idle, until shortly before the grace period ends.
+// connections as they become idle, until shortly before the grace period ends. It accepts
+// no connection that couldn't get a response by then.
 func (n *Node) DrainAndWait(ctx context.Context) error {
 	begun := time.Now()
 	n.gateway.BeginShutdown()
+	end := begun.Add(n.cfg.Grace - exitBefore)
+	stopAccepting := time.AfterFunc(time.Until(end)-graceful.AnswerTime, n.callers.StopAccepting)
+	defer stopAccepting.Stop()
 	n.waitUntilDrained(ctx, begun)
-	ending, cancel := context.WithDeadline(context.Background(), begun.Add(n.cfg.Grace-exitBefore))
+	ending, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	return n.callers.Shutdown(ending)
 }
--- a/internal/gatewaynode/serve_test.go
+++ b/internal/gatewaynode/serve_test.go
@@ -129,6 +129,51 @@
 	}
 }
 
+// Guards against cutting connections that were opened shortly before the end of the grace
+// period: each has time to send its first request and gets a response.
+func TestConnectionsOpenedLastAreAnswered(t *testing.T) {
+	const (
+		grace    = 4 * time.Second
+		interval = 20 * time.Millisecond // between connections
+		// sendAfter is the time from the last connection to the requests on all of them.
+		sendAfter = 300 * time.Millisecond
+	)
+	n, _ := startWithGrace(t, "127.0.0.1:0", gatewaynode.ConnLimits{}, grace)
+	drained := make(chan error, 1)
+	go func() {
+		drained <- n.DrainAndWait(t.Context())
+		n.Close()
+	}()
+	var conns []net.Conn
+	for {
+		conn, err := net.Dial("tcp", n.Address())
+		if err != nil {
+			break
+		}
+		defer conn.Close()
+		conns = append(conns, conn)
+		time.Sleep(interval)
+	}
+	time.Sleep(sendAfter)
+	for i, conn := range conns {
+		_, sendErr := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		_ = conn.SetReadDeadline(time.Now().Add(time.Minute))
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Errorf("connection %d of %d: no answer: %v, sending: %v", i+1, len(conns), err, sendErr)
+			continue
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("connection %d of %d: status %d", i+1, len(conns), resp.StatusCode)
+		}
+		_ = conn.Close()
+	}
+	if err := <-drained; err != nil {
+		t.Error(err)
+	}
+}
+
 // wantRefusal expects a response that refuses a request as not run, with a reason.
 func wantRefusal(t *testing.T, conn net.Conn, reason string) {
 	t.Helper()
--- a/internal/graceful/server.go
+++ b/internal/graceful/server.go
@@ -20,6 +20,9 @@
 	firstRequestTimeout = 500 * time.Millisecond
 	// peerCloseTimeout is the time that a caller has to close its side after the refusal.
 	peerCloseTimeout = time.Second
+	// AnswerTime is the time from StopAccepting until a request on each connection that was
+	// accepted has got its response, unless the request itself takes longer.
+	AnswerTime = handshakeTime + firstRequestTimeout + responseTime
 )
 
 // Config configures a Server.
