--- a/internal/gatewaynode/end.go
+++ b/internal/gatewaynode/end.go
@@ -16,8 +16,9 @@
 	// last sixth of the grace period.
 	refuseStreamsAfter = 2500 * time.Millisecond
 	// minServeTime is the shortest time for which the node continues to serve open
-	// connections: the load balancer checks readiness once a second and needs two failed checks, and a
-	// connection may be in transit.
+	// connections: the load balancer checks readiness once a second and needs two failed
+	// checks, and a connection may be in transit. With a short grace period, new ones are
+	// refused earlier.
 	minServeTime = 3500 * time.Millisecond
 	// refuseAllBefore and exitBefore are counted back from the end of the grace period.
 	// Between them, callers that are still connected have time to receive a refusal.
