--- a/internal/graceful/conn.go
+++ b/internal/graceful/conn.go
@@ -115,7 +115,7 @@
 	return true
 }
 
-// connPhase tells what closing a connection now would do to its caller.
+// connPhase says what closing a connection now would do to its caller.
 type connPhase uint8
 
 const (
--- a/internal/graceful/listener.go
+++ b/internal/graceful/listener.go
@@ -20,9 +20,9 @@
 	noInterface = math.MaxInt32
 )
 
-// deadlineListener is a listener whose Accept can be given a deadline, and whose queue can
-// be read after it. *net.TCPListener is one.
-type deadlineListener interface {
+// stoppableListener is a listener that can be stopped without resetting connections: its
+// socket can be controlled, and Accept can be given a deadline. *net.TCPListener is one.
+type stoppableListener interface {
 	net.Listener
 	syscall.Conn
 	SetDeadline(time.Time) error
@@ -78,14 +78,14 @@
 
 // trackingListener wraps each accepted connection in a conn.
 type trackingListener struct {
-	deadlineListener
+	stoppableListener
 	server *Server
 }
 
 // Accept implements net.Listener. Once the server has stopped accepting, it returns the
 // connections that are left in the queue, and then net.ErrClosed.
 func (l trackingListener) Accept() (net.Conn, error) {
-	raw, err := l.deadlineListener.Accept()
+	raw, err := l.stoppableListener.Accept()
 	if isTimeout(err) && l.server.isStopping() {
 		// Accept doesn't read the queue once its deadline has passed.
 		raw, err = acceptQueued(l)
--- a/internal/graceful/server.go
+++ b/internal/graceful/server.go
@@ -46,7 +46,7 @@
 	timeouts            timeouts
 
 	mu           sync.Mutex // guards the fields below; locked before conn.mu
-	listener     deadlineListener
+	listener     stoppableListener
 	conns        map[*conn]struct{}
 	shuttingDown bool
 	stopping     bool          // new connections are refused, and the listener is about to close
@@ -62,30 +62,6 @@
 // on the connection that is accepted last.
 func (t timeouts) answer() time.Duration { return handshakeTime + t.firstRequest + responseTime }
 
-// connStats counts the outcomes of the connections at shutdown.
-type connStats struct {
-	refused  int // were refused
-	crossing int // refused, and had sent input that the refusal answered
-	leftOpen int // refused, and not closed by the caller in time
-	aborted  int // closed while a request was handled
-	// unanswered connections were closed at the end without any response to their caller's
-	// last bytes, if there were any: neither refused nor handling a request.
-	unanswered int
-	received   int           // unanswered, and had sent input
-	youngest   time.Duration // age of the youngest unanswered one
-}
-
-// addUnanswered counts a connection of the given age.
-func (s *connStats) addUnanswered(age time.Duration, received bool) {
-	if s.unanswered == 0 || age < s.youngest {
-		s.youngest = age
-	}
-	s.unanswered++
-	if received {
-		s.received++
-	}
-}
-
 // New returns a Server. It takes ownership of cfg.HTTP.
 func New(cfg Config) *Server {
 	s := &Server{
@@ -114,10 +90,10 @@
 // Serve accepts connections on lis until StopAccepting, Shutdown or Close, and closes lis. It
 // returns nil if one of them stopped it. It must be called only once.
 func (s *Server) Serve(lis net.Listener) error {
-	stoppable, ok := lis.(deadlineListener)
+	stoppable, ok := lis.(stoppableListener)
 	if !ok {
 		_ = lis.Close() // no connection was accepted
-		return errors.NotSupportedf("step serve, address %s: listener without deadlines", lis.Addr())
+		return errors.NotSupportedf("step serve, address %s: listener without a socket or deadlines", lis.Addr())
 	}
 	if !s.setListener(stoppable) {
 		return errors.Trace(lis.Close())
@@ -132,7 +108,7 @@
 
 // setListener stores the listener for Shutdown. It returns false if the server has stopped
 // accepting.
-func (s *Server) setListener(lis deadlineListener) bool {
+func (s *Server) setListener(lis stoppableListener) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.stopping || s.shuttingDown {
@@ -223,41 +199,6 @@
 	return errors.Trace(s.http.Close())
 }
 
-// countUnfinished counts the connections that are closed without the response that their
-// callers may wait for, and returns those on which a request is being handled.
-func (s *Server) countUnfinished() (aborted int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
-	for c := range s.conns {
-		switch phase, received := c.phase(); phase {
-		case phaseHandling:
-			s.stats.aborted++
-		case phaseReading:
-			s.stats.addUnanswered(now.Sub(c.opened), received)
-		}
-	}
-	return s.stats.aborted
-}
-
-// logStats logs the outcomes of the connections, if there were any.
-func (s *Server) logStats() {
-	s.mu.Lock()
-	e := s.stats
-	s.mu.Unlock()
-	if e == (connStats{}) {
-		return
-	}
-	fields := logrus.Fields{
-		"notified": e.refused, "crossed": e.crossing, "left_open": e.leftOpen, "cut": e.aborted, "unanswered": e.unanswered,
-	}
-	if e.unanswered > 0 {
-		fields["unanswered_received"] = e.received
-		fields["unanswered_youngest_ms"] = e.youngest.Milliseconds()
-	}
-	s.log.WithFields(fields).Info("connections ended")
-}
-
 // track wraps and registers an accepted connection.
 func (s *Server) track(raw net.Conn) *conn {
 	s.mu.Lock()
@@ -274,14 +215,6 @@
 	s.checkDrained()
 }
 
-func (s *Server) addStats(delta connStats) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.stats.refused += delta.refused
-	s.stats.crossing += delta.crossing
-	s.stats.leftOpen += delta.leftOpen
-}
-
 func (s *Server) isShuttingDown() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/node/tasks_test.go
+++ b/internal/node/tasks_test.go
@@ -11,12 +11,8 @@
 	"github.com/briarturn/briarturn/internal/quiet"
 )
 
-// Symptom: one request among thousands gets no answer while entries are replaced.
-// Sequence: a caller's HTTP client opens a connection to spare; its entry drains
-// and is closed, and another starts on the same address; the client takes the
-// spare connection for a request to it, and in that moment it is cut.
-// Cause: closing went on behind the back of who had asked for it, and left
-// connections without a request open for two seconds more.
+// Guards against leaving connections without a request open after their server was
+// stopped: a caller's client would send its next request on one, and it would be cut.
 func TestStopClosesSpareConnections(t *testing.T) {
 	accepted := make(chan struct{}, 1)
 	tasks := newTasks(quiet.Logger())
