--- a/internal/graceful/doc.go
+++ b/internal/graceful/doc.go
@@ -21,5 +21,7 @@
 // Not covered: a connection whose handshake takes longer than a tenth of a second while the
 // listener closes is reset, and so is any that is established in this moment if the
 // listener was bound to a network interface. Remove the address from the load balancer
-// first.
+// first. A caller that takes longer than half a second from opening a connection to its
+// first request gets the refusal before it has sent anything, which an HTTP client may
+// report as a failed request.
 package graceful
