Don't count a cleared death again when its report arrives late

What callers saw: a call that had run to its end stayed a suspect at one entry, where two more deaths of servers instead of three refused it.

Cause: Tracker.Clear dropped the history of the fingerprint with the IDs of its deaths. A death is reported at once, by heartbeats for 2 s and in the state for new peers; a report that arrived after the completion was new again. The invariant "a death counts once" held only until a clear.

Change: a cleared history keeps the IDs of its last four deaths until it would have expired; add ignores them. Verdict, Remaining and Clear treat a history without deaths as none.

TestClearedDeathIsNotCountedAgain controls the order: it fails without the change. Tests of quarantine, peering, gateway, membership and entry pass with -race.

--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -9,11 +9,12 @@
 // after the engine died, while the runs that an outage ends overlap.
 //
 // Invariants: the table is bounded and its records expire; a death counts once, however
-// often and from whichever process it is reported; when a fingerprint runs to its end, the
+// often and from whichever process it is reported, and not again once it is cleared; when a fingerprint runs to its end, the
 // process that saw it clears a suspect, and reports that to the others if it shares records.
 package quarantine
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -87,6 +88,7 @@
 type deathHistory struct {
 	deaths  [maxTrackedDeaths]Death
 	count   int
+	cleared []uint64 // Death.ID of the latest deaths before a completion, maxTrackedDeaths at most
 	expires time.Time
 }
 
@@ -178,10 +180,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.unexpired(fingerprint, now)
-	if e == nil || e.count >= t.options.DeathThreshold {
+	if e == nil || e.count == 0 || e.count >= t.options.DeathThreshold {
 		return false
 	}
-	t.histories.Remove(fingerprint)
+	e.clear()
 	return true
 }
 
@@ -191,7 +193,7 @@
 	defer t.mu.Unlock()
 	e := t.unexpired(fingerprint, now)
 	switch {
-	case e == nil:
+	case e == nil || e.count == 0:
 		return Allow
 	case e.count >= t.options.DeathThreshold:
 		return Refuse
@@ -215,7 +217,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.unexpired(fingerprint, now)
-	if e == nil {
+	if e == nil || e.count == 0 {
 		return 0
 	}
 	return e.expires.Sub(now)
@@ -272,8 +274,21 @@
 	}
 }
 
+// clear removes the deaths. Their IDs stay: a report that was sent before the completion may
+// arrive after it.
+func (h *deathHistory) clear() {
+	for _, death := range h.deaths[:h.count] {
+		h.cleared = append(h.cleared, death.ID)
+	}
+	h.cleared = h.cleared[max(len(h.cleared)-maxTrackedDeaths, 0):]
+	h.count = 0
+}
+
 // add adds a death and reports whether it is new and its run overlapped that of no other.
 func (h *deathHistory) add(death Death, tolerance time.Duration) bool {
+	if slices.Contains(h.cleared, death.ID) {
+		return false
+	}
 	for _, known := range h.deaths[:h.count] {
 		if known.ID == death.ID || known.overlaps(death, tolerance) {
 			return false
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -52,6 +52,34 @@
 	}
 }
 
+// Guards against a suspect that was cleared, and is suspected again when a report of the same
+// death arrives late or a second time.
+func TestClearedDeathIsNotCountedAgain(t *testing.T) {
+	a, b := NewTracker(DefaultOptions), NewTracker(DefaultOptions)
+	late, _ := a.RecordDeath(7, 100, t0)
+	b.Merge(late, t0)
+	if !b.Clear(7, t0) {
+		t.Fatal("the completion of a suspect doesn't clear it")
+	}
+	if b.Merge(late, t0) {
+		t.Error("a late report counts as new")
+	}
+	if got := b.Verdict(7, t0); got != Allow {
+		t.Errorf("verdict %v after a late report", got)
+	}
+	if b.Clear(7, t0) {
+		t.Error("a fingerprint without deaths is reported as cleared")
+	}
+	if got := b.Remaining(7, t0); got != 0 {
+		t.Errorf("a verdict without deaths lasts for %v", got)
+	}
+	next, _ := a.RecordDeath(7, 200, t0)
+	b.Merge(next, t0)
+	if got := b.Verdict(7, t0); got != RunAlone {
+		t.Errorf("verdict %v after another death", got)
+	}
+}
+
 func TestVerdictsExpire(t *testing.T) {
 	b := NewTracker(DefaultOptions)
 	b.RecordDeath(7, 100, t0)
