Wrap the invariants of package quarantine

Cause: one line of the package comment was longer than the others after. Change: a comment only.

Measured: tests of quarantine pass.

--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -9,8 +9,9 @@
 // after the engine died, while the runs that an outage ends overlap.
 //
 // Invariants: the table is bounded and its records expire; a death counts once, however
-// often and from whichever process it is reported, and not again once it is cleared; when a fingerprint runs to its end, the
-// process that saw it clears a suspect, and reports that to the others if it shares records.
+// often and from whichever process it is reported, and not again once it is cleared; when
+// a fingerprint runs to its end, the process that saw it clears a suspect, and reports that
+// to the others if it shares records.
 package quarantine
 
 import (
