Refuse for good only by a configuration that is recent enough

Cause: refusals by what the configuration lacks were bounded by KeyAge, 4.5 s, the bound for accepting a key that was removed. They are another question: a change must be in force within 2 s on that site, so that a table confirmed 2 to 4.5 s ago can't say that a route or a key doesn't exist. The same held for the configured limits of header and body (431, 413), which callers don't retry either.

Change: one place, refuse, decides whether a reason that follows from the configuration may be given. If the table was confirmed longer ago than config_within, the answer is 503 unconfirmed_configuration: not run, retry after 0.3 s, which reaches another entry or this one after its next pull. A refusal is right for a table of config_within at most: what it lacks was acknowledged after the call that confirmed it began, so less than the bound ago. Weighed and left: asking the store or a peer for each such request. The entry asks its peers every 0.3 s anyway while its configuration is old.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -29,7 +29,7 @@
 	service     *routetable.Service
 	workspace   *routetable.Workspace
 	revision    uint64
-	configAge   time.Duration // age of the configuration when the request was admitted
+	configAge   time.Duration // age of the configuration when it was last consulted
 	body        []byte
 	fingerprint uint64       // of caller, host, path and body
 	deadline    time.Time    // by the caller's or the route's timeout
@@ -87,14 +87,13 @@
 // reason for a refusal, or "" to admit the request.
 func (e *exchange) admit() Reason {
 	g := e.gateway
-	table, age, ok := g.cfg.Routes.Table()
+	table, ok := e.latestTable()
 	if !ok {
 		return ReasonNoConfig
 	}
 	if _, listed := g.cfg.Zones.Age(); !listed {
 		return ReasonNoConfig // any server's zone may have been evacuated
 	}
-	e.revision, e.configAge = table.Revision(), age
 	if limit := table.Limits().HeaderBytes; limit > 0 && headerSize(e.incoming.Header) > limit {
 		return ReasonHeaderTooLarge
 	}
@@ -102,18 +101,14 @@
 	// needs its ID.
 	info, err := g.cfg.Protocol.DecodeRequest(e.incoming.Header)
 	e.info = info
-	stale := age > g.cfg.Options.KeyAge
 	e.route, ok = table.Route(e.incoming.Host, e.incoming.URL.EscapedPath())
-	if !ok && stale {
-		return ReasonStaleConfig // a newer configuration may have the route
-	}
 	if !ok {
 		return ReasonNoRoute
 	}
 	if err != nil || hasParentSegment(e.incoming.URL.Path) {
 		return ReasonMalformed
 	}
-	if reason := e.authorize(table, stale); reason != "" {
+	if reason := e.authorize(table); reason != "" {
 		return reason
 	}
 	if g.refusesRoute(e.route) {
@@ -126,6 +121,16 @@
 	return ""
 }
 
+// latestTable returns the latest configuration and records its revision and age. ok is false
+// before the first one.
+func (e *exchange) latestTable() (table *routetable.Table, ok bool) {
+	table, age, ok := e.gateway.cfg.Routes.Table()
+	if ok {
+		e.revision, e.configAge = table.Revision(), age
+	}
+	return table, ok
+}
+
 // hasParentSegment reports whether a decoded path has a ".." segment. The route is chosen
 // by the prefix of the path. A server that resolves such segments would run a request
 // that belongs to another route and needs another key.
@@ -147,11 +152,11 @@
 
 // authorize finds the workspace of the request's API key. A stale configuration may hold
 // keys that operators have removed, so it authorizes no request.
-func (e *exchange) authorize(table *routetable.Table, stale bool) Reason {
+func (e *exchange) authorize(table *routetable.Table) Reason {
 	if !table.NeedsKey(e.route) {
 		return ""
 	}
-	if stale {
+	if e.configAge > e.gateway.cfg.Options.KeyAge {
 		return ReasonStaleConfig
 	}
 	ws, ok := table.Workspace(e.info.APIKey)
@@ -169,8 +174,8 @@
 	if e.workspace == nil || e.sends > 0 {
 		return ""
 	}
-	table, age, ok := e.gateway.cfg.Routes.Table()
-	if !ok || age > e.gateway.cfg.Options.KeyAge {
+	table, ok := e.latestTable()
+	if !ok || e.configAge > e.gateway.cfg.Options.KeyAge {
 		return ReasonStaleConfig
 	}
 	ws, ok := table.Workspace(e.info.APIKey)
@@ -184,7 +189,7 @@
 // another server.
 func (e *exchange) readBody() Reason {
 	g := e.gateway
-	limit := g.bodyLimit()
+	limit := e.bodyLimit()
 	if e.incoming.ContentLength > limit {
 		return ReasonBodyTooLarge
 	}
@@ -208,8 +213,8 @@
 	return ""
 }
 
-func (g *Gateway) bodyLimit() int64 {
-	table, _, ok := g.cfg.Routes.Table()
+func (e *exchange) bodyLimit() int64 {
+	table, ok := e.latestTable()
 	if !ok || table.Limits().BodyBytes <= 0 {
 		return DefaultBodyBytes
 	}
@@ -322,6 +327,7 @@
 }
 
 func (e *exchange) refuse(reason Reason) {
+	reason = reason.confirmed(e.configAge, e.gateway.cfg.Options)
 	e.outcome = string(reason)
 	e.status = reason.status()
 	e.gateway.counters.refused[reason].Inc(1)
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -24,6 +24,9 @@
 	// was queried, and a caller sends a request before the gateway checks its key, so
 	// only clock drift has to fit into that half second.
 	DefaultKeyAge = 4500 * time.Millisecond
+	// DefaultRefusalAge is the time within which a change of the configuration must be in
+	// force at every entry.
+	DefaultRefusalAge = 2 * time.Second
 	// DefaultBodiesBytes is a quarter of the memory of the smallest entry VM, 184 MB.
 	DefaultBodiesBytes = 48 << 20
 	// DefaultBodyTimeout is a hundred times what the longest prompt, 4 MB, takes at
@@ -57,6 +60,9 @@
 	// KeyAge is the age of the last proof that the configuration is current above which
 	// requests that need an API key are refused.
 	KeyAge time.Duration
+	// RefusalAge is the age of the same proof above which no request is refused for good for
+	// what the configuration lacks. It is KeyAge at most.
+	RefusalAge time.Duration
 	// BodiesBytes is the total size of the request bodies in memory, in bytes, above
 	// which requests are refused.
 	BodiesBytes int64
@@ -81,6 +87,7 @@
 
 func (o Options) withDefaults() Options {
 	o.KeyAge = cmp.Or(max(o.KeyAge, 0), DefaultKeyAge)
+	o.RefusalAge = min(cmp.Or(max(o.RefusalAge, 0), DefaultRefusalAge), o.KeyAge)
 	o.BodiesBytes = cmp.Or(max(o.BodiesBytes, 0), DefaultBodiesBytes)
 	o.BodyTimeout = cmp.Or(max(o.BodyTimeout, 0), DefaultBodyTimeout)
 	o.WriteSlack = cmp.Or(max(o.WriteSlack, 0), DefaultWriteSlack)
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -15,6 +15,7 @@
 const (
 	ReasonNoConfig           Reason = "no_configuration"
 	ReasonStaleConfig        Reason = "stale_configuration"
+	ReasonUnconfirmedConfig  Reason = "unconfirmed_configuration"
 	ReasonNoRoute            Reason = "no_route"
 	ReasonUnknownKey         Reason = "unknown_key"
 	ReasonMalformed          Reason = "malformed"
@@ -36,7 +37,7 @@
 )
 
 var allReasons = []Reason{
-	ReasonNoConfig, ReasonStaleConfig, ReasonNoRoute, ReasonUnknownKey, ReasonMalformed, ReasonHeaderTooLarge, ReasonBodyTooLarge, ReasonBodyIncomplete,
+	ReasonNoConfig, ReasonStaleConfig, ReasonUnconfirmedConfig, ReasonNoRoute, ReasonUnknownKey, ReasonMalformed, ReasonHeaderTooLarge, ReasonBodyTooLarge, ReasonBodyIncomplete,
 	ReasonBodyMemoryFull, ReasonNoServer, ReasonServersRefused, ReasonDeadlineUnmeetable, ReasonShuttingDown, ReasonTimeout, ReasonOutcomeUnknown, ReasonKillsServers,
 	ReasonOutOfRegion, ReasonZoneEvacuated, ReasonServersCold, ReasonServersLimited,
 }
@@ -65,6 +66,28 @@
 	return http.StatusServiceUnavailable
 }
 
+// followsFromConfig reports whether the request is refused, for good, for what the configuration
+// contains or lacks.
+func (r Reason) followsFromConfig() bool {
+	switch r {
+	case ReasonNoRoute, ReasonUnknownKey, ReasonHeaderTooLarge, ReasonBodyTooLarge:
+		return true
+	}
+	return false
+}
+
+// confirmed returns the reason to give for a refusal by a configuration that was last confirmed
+// age ago. A change that allows the request may be in force elsewhere if age exceeds RefusalAge.
+func (r Reason) confirmed(age time.Duration, o Options) Reason {
+	switch {
+	case !r.followsFromConfig() || age <= o.RefusalAge:
+		return r
+	case age > o.KeyAge:
+		return ReasonStaleConfig
+	}
+	return ReasonUnconfirmedConfig
+}
+
 // shutdownRetryAfter is the delay after which a caller that was refused during a shutdown
 // may retry. It is short because the load balancer sends the retry to another entry,
 // which has capacity.
--- a/gateway/refusal_test.go
+++ b/gateway/refusal_test.go
@@ -39,3 +39,26 @@
 		})
 	}
 }
+
+// Guards against a bound on refusals that doesn't follow the deployment's bound on changes, or
+// that exceeds the bound on removed keys.
+func TestRefusalAgeFollowsChangeBound(t *testing.T) {
+	for _, c := range []struct {
+		changeBound, age time.Duration
+		want             Reason
+	}{
+		{3 * time.Second, 3 * time.Second, ReasonNoRoute},
+		{3 * time.Second, 3*time.Second + 1, ReasonUnconfirmedConfig},
+		{3 * time.Second, DefaultKeyAge + 1, ReasonStaleConfig},
+		{time.Hour, DefaultKeyAge, ReasonNoRoute},
+		{time.Hour, DefaultKeyAge + 1, ReasonStaleConfig},
+	} {
+		options := Options{RefusalAge: c.changeBound}.withDefaults()
+		if got := ReasonNoRoute.confirmed(c.age, options); got != c.want {
+			t.Errorf("bound %v, age %v: %s, want %s", c.changeBound, c.age, got, c.want)
+		}
+	}
+	if got := ReasonNoServer.confirmed(time.Hour, Options{}.withDefaults()); got != ReasonNoServer {
+		t.Errorf("a refusal that doesn't follow from the configuration became %s", got)
+	}
+}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -239,7 +239,7 @@
 			HeaderTimeout: time.Duration(g.Limits.HeaderTimeout),
 			IdleTimeout:   time.Duration(g.Limits.IdleTimeout),
 		},
-		Options:  gatewayOptions(&g.Limits),
+		Options:  gatewayOptions(g),
 		Policy:   placement.Policy(g.Placement),
 		Store:    store,
 		Protocol: platform.Protocol{},
@@ -256,9 +256,11 @@
 	}
 }
 
-func gatewayOptions(l *settings.GatewayLimits) gateway.Options {
+func gatewayOptions(g *settings.Gateway) gateway.Options {
+	l := &g.Limits
 	return gateway.Options{
 		KeyAge:             time.Duration(l.KeyAge),
+		RefusalAge:         time.Duration(g.ConfigWithin),
 		BodiesBytes:        l.BodiesBytes,
 		BodyTimeout:        time.Duration(l.BodyTimeout),
 		WriteSlack:         time.Duration(l.WriteSlack),
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -108,6 +108,9 @@
 	"timeout":             outOfTime,
 	"broken_off":          brokenOff,
 	"stale_configuration": stale,
+	"unconfirmed_configuration": func(end Line, _ *Report) string {
+		return fmt.Sprintf("configuration %d doesn't allow it, and a newer one may: it was proved current %d ms before", end.Revision, end.AgeMS)
+	},
 	"no_configuration": func(Line, *Report) string {
 		return "the process had read no configuration yet"
 	},
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -56,7 +56,7 @@
 	DefaultRetryRatio   = 0.2
 	DefaultRetrySlack   = 100
 	DefaultRetryWindow  = 10 * time.Second
-	DefaultConfigWithin = 2 * time.Second
+	DefaultConfigWithin = gateway.DefaultRefusalAge
 	DefaultDrainWithin  = 2 * time.Second
 	// DefaultRoutineLines is more than four times the request rate of a gateway,
 	// 11 requests/s. At 400 bytes a line it limits these lines to 20 kB/s.
