List again after a watch without a response

Cause: a watch that got no response was followed by a watch. While the store holds back the responses of watches and serves everything else, no entry received a change at all, and each try took the wait and the timeout of a call, 1.5 s of the 2 s in which a change must be in force.

Change: the call after a watch without a response is a list. The response of a watch is due so early that the list still arrives while the state of a reader counts as recent (pace.responseTimeout). A watch that the store refuses or cuts is followed by a watch as before, so that a store that turns callers away isn't asked for more. The flag for a list that was skipped after a suspension replaces the one that outlived the suspension only before the first list; after a gap it made the next watch begin at a revision that the store no longer had.

--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -224,11 +224,11 @@
 		return nil, err
 	}
 	follow := n.follower()
-	n.watch(ctx, cfg.Decoder.ConfigKind, configPace(cfg.ConfigWithin).wait, follow)
-	n.watch(ctx, cfg.Decoder.ServersKind, serversPace(cfg.DrainWithin).wait, follow)
-	n.watch(ctx, peering.KindGateway, peering.PresenceWatchWait, follow)
+	n.watch(ctx, cfg.Decoder.ConfigKind, configPace(cfg.ConfigWithin), follow)
+	n.watch(ctx, cfg.Decoder.ServersKind, serversPace(cfg.DrainWithin), follow)
+	n.watch(ctx, peering.KindGateway, pace{wait: peering.PresenceWatchWait}, follow)
 	if n.evacuationEnabled() {
-		n.watch(ctx, cfg.Decoder.EvacuationsKind, evacuationsPace(cfg.EvacuateWithin).wait, follow)
+		n.watch(ctx, cfg.Decoder.EvacuationsKind, evacuationsPace(cfg.EvacuateWithin), follow)
 	}
 	n.startPuller(ctx, follow)
 	go n.sweepPeriodically(ctx)
@@ -236,8 +236,8 @@
 	return n, nil
 }
 
-func (n *Node) watch(ctx context.Context, kind string, wait time.Duration, follow *follower) {
-	config := watcherConfig(kind, wait)
+func (n *Node) watch(ctx context.Context, kind string, pace pace, follow *follower) {
+	config := watcherConfig(kind, pace)
 	config.EmptyWaitIsCurrent = kind != n.cfg.Decoder.ConfigKind // a removed key must be refused even while the store fails
 	config.Store = n.cfg.Store
 	config.Sink = n.replica
@@ -251,8 +251,10 @@
 }
 
 // watcherConfig returns the settings for the pace of a watch of one kind.
-func watcherConfig(kind string, wait time.Duration) objectapi.WatcherConfig {
-	return objectapi.WatcherConfig{Kinds: []string{kind}, Wait: wait, Interval: watchInterval, BackoffMax: watchBackoffMax}
+func watcherConfig(kind string, pace pace) objectapi.WatcherConfig {
+	return objectapi.WatcherConfig{
+		Kinds: []string{kind}, Wait: pace.wait, ResponseTimeout: pace.responseTimeout, Interval: watchInterval, BackoffMax: watchBackoffMax,
+	}
 }
 
 func (n *Node) storeUnavailable(kind string) {
--- a/internal/gatewaynode/pace.go
+++ b/internal/gatewaynode/pace.go
@@ -14,6 +14,9 @@
 	// pullSlack is by how much the state of an entry may be older than that of its readers
 	// without faults: two rounds of pulls.
 	pullSlack = 600 * time.Millisecond
+	// relistTime is the time from a watch without a response to the state that a list
+	// returns: the first pause between two calls, and one call.
+	relistTime = 200 * time.Millisecond
 	// minWait keeps the watches of a deployment with a very short bound from following each
 	// other without a pause.
 	minWait = 200 * time.Millisecond
@@ -23,6 +26,10 @@
 type pace struct {
 	wait   time.Duration // longest wait of one watch
 	maxAge time.Duration // age of the state up to which an entry relies on its readers
+	// responseTimeout is how long after its wait a watch may take to respond. The list that
+	// follows must arrive before the state at a reader is older than maxAge. 0: the timeout
+	// of a call.
+	responseTimeout time.Duration
 }
 
 // configPace returns the pace of the configuration if a change must be in force within a
@@ -30,7 +37,8 @@
 // wait later, so that the age at a reader reaches two waits.
 func configPace(within time.Duration) pace {
 	maxAge := ageLimit(within, maxConfigPullAge)
-	return pace{wait: max(min((maxAge-pullSlack)/2, maxConfigWait), minWait), maxAge: maxAge}
+	wait := max(min((maxAge-pullSlack)/2, maxConfigWait), minWait)
+	return pace{wait: wait, maxAge: maxAge, responseTimeout: maxAge - 2*wait - relistTime}
 }
 
 // serversPace returns the pace of the list of backend servers if a server must receive no new
@@ -38,14 +46,16 @@
 // the state at its end, so that the age at a reader reaches one wait.
 func serversPace(within time.Duration) pace {
 	maxAge := ageLimit(within, maxServersPullAge)
-	return pace{wait: max(min(maxAge-pullSlack, maxServersWait), minWait), maxAge: maxAge}
+	wait := max(min(maxAge-pullSlack, maxServersWait), minWait)
+	return pace{wait: wait, maxAge: maxAge, responseTimeout: maxAge - wait - relistTime}
 }
 
 // evacuationsPace returns the pace of the evacuated zones if no new requests may go to a zone
 // within a time after its evacuation.
 func evacuationsPace(within time.Duration) pace {
 	wait := time.Duration(evacuationsWaitShare * float64(within))
-	return pace{wait: wait, maxAge: min(wait+pullAgeSlack, within-directReadTime)}
+	maxAge := min(wait+pullAgeSlack, within-directReadTime)
+	return pace{wait: wait, maxAge: maxAge, responseTimeout: max(maxAge-wait-relistTime, minWait)}
 }
 
 // ageLimit returns the age up to which an entry relies on its readers, at most longest, if a
--- a/internal/gatewaynode/pace_test.go
+++ b/internal/gatewaynode/pace_test.go
@@ -18,8 +18,16 @@
 		if 2*config.wait+pullSlack > config.maxAge || servers.wait+pullSlack > servers.maxAge {
 			t.Errorf("within %v: %+v and %+v are exceeded without a fault", within, config, servers)
 		}
+		configAge, serversAge := 2*config.wait+config.responseTimeout+relistTime, servers.wait+servers.responseTimeout+relistTime
+		if configAge > config.maxAge || serversAge > servers.maxAge {
+			t.Errorf("within %v: a watch without a response makes the state older than %+v, %+v", within, config, servers)
+		}
+		if config.responseTimeout < relistTime || servers.responseTimeout < relistTime {
+			t.Errorf("within %v: no time to respond: %+v, %+v", within, config, servers)
+		}
 	}
-	if got := configPace(time.Hour); got != (pace{wait: maxConfigWait, maxAge: maxConfigPullAge}) {
+	want := pace{wait: maxConfigWait, maxAge: maxConfigPullAge, responseTimeout: pullAgeSlack - relistTime}
+	if got := configPace(time.Hour); got != want {
 		t.Errorf("without a short bound: %+v", got)
 	}
 }
--- a/internal/gatewaynode/peers_test.go
+++ b/internal/gatewaynode/peers_test.go
@@ -91,7 +91,7 @@
 	}
 	f := newFollower(r, []replica.PulledKind{{Kind: testKind, MaxAge: pace.maxAge}}, readers, z.clock)
 	f.firstStart = firstStart
-	config := watcherConfig(testKind, pace.wait)
+	config := watcherConfig(testKind, pace)
 	config.EmptyWaitIsCurrent = !z.config
 	config.Store, config.Sink, config.Clock = store, r, z.clock
 	config.Suspended, config.OnCallFailed, config.CurrentRevision = f.skipsStore, f.callFailed, r.Revision
--- a/objectapi/watcher.go
+++ b/objectapi/watcher.go
@@ -80,7 +80,10 @@
 	// Wait old. Do not set it for data that must stay correct even if the object API
 	// silently drops a change.
 	EmptyWaitIsCurrent bool
-	Interval           time.Duration
+	// ResponseTimeout limits how long after its wait a watch may take to respond. If it is
+	// 0, the store's own timeout applies.
+	ResponseTimeout time.Duration
+	Interval        time.Duration
 	// BackoffMax limits the delay between two attempts while the store is
 	// unavailable.
 	BackoffMax time.Duration
@@ -91,7 +94,7 @@
 
 // Watcher follows some kinds of the object API: it lists each kind, watches it
 // from the revision of the list, resumes after errors, and lists again after a
-// gap.
+// gap or a watch without a response.
 type Watcher struct {
 	config WatcherConfig
 	lists  metrics.Counter
@@ -134,12 +137,13 @@
 // it.
 type kindWatch struct {
 	*Watcher
-	kind         string
-	revision     uint64
-	failing      bool
-	wasSuspended bool       // whether the last watch was suspended
-	reason       CallReason // of the next call
-	currentAsOf  boottime.Instant
+	kind        string
+	revision    uint64
+	failing     bool
+	unanswered  bool       // the last watch got no response in time
+	listSkipped bool       // the last list was skipped after a suspension
+	reason      CallReason // of the next call
+	currentAsOf boottime.Instant
 }
 
 func (w *Watcher) watchKind(ctx context.Context, k *kindWatch) {
@@ -164,6 +168,10 @@
 		case ctx.Err() == nil:
 			k.recordResult(err)
 			k.reason = ReasonRetry
+			if k.unanswered {
+				// The store may serve lists while it holds back the responses of watches.
+				step = k.list
+			}
 			if w.config.OnCallFailed != nil {
 				w.config.OnCallFailed(k.kind)
 			}
@@ -173,8 +181,10 @@
 }
 
 func (k *kindWatch) list(ctx context.Context) error {
-	k.waitWhileSuspended(ctx)
-	if k.wasSuspended && k.config.CurrentRevision != nil && k.config.CurrentRevision(k.kind) > 0 {
+	k.unanswered = false
+	suspended := k.waitWhileSuspended(ctx)
+	if suspended && k.config.CurrentRevision != nil && k.config.CurrentRevision(k.kind) > 0 {
+		k.listSkipped = true
 		return nil
 	}
 	asked := k.config.Clock()
@@ -192,13 +202,14 @@
 	return nil
 }
 
-// waitWhileSuspended waits while the kind is kept current by other means. If a list was
-// suspended and then skipped, the next watch counts as suspended too.
-func (k *kindWatch) waitWhileSuspended(ctx context.Context) {
-	k.wasSuspended = k.wasSuspended && k.revision == 0
+// waitWhileSuspended waits while the kind is kept current by other means, and reports whether
+// it was.
+func (k *kindWatch) waitWhileSuspended(ctx context.Context) bool {
+	suspended := false
 	for k.config.Suspended != nil && k.config.Suspended(k.kind) && sleep.For(ctx, suspendPollInterval) {
-		k.wasSuspended = true
+		suspended = true
 	}
+	return suspended
 }
 
 // watchWait returns how long the next watch waits: with EmptyWaitIsCurrent, until the
@@ -211,16 +222,17 @@
 }
 
 func (k *kindWatch) watch(ctx context.Context) error {
-	k.waitWhileSuspended(ctx)
+	resumed := k.waitWhileSuspended(ctx) || k.listSkipped
+	k.listSkipped = false
 	wait := k.watchWait()
-	if k.wasSuspended {
+	if resumed {
 		wait, k.reason = 0, ReasonResumeWatch
 		if k.config.CurrentRevision != nil {
 			k.revision = max(k.revision, k.config.CurrentRevision(k.kind))
 		}
 	}
 	asked := k.config.Clock()
-	l, err := k.config.Store.Watch(WithReason(ctx, k.reason), k.kind, k.revision, wait)
+	l, err := k.callWatch(ctx, wait)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -236,6 +248,18 @@
 	return nil
 }
 
+// callWatch calls the store once and records whether it failed to respond in time.
+func (k *kindWatch) callWatch(ctx context.Context, wait time.Duration) (Listing, error) {
+	call, cancel := ctx, context.CancelFunc(func() {})
+	if k.config.ResponseTimeout > 0 {
+		call, cancel = context.WithTimeout(ctx, wait+k.config.ResponseTimeout)
+	}
+	defer cancel()
+	l, err := k.config.Store.Watch(WithReason(call, k.reason), k.kind, k.revision, wait)
+	k.unanswered = errors.Is(err, context.DeadlineExceeded) || err != nil && call.Err() != nil
+	return l, err
+}
+
 // recordResult logs the first failure of an outage and its end.
 func (k *kindWatch) recordResult(err error) {
 	log := k.config.Log.WithField("kind", k.kind)
