Refuse unknown models, services and workspaces only by a confirmed configuration

Callers of what was declared meanwhile were told that it doesn't exist. An answer to a path that isn't part of the interface stays 404.

TestUnknownNamesNeedConfirmedObjects fails without the change (404 instead of 503). Agents refuse by what they run themselves, no declared object decides there.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -122,6 +122,9 @@
 	Workspace(name string) (Workspace, bool)
 	// Service reports whether a plain service of that name exists.
 	Service(name string) bool
+	// Confirmed reports whether the objects were confirmed as current recently enough to
+	// refuse a request for good because one is missing.
+	Confirmed() bool
 }
 
 // Quarantine tracks the fingerprints of prompts that were running when engines
--- a/entry/errors.go
+++ b/entry/errors.go
@@ -25,6 +25,7 @@
 	reasonUnknownModel     = "unknown_model"
 	reasonUnknownService   = "unknown_service"
 	reasonUnknownWorkspace = "unknown_workspace"
+	reasonUnconfirmed      = "unconfirmed_configuration"
 	reasonDraining         = "draining"
 	reasonDeadline         = "deadline"
 	reasonCancelled        = "cancelled"
@@ -67,6 +68,15 @@
 		Status: status, RetryAfter: retry, Step: step}
 }
 
+// unknownName returns the failure of a request that names what the declared objects don't
+// contain. An object that was declared lately may be missing while they are unconfirmed.
+func (e *Entry) unknownName(status int, reason, message string) *request.Failure {
+	if e.cfg.Catalog.Confirmed() {
+		return notRun(status, reason, "read", message, 0)
+	}
+	return notRun(http.StatusServiceUnavailable, reasonUnconfirmed, "read", message, retryElsewhere)
+}
+
 // errorBody is an error in the OpenAI format, with the additional field reason.
 type errorBody struct {
 	Error errorFields `json:"error"`
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -336,7 +336,7 @@
 	return out
 }
 
-type fakeCatalog struct{}
+type fakeCatalog struct{ unconfirmed bool }
 
 // ownPool returns a pool with its own policy and ShortShare.
 func ownPool() Pool {
@@ -372,6 +372,7 @@
 	return Workspace{}, n != "nobody"
 }
 func (fakeCatalog) Service(name string) bool { return name == "roster-app" }
+func (c fakeCatalog) Confirmed() bool        { return !c.unconfirmed }
 
 // testEntry is an entry with a fake fleet.
 type testEntry struct {
--- a/entry/http.go
+++ b/entry/http.go
@@ -140,8 +140,8 @@
 	}
 	pool, ok := e.cfg.Catalog.Pool(body.Model)
 	if !ok {
-		return nil, notRun(http.StatusNotFound, reasonUnknownModel, "read",
-			fmt.Sprintf("there is no model or pool %q", truncate(body.Model)), 0)
+		return nil, e.unknownName(http.StatusNotFound, reasonUnknownModel,
+			fmt.Sprintf("there is no model or pool %q", truncate(body.Model)))
 	}
 	if f := e.fillSpec(spec, body, pool); f != nil {
 		return nil, f
@@ -228,8 +228,8 @@
 			return name, workspace, nil
 		}
 	}
-	return "", Workspace{}, notRun(http.StatusForbidden, reasonUnknownWorkspace, "read",
-		fmt.Sprintf("workspace %q is not known", truncate(name)), 0)
+	return "", Workspace{}, e.unknownName(http.StatusForbidden, reasonUnknownWorkspace,
+		fmt.Sprintf("workspace %q is not known", truncate(name)))
 }
 
 // readClass returns the service class that a request names. Without one it
--- a/entry/http_test.go
+++ b/entry/http_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -84,6 +85,28 @@
 	assertFailure(t, post(t.Context(), b, "/services/none/x", ""), 404, request.NotRun, reasonUnknownService)
 }
 
+// Guards against refusing a request for good because an object is missing that may have been
+// declared since the store last responded.
+func TestUnknownNamesNeedConfirmedObjects(t *testing.T) {
+	agent := &fakeAgent{script: respondTokens(1)}
+	b := newTestEntry(t, newFakeFleet(agent), Limits{})
+	b.cfg.Catalog = fakeCatalog{unconfirmed: true}
+	const chatBody = `{"model":"%s","messages":[{"role":"user","content":"x"}]}`
+	for _, w := range []*httptest.ResponseRecorder{
+		chat(b, fmt.Sprintf(chatBody, "q")),
+		chat(b, fmt.Sprintf(chatBody, "m"), headerWorkspace, "nobody"),
+		post(t.Context(), b, "/services/none/x", ""),
+	} {
+		assertFailure(t, w, http.StatusServiceUnavailable, request.NotRun, reasonUnconfirmed)
+		if w.Header().Get("Retry-After") == "" {
+			t.Error("no Retry-After")
+		}
+	}
+	if agent.runs() != 0 {
+		t.Error("a refused request ran")
+	}
+}
+
 func TestModelListAndRequestDefaults(t *testing.T) {
 	agent := &fakeAgent{script: respondTokens(1)}
 	b := newTestEntry(t, newFakeFleet(agent), Limits{})
--- a/entry/service.go
+++ b/entry/service.go
@@ -34,8 +34,8 @@
 func (e *Entry) readService(w http.ResponseWriter, r *http.Request, arrived time.Time) (*call, *request.Failure) {
 	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, servicesPrefix), "/")
 	if len(name) > maxNameBytes || !e.cfg.Catalog.Service(name) {
-		return nil, notRun(http.StatusNotFound, reasonUnknownService, "read",
-			fmt.Sprintf("there is no service %q", truncate(name)), 0)
+		return nil, e.unknownName(http.StatusNotFound, reasonUnknownService,
+			fmt.Sprintf("there is no service %q", truncate(name)))
 	}
 	spec, f := e.readSpec(r, request.KindService, arrived)
 	if f != nil {
--- a/internal/node/entry_catalog.go
+++ b/internal/node/entry_catalog.go
@@ -113,6 +113,9 @@
 	return false
 }
 
+// Confirmed implements entry.Catalog.
+func (v catalogView) Confirmed() bool { return v.catalog.Freshness().Confirmed }
+
 // applyPolicies brings the scheduler to the declared workspaces. known holds
 // the names that were set before and is updated.
 func applyPolicies(state *declared.State, scheduler *workspace.Scheduler, known map[string]bool) {
