Record and log what servers announce in their responses

No choice of a server follows from it yet.

A response of another instance at the address announces nothing of the expected one.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -178,7 +178,7 @@
 func (e *exchange) handleResponse(ctx context.Context, attempt *placedAttempt, r *upstream.Response) (nextStep, Reason) {
 	e.sends++
 	v := e.gateway.cfg.Protocol.DecodeResponse(r.Status, r.Header)
-	e.observeLimit(attempt, v)
+	e.observeServer(attempt, v)
 	if v.NotRun {
 		attempt.Refused(v.AtFault)
 		e.logRefused(r.Status, v.AtFault)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/briarturn/briarturn/reservation"
 	"github.com/briarturn/briarturn/routetable"
 	"github.com/briarturn/briarturn/serverlimit"
+	"github.com/briarturn/briarturn/servernotice"
 	"github.com/briarturn/briarturn/upstream"
 )
 
@@ -30,6 +31,7 @@
 	Limits        *serverlimit.Table // rates that servers name
 	LimitedSends  *allowance.Limiter // of the servers that name a rate
 	LimitReporter LimitReporter
+	Notices       *servernotice.Table // what servers announced in their responses
 	Pool          *upstream.Pool
 	Placer        Placer
 	Budget        *RetryBudget
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -22,6 +22,7 @@
 	"github.com/briarturn/briarturn/quarantine"
 	"github.com/briarturn/briarturn/routetable"
 	"github.com/briarturn/briarturn/serverlimit"
+	"github.com/briarturn/briarturn/servernotice"
 	"github.com/briarturn/briarturn/upstream"
 )
 
@@ -36,6 +37,8 @@
 	hLastEvent = "T-Last"
 	hPrompt    = "T-Prompt"
 	hRate      = "T-Rate"
+	hDraining  = "T-Draining"
+	hBackOff   = "T-Back-Off" // ms
 )
 
 type testProtocol struct{}
@@ -69,7 +72,11 @@
 
 func (testProtocol) DecodeResponse(_ int, h http.Header) ResponseInfo {
 	rate, _ := strconv.ParseFloat(h.Get(hRate), 64) // 0 if absent
-	return ResponseInfo{ID: h.Get(hID), NotRun: h.Get(hNotRun) != "", RateLimit: rate}
+	backOff, _ := strconv.Atoi(h.Get(hBackOff))     // 0 if absent
+	return ResponseInfo{
+		ID: h.Get(hID), NotRun: h.Get(hNotRun) != "", RateLimit: rate,
+		Draining: h.Get(hDraining) != "", BackOff: time.Duration(backOff) * time.Millisecond,
+	}
 }
 
 // testGateway is a Gateway in front of some backend servers.
@@ -148,6 +155,7 @@
 		Limits:        serverlimit.NewTable(),
 		LimitedSends:  gw.limitedSends,
 		LimitReporter: gw.limits,
+		Notices:       servernotice.NewTable(),
 		Pool:          upstream.NewPool(r),
 		Placer:        firstPlacer{placement.NewPlanner(ledger, 1, time.Now, nil)},
 		Budget:        NewRetryBudget(0, 1000, time.Minute, 1),
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -4,8 +4,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/briarturn/briarturn/eligible"
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/serverlimit"
@@ -21,23 +19,6 @@
 	ReportLimit(o serverlimit.Observation)
 }
 
-// observeLimit records the request rate that the server of an attempt names in its response,
-// and reports a change.
-func (e *exchange) observeLimit(attempt *placedAttempt, v ResponseInfo) {
-	if v.OtherInstance {
-		return
-	}
-	server := placement.ServerKey(attempt.Server.Instance)
-	if !e.gateway.cfg.Limits.Observe(server, v.RateLimit, e.placedAt, time.Now()) {
-		return
-	}
-	e.gateway.cfg.LimitReporter.ReportLimit(serverlimit.Observation{Server: server, PerSecond: v.RateLimit})
-	e.gateway.counters.limitChanges.Inc(1)
-	e.gateway.cfg.Log.WithFields(logrus.Fields{
-		"request": e.info.ID, "server": attempt.Server.Address, "instance": attempt.Server.Instance, "per_second": v.RateLimit,
-	}).Info("request limit of server changed")
-}
-
 func (e *exchange) rateLimit(now time.Time) eligible.RateLimit {
 	return eligible.RateLimit{Rates: e.gateway.cfg.Limits.Rates(now), Limiter: e.gateway.cfg.LimitedSends, Now: now}
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -19,6 +19,8 @@
 	callersGone       metrics.Counter // callers that disconnected first
 	serverDeaths      metrics.Counter // servers that died while running a request
 	limitChanges      metrics.Counter // changes of the request rates that servers name
+	drainNotices      metrics.Counter // servers that announced in a response that they drain
+	backOffNotices    metrics.Counter // times that servers named in which they want no requests
 	// brokenAttempts counts attempts that broke, by what their server's address did then.
 	// Not changed after newCounters.
 	brokenAttempts   map[upstream.ProbeResult]metrics.Counter
@@ -48,6 +50,8 @@
 		callersGone:       counter("callers.gone"),
 		serverDeaths:      counter("servers.died"),
 		limitChanges:      counter("servers.limit_changes"),
+		drainNotices:      counter("servers.drain_notices"),
+		backOffNotices:    counter("servers.back_off_notices"),
 		brokenAttempts:    map[upstream.ProbeResult]metrics.Counter{},
 		firstByteLatency: metrics.GetOrRegisterHistogram("gateway.first_byte_ms", r,
 			metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -47,6 +47,11 @@
 	// RateLimit is the number of requests per second that the server takes from all entries
 	// together, as long as its responses say so; 0 if it names none.
 	RateLimit float64
+	// Draining means that the server shuts down and takes no new requests.
+	Draining bool
+	// BackOff is how long the server, which refused the request as overloaded, wants no
+	// requests from this entry; 0 if it names no time.
+	BackOff time.Duration
 	// OtherInstance means that another instance than the expected one responded, so that
 	// nothing in the response is about the expected one.
 	OtherInstance bool
--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -26,6 +26,7 @@
 	"github.com/briarturn/briarturn/reservation"
 	"github.com/briarturn/briarturn/routetable"
 	"github.com/briarturn/briarturn/serverlimit"
+	"github.com/briarturn/briarturn/servernotice"
 	"github.com/briarturn/briarturn/upstream"
 )
 
@@ -128,6 +129,7 @@
 	coldSends     *allowance.Limiter
 	limits        *serverlimit.Table
 	limitedSends  *allowance.Limiter
+	notices       *servernotice.Table
 	pool          *upstream.Pool
 	gateway       *gateway.Gateway
 	callers       *graceful.Server
@@ -154,6 +156,7 @@
 		coldSends:    allowance.NewLimiter(cfg.Name, time.Now()),
 		limits:       serverlimit.NewTable(),
 		limitedSends: allowance.NewLimiter(cfg.Name, time.Now()),
+		notices:      servernotice.NewTable(),
 		pool:         upstream.NewPool(cfg.Metrics),
 	}
 	if !n.evacuationEnabled() {
@@ -207,6 +210,7 @@
 		Limits:        n.limits,
 		LimitedSends:  n.limitedSends,
 		LimitReporter: exchange.LimitReporter(),
+		Notices:       n.notices,
 		Pool:          n.pool,
 		Placer:        placement.NewPlanner(n.ledger, incarnation, time.Now, exchange.AttemptPublisher()).SetPolicy(cmp.Or(cfg.Policy, placement.LeastLoss)),
 		Budget:        budget,
@@ -272,8 +276,10 @@
 		n.pool.Sweep(func(address string) bool { return known[address] })
 		n.coldSends.Retain(func(instance string) bool { return instances[instance] })
 		n.limitedSends.Retain(func(instance string) bool { return instances[instance] })
-		n.limits.Sweep(func(server uint64) bool { return n.engines.contains(n.directory, server) }, time.Now())
-		n.ledger.PruneServers(func(server uint64) bool { return n.engines.contains(n.directory, server) })
+		registered := func(server uint64) bool { return n.engines.contains(n.directory, server) }
+		n.limits.Sweep(registered, time.Now())
+		n.notices.Sweep(registered, time.Now())
+		n.ledger.PruneServers(registered)
 	}
 }
 
--- /dev/null
+++ b/servernotice/table.go
@@ -0,0 +1,115 @@
+package servernotice
+
+import (
+	"sync"
+	"time"
+)
+
+// retention is how long the notice of a server is kept after its registration has ended. A
+// registration can expire while its server still shuts down, and come back.
+const retention = time.Minute
+
+// Server identifies one start of a backend server.
+type Server struct {
+	Key           uint64 // placement.ServerKey of the instance
+	StartedUnixMs int64  // start time, Unix ms; 0: unknown
+}
+
+// record holds the notices of one server.
+type record struct {
+	startedUnixMs  int64
+	draining       bool
+	backOffUntil   time.Time
+	lastRegistered time.Time
+}
+
+// appliesTo reports whether a record is of this start of the server. An unknown start time
+// counts as the same start.
+func (r record) appliesTo(s Server) bool {
+	return r.startedUnixMs == 0 || s.StartedUnixMs <= r.startedUnixMs
+}
+
+// Table holds the notices of servers. It is safe for concurrent use; mu guards servers and is
+// a leaf lock.
+type Table struct {
+	mu      sync.Mutex
+	servers map[uint64]record
+}
+
+// NewTable returns an empty Table.
+func NewTable() *Table { return &Table{servers: map[uint64]record{}} }
+
+// SetDraining records that a server drains, and reports whether this is new.
+func (t *Table) SetDraining(s Server, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.recordLocked(s, now)
+	isNew := !r.draining
+	r.draining = true
+	t.servers[s.Key] = r
+	return isNew
+}
+
+// BackOff records that a server wants no requests until a time, and reports whether this is
+// later than what it wanted before. An earlier time doesn't replace a later one.
+func (t *Table) BackOff(s Server, until, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.recordLocked(s, now)
+	if !until.After(r.backOffUntil) {
+		return false
+	}
+	r.backOffUntil = until
+	t.servers[s.Key] = r
+	return true
+}
+
+// Draining reports whether a server has announced that it drains.
+func (t *Table) Draining(s Server) bool {
+	r, ok := t.lookup(s)
+	return ok && r.draining
+}
+
+// BackOffLeft returns for how long a server wants no requests; 0 if it takes some now.
+func (t *Table) BackOffLeft(s Server, now time.Time) time.Duration {
+	r, ok := t.lookup(s)
+	if !ok {
+		return 0
+	}
+	return max(r.backOffUntil.Sub(now), 0)
+}
+
+// Sweep drops the notices of servers that have not been registered for some time, and those
+// that have ended.
+func (t *Table) Sweep(registered func(key uint64) bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for key, r := range t.servers {
+		if registered(key) {
+			r.lastRegistered = now
+			t.servers[key] = r
+		}
+		ended := !r.draining && !r.backOffUntil.After(now)
+		if ended || now.Sub(r.lastRegistered) >= retention {
+			delete(t.servers, key)
+		}
+	}
+}
+
+// recordLocked returns the record to update for a server: an empty one if there is none of
+// this start.
+func (t *Table) recordLocked(s Server, now time.Time) record {
+	r, ok := t.servers[s.Key]
+	if !ok || !r.appliesTo(s) {
+		return record{startedUnixMs: s.StartedUnixMs, lastRegistered: now}
+	}
+	r.startedUnixMs = max(r.startedUnixMs, s.StartedUnixMs)
+	return r
+}
+
+func (t *Table) lookup(s Server) (record, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.servers[s.Key]
+	return r, ok && r.appliesTo(s)
+}
