Send nothing new to a server that announced that it drains

Cause: a server's state came from its registration only. While the store is away the registration stays as it was, and the responses of the server are the only sign. The class: one source of a fact counts, and it is the one that fails.

Change: the announcement is a condition on servers (eligible.NotDraining), beside the registration and whatever the store, other entries or an older listing say. It ends with the start of the server that announced it, or a minute after its registration has ended: a registration may expire while the store is away and come back while the server still shuts down. If all servers of a service drain, a request is refused at once, 503 servers_draining, not run, with the Retry-After that applies where operators have left no server. drain_within would allow their use for 2 s more; weighed and left: a server that drains announces nothing else, and what is sent late may meet its exit.

--- a/eligible/condition.go
+++ b/eligible/condition.go
@@ -10,6 +10,7 @@
 	None             Cause = iota // some server is eligible, or there were none to choose from
 	OutOfRegion                   // no server is in a region that the request is allowed in
 	ZoneEvacuated                 // all remaining servers are in evacuated zones
+	ServersDraining               // all remaining servers have announced that they drain
 	ColdLimitReached              // all remaining servers are cold and this entry's share of their requests is used up
 	RateLimitReached              // all remaining servers name a rate and this entry's share of it is used up
 )
@@ -43,6 +44,6 @@
 	return servers, None
 }
 
-// ByOperator reports whether a setting or an action of operators excludes all servers, so that
-// a retry after a short wait doesn't help.
-func (c Cause) ByOperator() bool { return c == OutOfRegion || c == ZoneEvacuated }
+// Lasts reports whether waiting for a fraction of a second can't help, so that a request is
+// refused at once.
+func (c Cause) Lasts() bool { return c != None && c != ColdLimitReached }
--- a/gateway/candidates.go
+++ b/gateway/candidates.go
@@ -22,7 +22,8 @@
 	coldLimit := e.coldLimit(now)
 	var servers []upstream.Server
 	servers, e.exclusionCause = eligible.Filter(g.cfg.Directory.AvailableServers(e.service.Name, now),
-		e.regionCondition(), eligible.NotEvacuated{Zones: coldLimit.Zones}, coldLimit, e.rateLimit(now))
+		e.regionCondition(), eligible.NotEvacuated{Zones: coldLimit.Zones}, eligible.NotDraining{Notices: g.cfg.Notices.View()},
+		coldLimit, e.rateLimit(now))
 	var candidates, alreadyTried []placement.Candidate
 	for _, s := range servers {
 		c := placement.Candidate{
@@ -60,7 +61,8 @@
 }
 
 // stillEligible reports whether a request may be sent where it was placed. It is called
-// right before the send. Operators may have evacuated a zone while memory was reserved,
+// right before the send. Operators may have evacuated a zone, or a server may have announced that
+// it drains, while memory was reserved,
 // and if several requests of this entry were placed on a cold server, or on one that names a
 // rate, at the same moment, only its share of them may go there.
 func (e *exchange) stillEligible(placed placement.Placement) bool {
@@ -70,6 +72,10 @@
 	if slices.ContainsFunc(servers, func(c placement.Candidate) bool { return coldLimit.Zones.Evacuated(c.Zone) }) {
 		return false
 	}
+	notices := e.gateway.cfg.Notices.View()
+	if slices.ContainsFunc(servers, func(c placement.Candidate) bool { return notices.Draining(noticeServer(c)) }) {
+		return false
+	}
 	if !e.acquireRates(servers, now) {
 		return false
 	}
@@ -92,6 +98,8 @@
 		return ReasonOutOfRegion
 	case eligible.ZoneEvacuated:
 		return ReasonZoneEvacuated
+	case eligible.ServersDraining:
+		return ReasonServersDraining
 	case eligible.ColdLimitReached:
 		return ReasonServersCold
 	case eligible.RateLimitReached:
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -6,7 +6,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/briarturn/briarturn/eligible"
 	"github.com/briarturn/briarturn/internal/sleep"
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/reservation"
@@ -19,8 +18,8 @@
 // placeAndReserve places an attempt and reserves memory first if several servers hold the
 // prompt. It waits for free memory up to MemoryWait. If the placer defers the request
 // until it delays other requests less, it waits as long as the placer asks. It returns
-// false at once if the response can't come before the deadline, or if operators or the rates that
-// servers name have left the request no server. A request without a prompt does not wait.
+// false at once if the response can't come before the deadline, or if operators, or what servers
+// have announced, leave the request no server. A request without a prompt does not wait.
 func (e *exchange) placeAndReserve(ctx context.Context) (*placedAttempt, bool) {
 	until := time.Now().Add(e.gateway.cfg.Options.MemoryWait)
 	for {
@@ -28,7 +27,7 @@
 		switch {
 		case r != nil:
 			return r, true
-		case e.exclusionCause.ByOperator(), e.exclusionCause == eligible.RateLimitReached:
+		case e.exclusionCause.Lasts():
 			return nil, false
 		case decision == placement.DeadlineUnmeetable:
 			e.lateForecast = placed.Forecast
--- a/gateway/notice_test.go
+++ b/gateway/notice_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/servernotice"
 )
 
@@ -95,7 +94,7 @@
 func TestDrainIsCheckedAgainBeforeSend(t *testing.T) {
 	gw := newTestGateway(t, respondWith("a"), respondWith("b")).withSampleConfig()
 	notice := func() {
-		gw.gateway.cfg.Notices.SetDraining(servernotice.Server{Key: placement.ServerKey("s1")}, time.Now())
+		gw.gateway.cfg.Notices.SetDraining(servernotice.ServerOf("s1", 0), time.Now())
 	}
 	gw.gateway.cfg.Placer = &evacuatingPlacer{Placer: gw.gateway.cfg.Placer, begin: notice}
 	r, _, err := gw.send(http.MethodGet, "/once/1", "")
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -58,7 +58,7 @@
 	})
 }
 
-// noticeServer returns the server to which notices of a candidate belong.
+// noticeServer returns the server to which the notices in the responses of a candidate belong.
 func noticeServer(c placement.Candidate) servernotice.Server {
-	return servernotice.Server{Key: placement.ServerKey(c.Instance), StartedUnixMs: c.StartedUnixMs}
+	return servernotice.ServerOf(c.Instance, c.StartedUnixMs)
 }
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -41,7 +41,7 @@
 	// Meanwhile callers use other entries.
 	DefaultStaleRetryAfter = time.Second
 	// DefaultDeclaredRetryAfter applies where operators have left no server for the
-	// request. They change that within seconds at the earliest.
+	// request, or all servers drain. That changes within seconds at the earliest.
 	DefaultDeclaredRetryAfter = time.Second
 	// DefaultPoisonRetryAfter is long because a request that kills servers would only be
 	// refused again if it came back sooner.
@@ -75,7 +75,8 @@
 	WriteSlack time.Duration
 	// RetryAfter is the delay after which a refused caller may retry. StaleRetryAfter is
 	// the same if the configuration is too old, PoisonRetryAfter for a request that kills
-	// servers, and DeclaredRetryAfter for a request that operators have left no server.
+	// servers, and DeclaredRetryAfter for a request that operators or draining servers have
+	// left no server.
 	RetryAfter, StaleRetryAfter, PoisonRetryAfter, DeclaredRetryAfter time.Duration
 	// ConnectTries is the number of servers that can't be connected to after which a
 	// request is not sent to any other.
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -34,12 +34,13 @@
 	ReasonZoneEvacuated      Reason = "zones_evacuated"
 	ReasonServersCold        Reason = "servers_cold"
 	ReasonServersLimited     Reason = "servers_limited"
+	ReasonServersDraining    Reason = "servers_draining"
 )
 
 var allReasons = []Reason{
 	ReasonNoConfig, ReasonStaleConfig, ReasonUnconfirmedConfig, ReasonNoRoute, ReasonUnknownKey, ReasonMalformed, ReasonHeaderTooLarge, ReasonBodyTooLarge, ReasonBodyIncomplete,
 	ReasonBodyMemoryFull, ReasonNoServer, ReasonServersRefused, ReasonDeadlineUnmeetable, ReasonShuttingDown, ReasonTimeout, ReasonOutcomeUnknown, ReasonKillsServers,
-	ReasonOutOfRegion, ReasonZoneEvacuated, ReasonServersCold, ReasonServersLimited,
+	ReasonOutOfRegion, ReasonZoneEvacuated, ReasonServersCold, ReasonServersLimited, ReasonServersDraining,
 }
 
 // Reasons returns all reasons.
@@ -98,7 +99,7 @@
 	switch r {
 	case ReasonStaleConfig:
 		return o.StaleRetryAfter
-	case ReasonOutOfRegion, ReasonZoneEvacuated:
+	case ReasonOutOfRegion, ReasonZoneEvacuated, ReasonServersDraining:
 		return o.DeclaredRetryAfter
 	case ReasonShuttingDown:
 		return shutdownRetryAfter
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -144,6 +144,9 @@
 	"servers_cold": func(Line, *Report) string {
 		return "all servers that are left are cold, and this process had sent them its share of what they bear"
 	},
+	"servers_draining": func(Line, *Report) string {
+		return "all servers that it may run on drain; each announced that in a response (lines \"server announced that it drains\")"
+	},
 	"servers_limited": func(Line, *Report) string {
 		return "all servers that are left name a request rate, and this process had sent them its share of it (lines \"request limit of server changed\")"
 	},
--- a/internal/gatewaynode/status.go
+++ b/internal/gatewaynode/status.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/briarturn/briarturn/internal/admin"
+	"github.com/briarturn/briarturn/servernotice"
 	"github.com/briarturn/briarturn/upstream"
 )
 
@@ -34,7 +35,7 @@
 	if table, _, ok := n.routes.Table(); ok {
 		s.ConfigRevision = table.Revision()
 	}
-	now := time.Now()
+	now, notices := time.Now(), n.notices.View()
 	for _, server := range n.directory.All() {
 		state := stateLive
 		switch {
@@ -43,12 +44,13 @@
 		case now.Before(server.ColdUntil) || view.RecentlyRestored(server.Zone):
 			state = stateCold
 		}
-		s.Servers = append(s.Servers, serverStatus(server, state))
+		draining := server.Draining || notices.Draining(servernotice.ServerOf(server.Instance, server.StartedUnixMs))
+		s.Servers = append(s.Servers, serverStatus(server, state, draining))
 	}
 	slices.SortFunc(s.Servers, func(a, b admin.ServerStatus) int { return cmp.Compare(a.Name, b.Name) })
 	return s
 }
 
-func serverStatus(s upstream.Server, state string) admin.ServerStatus {
-	return admin.ServerStatus{Name: s.Instance, Zone: s.Zone, Pool: s.Service, State: state, Draining: s.Draining}
+func serverStatus(s upstream.Server, state string, draining bool) admin.ServerStatus {
+	return admin.ServerStatus{Name: s.Instance, Zone: s.Zone, Pool: s.Service, State: state, Draining: draining}
 }
--- a/servernotice/table.go
+++ b/servernotice/table.go
@@ -1,8 +1,11 @@
 package servernotice
 
 import (
+	"maps"
 	"sync"
 	"time"
+
+	"github.com/briarturn/briarturn/placement"
 )
 
 // retention is how long the notice of a server is kept after its registration has ended. A
@@ -15,6 +18,11 @@
 	StartedUnixMs int64  // start time, Unix ms; 0: unknown
 }
 
+// ServerOf returns the start of a backend server that its registration describes.
+func ServerOf(instance string, startedUnixMs int64) Server {
+	return Server{Key: placement.ServerKey(instance), StartedUnixMs: startedUnixMs}
+}
+
 // record holds the notices of one server.
 type record struct {
 	startedUnixMs  int64
@@ -64,16 +72,29 @@
 	return true
 }
 
+// View holds the notices at one moment. It is nil if there are none, as is usual.
+type View map[uint64]record
+
+// View returns the notices that apply now.
+func (t *Table) View() View {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.servers) == 0 {
+		return nil
+	}
+	return maps.Clone(View(t.servers))
+}
+
 // Draining reports whether a server has announced that it drains.
-func (t *Table) Draining(s Server) bool {
-	r, ok := t.lookup(s)
-	return ok && r.draining
+func (v View) Draining(s Server) bool {
+	r, ok := v[s.Key]
+	return ok && r.appliesTo(s) && r.draining
 }
 
 // BackOffLeft returns for how long a server wants no requests; 0 if it takes some now.
-func (t *Table) BackOffLeft(s Server, now time.Time) time.Duration {
-	r, ok := t.lookup(s)
-	if !ok {
+func (v View) BackOffLeft(s Server, now time.Time) time.Duration {
+	r, ok := v[s.Key]
+	if !ok || !r.appliesTo(s) {
 		return 0
 	}
 	return max(r.backOffUntil.Sub(now), 0)
@@ -106,10 +127,3 @@
 	r.startedUnixMs = max(r.startedUnixMs, s.StartedUnixMs)
 	return r
 }
-
-func (t *Table) lookup(s Server) (record, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	r, ok := t.servers[s.Key]
-	return r, ok && r.appliesTo(s)
-}
--- a/servernotice/table_test.go
+++ b/servernotice/table_test.go
@@ -23,12 +23,12 @@
 	table.Sweep(known, t0.Add(time.Hour))
 	table.Sweep(unknown, t0.Add(time.Hour+retention-1))
 	for _, s := range []Server{server, {Key: server.Key}, {Key: server.Key, StartedUnixMs: server.StartedUnixMs - 1}} {
-		if !table.Draining(s) {
+		if !table.View().Draining(s) {
 			t.Errorf("the notice of %+v is lost", s)
 		}
 	}
 	table.Sweep(unknown, t0.Add(time.Hour+retention))
-	if table.Draining(server) || len(table.servers) != 0 {
+	if table.View().Draining(server) || len(table.servers) != 0 {
 		t.Error("the notice of a server that is gone is kept")
 	}
 }
@@ -39,14 +39,14 @@
 	table.SetDraining(server, t0)
 	table.BackOff(server, t0.Add(time.Minute), t0)
 	next := Server{Key: server.Key, StartedUnixMs: server.StartedUnixMs + 1}
-	if table.Draining(next) || table.BackOffLeft(next, t0) != 0 {
+	if table.View().Draining(next) || table.View().BackOffLeft(next, t0) != 0 {
 		t.Error("the next start is bound by the notices of the one before")
 	}
 	table.BackOff(next, t0.Add(time.Second), t0)
-	if table.Draining(next) || table.BackOffLeft(next, t0) != time.Second {
+	if table.View().Draining(next) || table.View().BackOffLeft(next, t0) != time.Second {
 		t.Error("the notices of two starts are mixed")
 	}
-	if table.Draining(Server{Key: 8}) {
+	if table.View().Draining(Server{Key: 8}) {
 		t.Error("another server is bound")
 	}
 }
@@ -55,7 +55,7 @@
 func TestNoticeOfUnknownStartHolds(t *testing.T) {
 	table := NewTable()
 	table.SetDraining(Server{Key: server.Key}, t0)
-	if !table.Draining(server) {
+	if !table.View().Draining(server) {
 		t.Error("the notice is lost")
 	}
 }
@@ -70,13 +70,13 @@
 	if table.BackOff(server, t0.Add(2*time.Second), t0.Add(time.Second)) {
 		t.Error("an earlier end is a change")
 	}
-	if got := table.BackOffLeft(server, t0.Add(time.Second)); got != 2*time.Second {
+	if got := table.View().BackOffLeft(server, t0.Add(time.Second)); got != 2*time.Second {
 		t.Errorf("%v left, want 2s", got)
 	}
 	if !table.BackOff(server, t0.Add(4*time.Second), t0.Add(time.Second)) {
 		t.Error("a later end is no change")
 	}
-	if got := table.BackOffLeft(server, t0.Add(4*time.Second)); got != 0 {
+	if got := table.View().BackOffLeft(server, t0.Add(4*time.Second)); got != 0 {
 		t.Errorf("%v left at the end", got)
 	}
 	table.Sweep(known, t0.Add(4*time.Second))
