Send a server nothing for the time that it names with a refusal

Cause: nothing read a server's Retry-After. A refusal raised the server's cost for 1.2 s at most, which other costs outweigh, and with one server there was no choice. The class: a refusal was taken for a sample of the server's state, though it said until when it holds.

Change: the time is a condition on servers (eligible.NotBackingOff). It binds this entry from the response to the end that was named; a later response may make it longer, none makes it shorter, and the server's next start owes nothing. If no server is left a request is refused at once, 503 servers_back_off, not run, with Retry-After at the end of the first of these times and up to half as long again, so that the callers don't come back together. A request whose attempts were all refused gets the same reason if no server is left by then. The wait is no sample of load: nothing is sent, so nothing is recorded in the ledger.

--- a/eligible/condition.go
+++ b/eligible/condition.go
@@ -11,6 +11,7 @@
 	OutOfRegion                   // no server is in a region that the request is allowed in
 	ZoneEvacuated                 // all remaining servers are in evacuated zones
 	ServersDraining               // all remaining servers have announced that they drain
+	ServersBackOff                // all remaining servers want no requests from this entry for a time
 	ColdLimitReached              // all remaining servers are cold and this entry's share of their requests is used up
 	RateLimitReached              // all remaining servers name a rate and this entry's share of it is used up
 )
--- a/gateway/candidates.go
+++ b/gateway/candidates.go
@@ -17,13 +17,10 @@
 // place chooses a server among those that had no attempt yet, or among all if every one
 // had.
 func (e *exchange) place() (placement.Placement, placement.Decision) {
-	g := e.gateway
 	now := time.Now()
 	coldLimit := e.coldLimit(now)
 	var servers []upstream.Server
-	servers, e.exclusionCause = eligible.Filter(g.cfg.Directory.AvailableServers(e.service.Name, now),
-		e.regionCondition(), eligible.NotEvacuated{Zones: coldLimit.Zones}, eligible.NotDraining{Notices: g.cfg.Notices.View()},
-		coldLimit, e.rateLimit(now))
+	servers, e.exclusionCause = e.eligibleServers(coldLimit, now)
 	var candidates, alreadyTried []placement.Candidate
 	for _, s := range servers {
 		c := placement.Candidate{
@@ -39,7 +36,28 @@
 	if len(candidates) == 0 {
 		candidates = alreadyTried
 	}
-	return g.cfg.Placer.Place(e.placementQuery(), candidates)
+	return e.gateway.cfg.Placer.Place(e.placementQuery(), candidates)
+}
+
+// eligibleServers returns the servers that the request may be sent to now, or the cause why there
+// are none.
+func (e *exchange) eligibleServers(coldLimit eligible.ColdLimit, now time.Time) ([]upstream.Server, eligible.Cause) {
+	notices := e.gateway.cfg.Notices.View()
+	return eligible.Filter(e.gateway.cfg.Directory.AvailableServers(e.service.Name, now),
+		e.regionCondition(), eligible.NotEvacuated{Zones: coldLimit.Zones},
+		eligible.NotDraining{Notices: notices}, eligible.NotBackingOff{Notices: notices, Now: now},
+		coldLimit, e.rateLimit(now))
+}
+
+// reasonAfterRefusals returns the reason for a refusal after servers have refused all attempts: why
+// no server is left, if that is so. Its delay suits the caller better.
+func (e *exchange) reasonAfterRefusals() Reason {
+	now := time.Now()
+	_, cause := e.eligibleServers(e.coldLimit(now), now)
+	if reason := reasonFor(cause); reason != "" {
+		return reason
+	}
+	return ReasonServersRefused
 }
 
 func (e *exchange) regionCondition() eligible.InRegions {
@@ -62,7 +80,7 @@
 
 // stillEligible reports whether a request may be sent where it was placed. It is called
 // right before the send. Operators may have evacuated a zone, or a server may have announced that
-// it drains, while memory was reserved,
+// it takes no requests, while memory was reserved,
 // and if several requests of this entry were placed on a cold server, or on one that names a
 // rate, at the same moment, only its share of them may go there.
 func (e *exchange) stillEligible(placed placement.Placement) bool {
@@ -73,7 +91,7 @@
 		return false
 	}
 	notices := e.gateway.cfg.Notices.View()
-	if slices.ContainsFunc(servers, func(c placement.Candidate) bool { return notices.Draining(noticeServer(c)) }) {
+	if slices.ContainsFunc(servers, func(c placement.Candidate) bool { return notices.Excluded(noticeServer(c), now) }) {
 		return false
 	}
 	if !e.acquireRates(servers, now) {
@@ -100,6 +118,8 @@
 		return ReasonZoneEvacuated
 	case eligible.ServersDraining:
 		return ReasonServersDraining
+	case eligible.ServersBackOff:
+		return ReasonServersBackOff
 	case eligible.ColdLimitReached:
 		return ReasonServersCold
 	case eligible.RateLimitReached:
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -312,6 +312,8 @@
 		e.lastFailure.writeTo(e)
 	case ctx.Err() != nil && e.mayHaveRun:
 		e.refuse(ReasonTimeout)
+	case reason == ReasonServersRefused:
+		e.refuse(e.reasonAfterRefusals())
 	default:
 		e.refuse(reason)
 	}
@@ -342,8 +344,11 @@
 	if reason == ReasonDeadlineUnmeetable {
 		after = max(after, e.lateForecast-time.Until(e.deadline))
 	}
-	if reason == ReasonServersLimited {
+	switch reason {
+	case ReasonServersLimited:
 		after = e.limitRetryAfter(after)
+	case ReasonServersBackOff:
+		after = e.backOffRetryAfter(after)
 	}
 	return after
 }
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -35,12 +35,13 @@
 	ReasonServersCold        Reason = "servers_cold"
 	ReasonServersLimited     Reason = "servers_limited"
 	ReasonServersDraining    Reason = "servers_draining"
+	ReasonServersBackOff     Reason = "servers_back_off"
 )
 
 var allReasons = []Reason{
 	ReasonNoConfig, ReasonStaleConfig, ReasonUnconfirmedConfig, ReasonNoRoute, ReasonUnknownKey, ReasonMalformed, ReasonHeaderTooLarge, ReasonBodyTooLarge, ReasonBodyIncomplete,
 	ReasonBodyMemoryFull, ReasonNoServer, ReasonServersRefused, ReasonDeadlineUnmeetable, ReasonShuttingDown, ReasonTimeout, ReasonOutcomeUnknown, ReasonKillsServers,
-	ReasonOutOfRegion, ReasonZoneEvacuated, ReasonServersCold, ReasonServersLimited, ReasonServersDraining,
+	ReasonOutOfRegion, ReasonZoneEvacuated, ReasonServersCold, ReasonServersLimited, ReasonServersDraining, ReasonServersBackOff,
 }
 
 // Reasons returns all reasons.
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -147,6 +147,9 @@
 	"servers_draining": func(Line, *Report) string {
 		return "all servers that it may run on drain; each announced that in a response (lines \"server announced that it drains\")"
 	},
+	"servers_back_off": func(Line, *Report) string {
+		return "all servers that it may run on had refused requests of this process and wanted no others yet (lines \"server wants no requests for a time\")"
+	},
 	"servers_limited": func(Line, *Report) string {
 		return "all servers that are left name a request rate, and this process had sent them its share of it (lines \"request limit of server changed\")"
 	},
--- a/servernotice/table.go
+++ b/servernotice/table.go
@@ -91,6 +91,11 @@
 	return ok && r.appliesTo(s) && r.draining
 }
 
+// Excluded reports whether a server takes no requests from this entry now.
+func (v View) Excluded(s Server, now time.Time) bool {
+	return v.Draining(s) || v.BackOffLeft(s, now) > 0
+}
+
 // BackOffLeft returns for how long a server wants no requests; 0 if it takes some now.
 func (v View) BackOffLeft(s Server, now time.Time) time.Duration {
 	r, ok := v[s.Key]
