Soak: servers that announce their end, and that refuse for a time

The stand-in server announces that it shuts down, while its registration says that it is ready, and is then ended and started under its name; or it refuses all requests for 4 s and names 3 s. Two promises are checked: what callers send to an entry later than 2 s after it has relayed the announcement reaches that server no more; and at most two requests reach a server from the entry that it refused, from half a second after the refusal to the end of the time. Both count only what followed no disturbance of the entry or the server. TestEachPromiseCanBeBroken breaks each.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -105,6 +105,10 @@
 		return b.chill(f.servers[s.Target], s.For)
 	case ServerNeed:
 		return b.needs(f.servers[s.Target], s.For)
+	case ServerLeave:
+		return b.leave(s.Target, s.For)
+	case ServerBackOff:
+		return b.backOff(f.servers[s.Target], s.For)
 	}
 	return b.onStore(s)
 }
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -60,6 +61,31 @@
 	address string // its own, not the link's
 	zone    string
 	reached *link
+
+	mu        sync.Mutex // guards what is registered
+	started   time.Time
+	coldUntil time.Time
+}
+
+// setStarted records a start under the same name.
+func (s *serverProcess) setStarted(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.started = at
+}
+
+// setCold records until when the server is cold.
+func (s *serverProcess) setCold(until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.coldUntil = until
+}
+
+// registration is the content of the server's object now.
+func (s *serverProcess) registration() json.RawMessage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return standin.Registration(s.reached.at, s.zone, serverCapacity, s.started, max(time.Until(s.coldUntil), 0))
 }
 
 // startFleet starts the stand-ins, declares the routes and servers, and starts the entries.
@@ -145,13 +171,13 @@
 	if err != nil {
 		return err
 	}
-	s := &serverProcess{process: p, address: address, zone: zoneNames[i%len(zoneNames)]}
+	s := &serverProcess{process: p, address: address, zone: zoneNames[i%len(zoneNames)], started: time.Now()}
 	f.servers = append(f.servers, s)
 	f.record.server(name, s.zone)
 	if s.reached, err = f.newLink(address); err != nil {
 		return err
 	}
-	_, err = f.client.Create(ctx, standin.RegistrationKind, name, standin.Registration(s.reached.at, s.zone, serverCapacity, 0))
+	_, err = f.client.Create(ctx, standin.RegistrationKind, name, s.registration())
 	return errors.Annotatef(err, "step register %s", name)
 }
 
--- a/internal/soak/places.go
+++ b/internal/soak/places.go
@@ -44,25 +44,30 @@
 
 // chill has a server say that it is cold.
 func (b *breaker) chill(s *serverProcess, d time.Duration) error {
+	s.setCold(time.Now().Add(d))
+	if err := b.register(s); err != nil {
+		return err
+	}
+	from := time.Now()
+	b.fleet.record.coldness(cold{instance: s.name, from: from, to: from.Add(d)})
+	time.Sleep(min(coldNotice, d))
+	err := s.overruns(from.Add(d))
+	time.Sleep(max(d-coldNotice, 0))
+	return err
+}
+
+// register writes a server's registration.
+func (b *breaker) register(s *serverProcess) error {
 	client := b.fleet.client
 	err := untilDone(func(ctx context.Context) error {
 		o, err := client.Get(ctx, standin.RegistrationKind, s.name)
 		if err != nil {
 			return err
 		}
-		cold := standin.Registration(s.reached.at, s.zone, serverCapacity, d)
-		_, err = client.Update(ctx, standin.RegistrationKind, s.name, cold, o.Version)
+		_, err = client.Update(ctx, standin.RegistrationKind, s.name, s.registration(), o.Version)
 		return err
 	})
-	if err != nil {
-		return errors.Annotatef(err, "step chill %s", s.name)
-	}
-	from := time.Now()
-	b.fleet.record.coldness(cold{instance: s.name, from: from, to: from.Add(d)})
-	time.Sleep(min(coldNotice, d))
-	err = s.overruns(from.Add(d))
-	time.Sleep(max(d-coldNotice, 0))
-	return err
+	return errors.Annotatef(err, "step register %s", s.name)
 }
 
 // overruns has the server crash, until it is warm, if it gets well more than a cold one bears.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -35,6 +35,10 @@
 	Evacuate     Fault = "evacuate"      // the zone of a server is evacuated, and restored
 	ServerCold   Fault = "server_cold"   // a server says that it has become cold
 	ServerNeed   Fault = "server_need"   // a server names a request rate
+	// A server announces that it shuts down, and is ended and started; and one refuses requests
+	// and names a time for which it wants no others.
+	ServerLeave   Fault = "server_leave"
+	ServerBackOff Fault = "server_back_off"
 )
 
 // kinds that a plan draws from. Revoke comes once by itself.
@@ -76,6 +80,7 @@
 	out = append(out, Step{At: calmStart + time.Duration(r.Int64N(int64(max(1, lasts/2)))), Fault: Revoke})
 	out = append(out, declaredSteps(seed, lasts, servers)...)
 	out = append(out, needSteps(seed, lasts, servers)...)
+	out = append(out, noticeSteps(seed, lasts, servers)...)
 	slices.SortStableFunc(out, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return out
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -90,7 +90,7 @@
 			met[s.Fault] = true
 		}
 	}
-	for _, kind := range append(kinds, Revoke, Evacuate, ServerCold, ServerNeed) {
+	for _, kind := range append(kinds, Revoke, Evacuate, ServerCold, ServerNeed, ServerLeave, ServerBackOff) {
 		if !met[kind] {
 			t.Errorf("%s is in none of twenty plans", kind)
 		}
@@ -152,6 +152,19 @@
 				r.arrivals = append(r.arrivals, arrival{ReceivedRequest: standin.ReceivedRequest{ID: fmt.Sprint(i), Instance: "server-0", Ran: true}, At: at})
 			}
 		},
+		PromiseLeaving: func(r *record) {
+			r.arrivals[1].Leaving = true
+			r.requests = append(r.requests, request{ID: "late", Path: standin.PathIdempotent, Key: keptKey, Sent: now.Add(4 * time.Second), Ended: now.Add(5 * time.Second), Outcome: Whole})
+			r.arrivals = append(r.arrivals, arrival{ReceivedRequest: standin.ReceivedRequest{ID: "late", Instance: "server-0", Ran: true}, At: now.Add(4 * time.Second)})
+		},
+		PromiseBackOff: func(r *record) {
+			r.arrivals[1].Ran, r.arrivals[1].BackOffMS, r.requests[1].Outcome = false, 3000, NotRun
+			for i := range backOffSlack + 1 {
+				at := now.Add(1100*time.Millisecond + time.Duration(i)*100*time.Millisecond)
+				r.requests = append(r.requests, request{ID: fmt.Sprint("late ", i), Path: standin.PathIdempotent, Key: keptKey, Sent: at, Ended: at, Outcome: Whole})
+				r.arrivals = append(r.arrivals, arrival{ReceivedRequest: standin.ReceivedRequest{ID: fmt.Sprint("late ", i), Instance: "server-0", Ran: true}, At: at})
+			}
+		},
 		PromiseRegion:   func(r *record) { r.requests[0].Key = boundKey },
 		PromiseGrace:    func(r *record) { r.stuck = []string{"entry-0"} },
 		PromiseLives:    func(r *record) { r.ended = []string{"entry-0"} },
--- a/internal/soak/verdict.go
+++ b/internal/soak/verdict.go
@@ -45,6 +45,8 @@
 	PromiseEvacuated = "an evacuated zone gets nothing new"
 	PromiseCold      = "a cold server gets no more than it bears"
 	PromiseNeed      = "a server that names a rate gets no more than that"
+	PromiseLeaving   = "a server that announces its end gets nothing new"
+	PromiseBackOff   = "a server that wants no requests for a time gets none"
 	PromiseRegion    = "a request runs in its allowed regions only"
 	PromiseGrace     = "an entry that is told to end does so in time"
 	PromiseLives     = "no process ends by itself"
@@ -70,6 +72,7 @@
 	for _, n := range r.needs {
 		out = append(out, r.judgeNeed(n)...)
 	}
+	out = append(out, r.judgeNotices()...)
 	for _, name := range r.ended {
 		out = append(out, Violation{PromiseLives, name})
 	}
