Tell other entries of a server that announced that it drains

Each entry that learned of a drain from a response kept it to itself. While the store is away the others go on sending to that server until it has answered each of them, and calls that meet its exit end without proof that they didn't run. In a large fleet an entry reaches a given server rarely, so that most would learn it too late.

A notice is sent at once, repeated with heartbeats for 2 s, and sent to entries that start or return. It is bound to the start of the server. What a server wants for itself for a time stays with the entry that it refused.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,6 +32,7 @@
 	LimitedSends  *allowance.Limiter // of the servers that name a rate
 	LimitReporter LimitReporter
 	Notices       *servernotice.Table // what servers announced in their responses
+	DrainReporter DrainReporter
 	Pool          *upstream.Pool
 	Placer        Placer
 	Budget        *RetryBudget
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -92,6 +92,7 @@
 	limitedSends *allowance.Limiter
 	deaths       *deathRecorder
 	limits       *limitRecorder
+	drains       *drainRecorder
 
 	mu         sync.Mutex
 	arrivalLog []string // "server id" of each request that arrived at a server, in order
@@ -103,6 +104,17 @@
 	l.observations = append(l.observations, o)
 }
 
+type drainRecorder struct {
+	mu      sync.Mutex
+	servers []servernotice.Server
+}
+
+func (d *drainRecorder) ReportDrain(s servernotice.Server) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.servers = append(d.servers, s)
+}
+
 type deathRecorder struct {
 	records   []quarantine.Record
 	completed []uint64
@@ -136,7 +148,7 @@
 func newTestGateway(t testing.TB, servers ...http.HandlerFunc) *testGateway {
 	t.Helper()
 	now := boottime.Instant(time.Hour)
-	gw := &testGateway{t: t, clock: &now, directory: upstream.NewDirectory(0), deaths: &deathRecorder{}, limits: &limitRecorder{}}
+	gw := &testGateway{t: t, clock: &now, directory: upstream.NewDirectory(0), deaths: &deathRecorder{}, limits: &limitRecorder{}, drains: &drainRecorder{}}
 	gw.zones = evacuation.NewZones(func() boottime.Instant { return *gw.clock })
 	gw.zones.Replace(nil, now)
 	gw.coldSends = allowance.NewLimiter("e1", time.Now().Add(-time.Minute))
@@ -156,6 +168,7 @@
 		LimitedSends:  gw.limitedSends,
 		LimitReporter: gw.limits,
 		Notices:       servernotice.NewTable(),
+		DrainReporter: gw.drains,
 		Pool:          upstream.NewPool(r),
 		Placer:        firstPlacer{placement.NewPlanner(ledger, 1, time.Now, nil)},
 		Budget:        NewRetryBudget(0, 1000, time.Minute, 1),
--- a/gateway/notice_test.go
+++ b/gateway/notice_test.go
@@ -123,3 +123,33 @@
 	}
 	gw.wantArrivals("s1 id-1, s1 id-1, s1 id-1")
 }
+
+// Guards against entries that learn of a drain only from their own requests, and against a report
+// with each response.
+func TestAnnouncedDrainIsReportedOnce(t *testing.T) {
+	release, arrived := make(chan struct{}), make(chan struct{}, 2)
+	gw := newTestGateway(t, func(w http.ResponseWriter, r *http.Request) {
+		arrived <- struct{}{}
+		<-release
+		announcing(hDraining, "1", respondWith("ok"))(w, r)
+	}).withSampleConfig()
+	done := make(chan struct{})
+	for range 2 {
+		go func() {
+			_, _, _ = gw.send(http.MethodGet, "/safe/", "") // only what is reported counts
+			done <- struct{}{}
+		}()
+	}
+	for range 2 {
+		<-arrived
+	}
+	close(release)
+	for range 2 {
+		<-done
+	}
+	gw.drains.mu.Lock()
+	defer gw.drains.mu.Unlock()
+	if got := gw.drains.servers; len(got) != 1 || got[0] != servernotice.ServerOf("s1", 0) {
+		t.Errorf("reported %v", got)
+	}
+}
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -10,6 +10,12 @@
 	"github.com/briarturn/briarturn/servernotice"
 )
 
+// DrainReporter reports to other entries that a server announced that it drains. ReportDrain must
+// not block.
+type DrainReporter interface {
+	ReportDrain(s servernotice.Server)
+}
+
 // observeServer records what the response to an attempt announces of its server. A response of
 // another instance announces nothing of the expected one.
 func (e *exchange) observeServer(attempt *placedAttempt, v ResponseInfo) {
@@ -33,11 +39,13 @@
 	e.noticeLog(attempt).WithField("per_second", perSecond).Info("request limit of server changed")
 }
 
-// observeDraining records that a server drains.
+// observeDraining records that a server drains, and reports it.
 func (e *exchange) observeDraining(attempt *placedAttempt, draining bool, now time.Time) {
-	if !draining || !e.gateway.cfg.Notices.SetDraining(noticeServer(attempt.Server), now) {
+	server := noticeServer(attempt.Server)
+	if !draining || !e.gateway.cfg.Notices.SetDraining(server, now) {
 		return
 	}
+	e.gateway.cfg.DrainReporter.ReportDrain(server)
 	e.gateway.counters.drainNotices.Inc(1)
 	e.noticeLog(attempt).Info("server announced that it drains")
 }
--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -186,6 +186,7 @@
 		Ledger:        n.ledger,
 		Quarantine:    suspects,
 		Limits:        n.limits,
+		Notices:       n.notices,
 		OnEntriesChanged: func(names []string, listed bool) {
 			budget.SetEntries(len(names))
 			if listed {
@@ -211,6 +212,7 @@
 		LimitedSends:  n.limitedSends,
 		LimitReporter: exchange.LimitReporter(),
 		Notices:       n.notices,
+		DrainReporter: exchange.DrainReporter(),
 		Pool:          n.pool,
 		Placer:        placement.NewPlanner(n.ledger, incarnation, time.Now, exchange.AttemptPublisher()).SetPolicy(cmp.Or(cfg.Policy, placement.LeastLoss)),
 		Budget:        budget,
--- a/peering/exchange.go
+++ b/peering/exchange.go
@@ -17,6 +17,7 @@
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/quarantine"
 	"github.com/briarturn/briarturn/serverlimit"
+	"github.com/briarturn/briarturn/servernotice"
 	"github.com/briarturn/briarturn/wire"
 	"github.com/briarturn/briarturn/wire/wirepb"
 )
@@ -56,6 +57,7 @@
 	Ledger        *placement.Ledger
 	Quarantine    *quarantine.Tracker
 	Limits        *serverlimit.Table
+	Notices       *servernotice.Table
 	// OnEntriesChanged is called with the names of all known entries, including this one,
 	// and with whether the object API has listed them at least once. Before the first
 	// listing the names may be incomplete.
@@ -135,6 +137,10 @@
 // servers name.
 func (x *Exchange) LimitReporter() gateway.LimitReporter { return x.outbox }
 
+// DrainReporter returns the reporter to which the entry's gateway reports servers that announced
+// that they drain.
+func (x *Exchange) DrainReporter() gateway.DrainReporter { return x.outbox }
+
 // Close closes the datagram socket.
 func (x *Exchange) Close() error { return errors.Trace(x.datagrams.Close()) }
 
@@ -175,7 +181,7 @@
 }
 
 // publishLoop broadcasts the contents of the outbox until ctx ends. Attempt starts, server
-// deaths and limits of servers go out at once; other updates wait for batchDelay.
+// deaths, limits and drains of servers go out at once; other updates wait for batchDelay.
 func (x *Exchange) publishLoop(ctx context.Context) {
 	for {
 		select {
@@ -200,6 +206,7 @@
 		x.expirePeers(time.Now())
 		x.repeatDeaths(time.Now())
 		x.repeatLimits(time.Now())
+		x.repeatDrains(time.Now())
 		// UpTo is read before the list: an attempt that starts in between may or may not
 		// be listed.
 		m := &wirepb.WorkNews{Owner: x.cfg.Incarnation, Beat: true, UpTo: x.outbox.lastSeq()}
@@ -317,6 +324,7 @@
 	wire.MergeEvidence(x.cfg.Quarantine, m.GetEvidence(), now)
 	x.handleCompletions(m.GetCompleted(), now)
 	x.handleRates(m.GetRates(), now)
+	x.handleDrains(m.GetDrains(), now)
 	if m.GetBeat() {
 		x.cfg.Ledger.Reconcile(owner, m.GetActive(), m.GetUpTo(), now.Add(-reorderTolerance))
 	}
--- a/peering/exchange_test.go
+++ b/peering/exchange_test.go
@@ -14,6 +14,7 @@
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/quarantine"
 	"github.com/briarturn/briarturn/serverlimit"
+	"github.com/briarturn/briarturn/servernotice"
 	"github.com/briarturn/briarturn/wire/wirepb"
 )
 
@@ -23,6 +24,7 @@
 	ledger      *placement.Ledger
 	quarantine  *quarantine.Tracker
 	limits      *serverlimit.Table
+	notices     *servernotice.Table
 	stop        context.CancelFunc
 	entryCounts chan int
 }
@@ -39,11 +41,12 @@
 		ledger:      placement.NewLedger(func(uint64) *placement.EngineProfile { return nil }),
 		quarantine:  quarantine.NewTracker(quarantine.DefaultOptions),
 		limits:      serverlimit.NewTable(),
+		notices:     servernotice.NewTable(),
 		stop:        stop,
 		entryCounts: make(chan int, 64),
 	}
 	x, err := Start(ctx, Config{
-		Name: name, Zone: zone, ListenAddress: "127.0.0.1:0", Incarnation: incarnation, Store: store, Ledger: e.ledger, Quarantine: e.quarantine, Limits: e.limits,
+		Name: name, Zone: zone, ListenAddress: "127.0.0.1:0", Incarnation: incarnation, Store: store, Ledger: e.ledger, Quarantine: e.quarantine, Limits: e.limits, Notices: e.notices,
 		OnEntriesChanged: func(names []string, _ bool) { e.entryCounts <- len(names) }, Log: quiet.Logger(), Metrics: metrics.NewRegistry(),
 	})
 	if err != nil {
--- a/peering/hello.go
+++ b/peering/hello.go
@@ -101,7 +101,7 @@
 	return out
 }
 
-// syncNewPeers sends all active attempts, and the known deaths and limits of servers, to new peers.
+// syncNewPeers sends all active attempts, and the known deaths, limits and drains of servers, to new peers.
 func (x *Exchange) syncNewPeers(peers []Peer, now time.Time) {
 	if len(peers) == 0 {
 		return
--- a/peering/limits.go
+++ b/peering/limits.go
@@ -13,8 +13,9 @@
 // must keep to it. A change is sent at once; heartbeats repeat what the entry has observed
 // itself, since datagrams can be lost and an observation applies for a limited time.
 const (
-	// limitRepeatPeriod is the age up to which heartbeats repeat an observation: four times.
-	limitRepeatPeriod = 2 * time.Second
+	// noticeRepeatPeriod is the age up to which heartbeats repeat what a server's response
+	// announced: four times.
+	noticeRepeatPeriod = 2 * time.Second
 	// maxRatesPerMessage is the maximum number of rates in a datagram of 1,200 bytes.
 	maxRatesPerMessage = 45
 )
@@ -43,7 +44,7 @@
 // repeatLimits sends the entry's own recent observations again. They aren't urgent, and go
 // through relays.
 func (x *Exchange) repeatLimits(now time.Time) {
-	for _, m := range limitMessages(x.cfg.Incarnation, x.cfg.Limits.OwnObservations(limitRepeatPeriod, now)) {
+	for _, m := range limitMessages(x.cfg.Incarnation, x.cfg.Limits.OwnObservations(noticeRepeatPeriod, now)) {
 		x.broadcastRelayed(m)
 	}
 }
--- a/peering/outbox.go
+++ b/peering/outbox.go
@@ -8,6 +8,7 @@
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/quarantine"
 	"github.com/briarturn/briarturn/serverlimit"
+	"github.com/briarturn/briarturn/servernotice"
 	"github.com/briarturn/briarturn/wire/wirepb"
 )
 
@@ -21,7 +22,8 @@
 const maxBegunPerMessage = 3
 
 // outbox collects this entry's updates until publishLoop sends them. It implements
-// placement.AttemptPublisher, gateway.DeathReporter and gateway.LimitReporter.
+// placement.AttemptPublisher, gateway.DeathReporter, gateway.LimitReporter and
+// gateway.DrainReporter.
 type outbox struct {
 	owner uint64
 	wake  chan struct{} // holds one token while updates are pending
@@ -33,6 +35,7 @@
 	reported    []reportedDeath // sent lately, oldest first
 	completed   []uint64        // fingerprints that are suspects no longer
 	limits      []serverlimit.Observation
+	drains      []servernotice.Server
 	firstTokens []uint64
 	ended       []uint64
 }
@@ -97,18 +100,20 @@
 	}
 }
 
-// urgent reports whether attempt starts, server deaths or limits of servers are pending.
+// urgent reports whether attempt starts, or deaths, limits or drains of servers are pending.
 func (o *outbox) urgent() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.began)+len(o.deaths)+len(o.limits) > 0
+	return len(o.began)+len(o.deaths)+len(o.limits)+len(o.drains) > 0
 }
 
 // drain empties the outbox and returns its updates as messages that each fit a datagram.
 func (o *outbox) drain(now time.Time) []*wirepb.WorkNews {
 	o.mu.Lock()
-	began, first, ended, died, completed, limits := o.began, o.firstTokens, o.ended, o.deaths, o.completed, o.limits
-	o.began, o.firstTokens, o.ended, o.deaths, o.completed, o.limits = nil, nil, nil, nil, nil, nil
+	began, first, ended, died, completed := o.began, o.firstTokens, o.ended, o.deaths, o.completed
+	o.began, o.firstTokens, o.ended, o.deaths, o.completed = nil, nil, nil, nil, nil
+	limits, drains := o.limits, o.drains
+	o.limits, o.drains = nil, nil
 	for _, r := range died {
 		o.reported = append(o.reported, reportedDeath{record: r, at: now})
 	}
@@ -118,6 +123,7 @@
 		deathMessages(o.owner, died),
 		completionMessages(o.owner, completed),
 		limitMessages(o.owner, limits),
+		drainMessages(o.owner, drains),
 	)
 }
 
--- a/peering/sync.go
+++ b/peering/sync.go
@@ -11,13 +11,17 @@
 // returns, the most recently used last.
 const maxSyncedDeaths = 240
 
-// knownState returns the deaths and the limits of servers that this entry knows of, as
+// knownState returns the deaths, limits and drains of servers that this entry knows of, as
 // messages for one peer.
 func (x *Exchange) knownState(now time.Time) []*wirepb.WorkNews {
 	deaths := x.cfg.Quarantine.Records(now)
 	deaths = deaths[max(len(deaths)-maxSyncedDeaths, 0):]
 	limits := x.cfg.Limits.Observations(now)
-	return append(deathMessages(x.cfg.Incarnation, deaths), limitMessages(x.cfg.Incarnation, limits)...)
+	return slices.Concat(
+		deathMessages(x.cfg.Incarnation, deaths),
+		limitMessages(x.cfg.Incarnation, limits),
+		drainMessages(x.cfg.Incarnation, x.cfg.Notices.DrainingServers()),
+	)
 }
 
 // noteContactLocked notes a message of a peer. A peer of which none came lately may have
--- a/servernotice/doc.go
+++ b/servernotice/doc.go
@@ -3,7 +3,8 @@
 //
 // A response is the first sign of either, and the only one while the object API is
 // unavailable. A notice holds whatever registrations, listings and other entries say of the
-// server. It ends with the server: a later start under the same name has announced nothing,
+// server. Entries tell each other of servers that drain; a back-off binds only the entry to which it
+// was named. A notice ends with the server: a later start under the same name has announced nothing,
 // and a server that is no longer registered is dropped after a while. The time of a back-off
 // ends by itself.
 package servernotice
--- a/servernotice/table.go
+++ b/servernotice/table.go
@@ -27,6 +27,7 @@
 type record struct {
 	startedUnixMs  int64
 	draining       bool
+	drainObserved  time.Time // when this entry saw the notice in a response; zero: another entry did
 	backOffUntil   time.Time
 	lastRegistered time.Time
 }
@@ -47,15 +48,48 @@
 // NewTable returns an empty Table.
 func NewTable() *Table { return &Table{servers: map[uint64]record{}} }
 
-// SetDraining records that a server drains, and reports whether this is new.
+// SetDraining records that a response to this entry announced that a server drains, and reports
+// whether this is new.
 func (t *Table) SetDraining(s Server, now time.Time) bool {
+	return t.setDraining(s, now, now)
+}
+
+// MergeDraining records that another entry has seen such a response.
+func (t *Table) MergeDraining(s Server, now time.Time) { t.setDraining(s, time.Time{}, now) }
+
+// setDraining marks a server as draining unless it is marked already.
+func (t *Table) setDraining(s Server, observed, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.recordLocked(s, now)
-	isNew := !r.draining
-	r.draining = true
+	if r.draining {
+		return false
+	}
+	r.draining, r.drainObserved = true, observed
 	t.servers[s.Key] = r
-	return isNew
+	return true
+}
+
+// DrainingServers returns the servers that drain, for another entry.
+func (t *Table) DrainingServers() []Server {
+	return t.drainingServers(func(record) bool { return true })
+}
+
+// ObservedDrains returns the servers whose notice this entry saw itself, at most maxAge ago.
+func (t *Table) ObservedDrains(maxAge time.Duration, now time.Time) []Server {
+	return t.drainingServers(func(r record) bool { return !r.drainObserved.IsZero() && now.Sub(r.drainObserved) <= maxAge })
+}
+
+func (t *Table) drainingServers(include func(record) bool) []Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Server
+	for key, r := range t.servers {
+		if r.draining && include(r) {
+			out = append(out, Server{Key: key, StartedUnixMs: r.startedUnixMs})
+		}
+	}
+	return out
 }
 
 // BackOff records that a server wants no requests until a time, and reports whether this is
--- a/wire/check.go
+++ b/wire/check.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"math"
 	"net/netip"
 	"unicode/utf8"
 
@@ -18,6 +19,7 @@
 	maxDigestRows        = 32      // rows of one digest
 	maxEvidence          = 40      // evidence records of one datagram
 	maxRates             = 60      // server rates of one datagram
+	maxDrains            = 60      // draining servers of one datagram
 	maxCompleted         = 120     // completed fingerprints of one datagram
 	maxEntries           = 512     // entries of a region
 	maxRequests          = 1 << 20 // running or waiting on one server
@@ -79,6 +81,7 @@
 		checkEvidence(w.GetEvidence()),
 		require(len(w.GetCompleted()) <= maxCompleted, "work.completed"),
 		checkRates(w.GetRates()),
+		checkDrains(w.GetDrains()),
 		checkWorkHello(w),
 	)
 	if err != nil {
@@ -102,6 +105,22 @@
 	return nil
 }
 
+func checkDrains(list []*wirepb.ServerDrain) error {
+	if err := require(len(list) <= maxDrains, "work.drains"); err != nil {
+		return err
+	}
+	for _, d := range list {
+		err := firstError(
+			require(d.GetServer() != 0, "work.drains.server"),
+			require(d.GetStartedUnixMs() <= math.MaxInt64, "work.drains.started_unix_ms"),
+		)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // MaxRatePerSecond is the greatest request rate of a server that a message may carry.
 const MaxRatePerSecond = 1e6
 
--- a/wire/check_test.go
+++ b/wire/check_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/juju/errors"
@@ -34,3 +35,19 @@
 		}
 	}
 }
+
+// Guards against drain notices of a corrupt datagram that exclude servers.
+func TestInvalidDrainNoticesAreRejected(t *testing.T) {
+	for name, drains := range map[string][]*wirepb.ServerDrain{
+		"no server":    {{StartedUnixMs: 1}},
+		"start time":   {{Server: 1, StartedUnixMs: 1 << 63}},
+		"too many":     slices.Repeat([]*wirepb.ServerDrain{{Server: 1}}, maxDrains+1),
+		"":             {{Server: 1, StartedUnixMs: 1}}, // valid
+		"second of it": {{Server: 1}, {}},
+	} {
+		err := Check(&wirepb.Datagram{Body: &wirepb.Datagram_Work{Work: &wirepb.WorkNews{Owner: 5, Drains: drains}}})
+		if (err == nil) != (name == "") {
+			t.Errorf("%q: %v", name, err)
+		}
+	}
+}
