Pack the reports between entries in one place

Four functions split a list into messages that fit a datagram, each with its own loop. packNews does it for deaths, completions, rates and drains; the messages are the same.

--- a/peering/deaths.go
+++ b/peering/deaths.go
@@ -57,11 +57,9 @@
 
 // completionMessages packs completed fingerprints into messages that each fit a datagram.
 func completionMessages(owner uint64, completed []uint64) []*wirepb.WorkNews {
-	var out []*wirepb.WorkNews
-	for part := range slices.Chunk(completed, maxCompletedPerMessage) {
-		out = append(out, &wirepb.WorkNews{Owner: owner, Completed: part})
-	}
-	return out
+	return packNews(owner, completed, maxCompletedPerMessage, func(m *wirepb.WorkNews, fingerprint uint64) {
+		m.Completed = append(m.Completed, fingerprint)
+	})
 }
 
 // handleCompletions clears the fingerprints that ran to their end at a peer.
@@ -75,15 +73,9 @@
 
 // deathMessages packs deaths into messages that each fit a datagram.
 func deathMessages(owner uint64, deaths []quarantine.Record) []*wirepb.WorkNews {
-	var out []*wirepb.WorkNews
-	for part := range slices.Chunk(deaths, maxDeathsPerMessage) {
-		m := &wirepb.WorkNews{Owner: owner}
-		for _, r := range part {
-			m.Evidence = append(m.Evidence, wire.EvidenceToProto(r))
-		}
-		out = append(out, m)
-	}
-	return out
+	return packNews(owner, deaths, maxDeathsPerMessage, func(m *wirepb.WorkNews, r quarantine.Record) {
+		m.Evidence = append(m.Evidence, wire.EvidenceToProto(r))
+	})
 }
 
 // repeatDeaths sends the reports of the last deathRepeatPeriod again.
--- a/peering/drains.go
+++ b/peering/drains.go
@@ -1,7 +1,6 @@
 package peering
 
 import (
-	"slices"
 	"time"
 
 	"github.com/briarturn/briarturn/servernotice"
@@ -26,15 +25,9 @@
 
 // drainMessages packs draining servers into messages that each fit a datagram.
 func drainMessages(owner uint64, list []servernotice.Server) []*wirepb.WorkNews {
-	var out []*wirepb.WorkNews
-	for part := range slices.Chunk(list, maxDrainsPerMessage) {
-		m := &wirepb.WorkNews{Owner: owner}
-		for _, s := range part {
-			m.Drains = append(m.Drains, &wirepb.ServerDrain{Server: s.Key, StartedUnixMs: uint64(max(s.StartedUnixMs, 0))})
-		}
-		out = append(out, m)
-	}
-	return out
+	return packNews(owner, list, maxDrainsPerMessage, func(m *wirepb.WorkNews, s servernotice.Server) {
+		m.Drains = append(m.Drains, &wirepb.ServerDrain{Server: s.Key, StartedUnixMs: uint64(max(s.StartedUnixMs, 0))})
+	})
 }
 
 // repeatDrains sends the notices that the entry saw itself lately again. They aren't urgent, and go
--- a/peering/limits.go
+++ b/peering/limits.go
@@ -1,7 +1,6 @@
 package peering
 
 import (
-	"slices"
 	"time"
 
 	"github.com/briarturn/briarturn/serverlimit"
@@ -30,15 +29,9 @@
 
 // limitMessages packs observations into messages that each fit a datagram.
 func limitMessages(owner uint64, list []serverlimit.Observation) []*wirepb.WorkNews {
-	var out []*wirepb.WorkNews
-	for part := range slices.Chunk(list, maxRatesPerMessage) {
-		m := &wirepb.WorkNews{Owner: owner}
-		for _, observation := range part {
-			m.Rates = append(m.Rates, encodeRate(observation))
-		}
-		out = append(out, m)
-	}
-	return out
+	return packNews(owner, list, maxRatesPerMessage, func(m *wirepb.WorkNews, observation serverlimit.Observation) {
+		m.Rates = append(m.Rates, encodeRate(observation))
+	})
 }
 
 // repeatLimits sends the entry's own recent observations again. They aren't urgent, and go
