Soak: register a cold server as cold for the whole time that is judged

A server's registration is written with the cold time that is left, so that a restart under a new start time keeps it; the time was counted from before the write, and the store was down for 2.3 s, so that the entries learned of 2.7 s instead of the 5 s that were judged. The cold time is set at each try of the write now.

--- a/internal/soak/notice.go
+++ b/internal/soak/notice.go
@@ -59,8 +59,8 @@
 	if err := s.replace(0); err != nil {
 		return err
 	}
-	s.setStarted(time.Now())
-	if err := b.register(s); err != nil {
+	started := time.Now()
+	if err := b.register(s, func() { s.setStarted(started) }); err != nil {
 		return err
 	}
 	return asked
--- a/internal/soak/places.go
+++ b/internal/soak/places.go
@@ -44,8 +44,7 @@
 
 // chill has a server say that it is cold.
 func (b *breaker) chill(s *serverProcess, d time.Duration) error {
-	s.setCold(time.Now().Add(d))
-	if err := b.register(s); err != nil {
+	if err := b.register(s, func() { s.setCold(time.Now().Add(d)) }); err != nil {
 		return err
 	}
 	from := time.Now()
@@ -56,10 +55,11 @@
 	return err
 }
 
-// register writes a server's registration.
-func (b *breaker) register(s *serverProcess) error {
+// register writes a server's registration. change is called before each try.
+func (b *breaker) register(s *serverProcess, change func()) error {
 	client := b.fleet.client
 	err := untilDone(func(ctx context.Context) error {
+		change()
 		o, err := client.Get(ctx, standin.RegistrationKind, s.name)
 		if err != nil {
 			return err
