Keep a back-off while its server isn't registered, and drop late notices of an earlier start

Found on reading the change again. A back-off of over a minute ended when the server's registration had been gone for a minute, and a response of the start before, arriving after the next start had announced something, would have marked that one as draining until its end. Tests for both; neither was seen.

--- a/servernotice/table.go
+++ b/servernotice/table.go
@@ -61,8 +61,8 @@
 func (t *Table) setDraining(s Server, observed, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.recordLocked(s, now)
-	if r.draining {
+	r, ok := t.recordLocked(s, now)
+	if !ok || r.draining {
 		return false
 	}
 	r.draining, r.drainObserved = true, observed
@@ -97,8 +97,8 @@
 func (t *Table) BackOff(s Server, until, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.recordLocked(s, now)
-	if !until.After(r.backOffUntil) {
+	r, ok := t.recordLocked(s, now)
+	if !ok || !until.After(r.backOffUntil) {
 		return false
 	}
 	r.backOffUntil = until
@@ -149,20 +149,24 @@
 			r.lastRegistered = now
 			t.servers[key] = r
 		}
-		ended := !r.draining && !r.backOffUntil.After(now)
-		if ended || now.Sub(r.lastRegistered) >= retention {
+		gone := now.Sub(r.lastRegistered) >= retention
+		if !r.backOffUntil.After(now) && (gone || !r.draining) {
 			delete(t.servers, key)
 		}
 	}
 }
 
 // recordLocked returns the record to update for a server: an empty one if there is none of
-// this start.
-func (t *Table) recordLocked(s Server, now time.Time) record {
-	r, ok := t.servers[s.Key]
-	if !ok || !r.appliesTo(s) {
-		return record{startedUnixMs: s.StartedUnixMs, lastRegistered: now}
+// this start. ok is false if a later start has announced something: the notice is of a process that
+// has ended.
+func (t *Table) recordLocked(s Server, now time.Time) (r record, ok bool) {
+	r, known := t.servers[s.Key]
+	if !known || !r.appliesTo(s) {
+		return record{startedUnixMs: s.StartedUnixMs, lastRegistered: now}, true
+	}
+	if s.StartedUnixMs != 0 && s.StartedUnixMs < r.startedUnixMs {
+		return record{}, false
 	}
 	r.startedUnixMs = max(r.startedUnixMs, s.StartedUnixMs)
-	return r
+	return r, true
 }
--- a/servernotice/table_test.go
+++ b/servernotice/table_test.go
@@ -46,6 +46,10 @@
 	if table.View().Draining(next) || table.View().BackOffLeft(next, t0) != time.Second {
 		t.Error("the notices of two starts are mixed")
 	}
+	table.SetDraining(server, t0) // the response of the start before arrives late
+	if table.View().Draining(next) {
+		t.Error("the next start is bound by a late notice of the one before")
+	}
 	if table.View().Draining(Server{Key: 8}) {
 		t.Error("another server is bound")
 	}
@@ -60,6 +64,21 @@
 	}
 }
 
+// Guards against requests within the time that a server named, because its registration expired
+// meanwhile.
+func TestBackOffOutlastsRegistration(t *testing.T) {
+	table := NewTable()
+	table.BackOff(server, t0.Add(2*retention), t0)
+	table.Sweep(unknown, t0.Add(retention))
+	if table.View().BackOffLeft(server, t0.Add(retention)) != retention {
+		t.Error("the back-off is lost")
+	}
+	table.Sweep(unknown, t0.Add(2*retention))
+	if len(table.servers) != 0 {
+		t.Error("the back-off of a server that is gone is kept beyond its end")
+	}
+}
+
 // Guards against requests before the end of the time that a server named, because a later
 // response named a shorter one.
 func TestShorterBackOffDoesNotReplaceLongerOne(t *testing.T) {
