--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -39,6 +39,7 @@
 	hRate      = "T-Rate"
 	hDraining  = "T-Draining"
 	hBackOff   = "T-Back-Off" // ms
+	hOther     = "T-Other"    // another instance responds
 )
 
 type testProtocol struct{}
@@ -75,7 +76,7 @@
 	backOff, _ := strconv.Atoi(h.Get(hBackOff))     // 0 if absent
 	return ResponseInfo{
 		ID: h.Get(hID), NotRun: h.Get(hNotRun) != "", RateLimit: rate,
-		Draining: h.Get(hDraining) != "", BackOff: time.Duration(backOff) * time.Millisecond,
+		Draining: h.Get(hDraining) != "", BackOff: time.Duration(backOff) * time.Millisecond, OtherInstance: h.Get(hOther) != "",
 	}
 }
 
--- a/gateway/notice_test.go
+++ b/gateway/notice_test.go
@@ -102,6 +102,24 @@
 	gw.wantArrivals("s2 id-1")
 }
 
+// Guards against avoiding a server for what another one announces that has its address.
+func TestNoticesOfAnotherInstanceAreIgnored(t *testing.T) {
+	var misdirected atomic.Bool
+	misdirected.Store(true)
+	gw := newTestGateway(t, func(w http.ResponseWriter, r *http.Request) {
+		if misdirected.Swap(false) {
+			w.Header().Set(hOther, "1")
+			w.Header().Set(hDraining, "1")
+			refuseFor("60000")(w, r)
+			return
+		}
+		respondWith("ok")(w, r)
+	}).withSampleConfig()
+	r, _, err := gw.send(http.MethodPost, "/safe/", "body")
+	wantStatus(t, r, err, http.StatusOK)
+	gw.wantArrivals("s1 id-1, s1 id-1")
+}
+
 // Guards against avoiding a server that was started again under its name.
 func TestNextStartOfDrainedServerGetsRequests(t *testing.T) {
 	var draining atomic.Bool
--- a/objectapi/watcher_test.go
+++ b/objectapi/watcher_test.go
@@ -220,6 +220,59 @@
 	})
 }
 
+// Guards against a change that waits for another one because the list after a gap was skipped: the
+// next watch must continue from the state that a peer delivered, and must not wait.
+func TestWatchAfterSkippedListDoesNotWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := standin.NewMemory(standin.Config{})
+		var held atomic.Bool
+		store := &recordedStore{Store: m, onGap: func() { held.Store(true) }}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() { cancel(); synctest.Wait() }()
+		const delivered = 1000 // revision that a peer delivered
+		go objectapi.NewWatcher(objectapi.WatcherConfig{
+			Store: store, Kinds: []string{"A"}, Sink: newMirrorSink(), Wait: time.Second,
+			Suspended:       func(string) bool { return held.Load() },
+			CurrentRevision: func(string) uint64 { return delivered },
+		}).Run(ctx)
+		time.Sleep(10 * time.Second)
+		m.SetFaults(standin.Faults{GapNext: 1})
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		before := len(store.watches)
+		held.Store(false)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if len(store.watches) == before {
+			t.Fatal("no watch after the suspension")
+		}
+		if got, want := store.watches[before], (watchCall{after: delivered}); got != want {
+			t.Errorf("watch %+v, want %+v", got, want)
+		}
+	})
+}
+
+// recordedStore records the watches, and calls onGap after one that ended with a gap.
+type recordedStore struct {
+	objectapi.Store
+	onGap   func()
+	watches []watchCall
+}
+
+type watchCall struct {
+	after uint64
+	wait  time.Duration
+}
+
+func (s *recordedStore) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (objectapi.Listing, error) {
+	s.watches = append(s.watches, watchCall{after, wait})
+	l, err := s.Store.Watch(ctx, kind, after, wait)
+	if errors.Is(err, objectapi.ErrGap) {
+		s.onGap()
+	}
+	return l, err
+}
+
 // ageSink is a sink that records the maximum age that its state reaches.
 type ageSink struct {
 	clock       boottime.Clock
--- a/peering/drains_test.go
+++ b/peering/drains_test.go
@@ -27,8 +27,12 @@
 	waitFor(t, "a found b", func() bool { return <-a.entryCounts == 2 })
 	a.observeDrain()
 	waitFor(t, "b knows that the server drains", b.knowsDrain)
+	// An entry doesn't repeat what it has from others, so that c learns it at its start only.
+	learned := servernotice.Server{Key: 13}
+	b.notices.MergeDraining(learned, time.Now())
 	c := startEntry(t, store, "c", 3)
-	waitFor(t, "c, which has just started, knows that the server drains", c.knowsDrain)
+	waitFor(t, "c, which has just started, knows what b knows", func() bool { return c.notices.View().Draining(learned) })
+	waitFor(t, "c knows that the server drains", c.knowsDrain)
 	next := leavingServer
 	next.StartedUnixMs++
 	if c.notices.View().Draining(next) {
--- a/peering/relay_test.go
+++ b/peering/relay_test.go
@@ -106,6 +106,8 @@
 		{84, began, false},
 		{84, &wirepb.WorkNews{Hello: &wirepb.Peer{}}, true},
 		{84, &wirepb.WorkNews{Evidence: []*wirepb.Evidence{{}}}, true},
+		{84, &wirepb.WorkNews{Rates: []*wirepb.ServerRate{{}}}, true},
+		{84, &wirepb.WorkNews{Drains: []*wirepb.ServerDrain{{}}}, true},
 		{3, &wirepb.WorkNews{Beat: true}, false},
 	} {
 		if got := newViewOfZones(c.each, "a", "b", "c", "d", "e").bypassesRelays(c.update); got != c.want {
