--- a/internal/soak/need.go
+++ b/internal/soak/need.go
@@ -103,13 +103,10 @@
 
 // needEnd returns when a server's need ended: its next start names no rate.
 func (r *record) needEnd(n need) time.Time {
-	to := n.to
-	for _, s := range r.spans {
-		if s.Fault == ServerKill && serverName(s.Target) == n.instance && s.From.After(n.from) && s.From.Before(to) {
-			to = s.From
-		}
+	if end := r.serverEnd(n.instance, n.from); end.Before(n.to) {
+		return end
 	}
-	return to
+	return n.to
 }
 
 // entryDisturbed reports whether an entry was ended, stood still or started between two times.
--- a/internal/soak/places.go
+++ b/internal/soak/places.go
@@ -55,15 +55,15 @@
 	return err
 }
 
-// register writes a server's registration. change is called before each try.
+// register writes a server's registration. change is called right before each write.
 func (b *breaker) register(s *serverProcess, change func()) error {
 	client := b.fleet.client
 	err := untilDone(func(ctx context.Context) error {
-		change()
 		o, err := client.Get(ctx, standin.RegistrationKind, s.name)
 		if err != nil {
 			return err
 		}
+		change()
 		_, err = client.Update(ctx, standin.RegistrationKind, s.name, s.registration(), o.Version)
 		return err
 	})
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -196,6 +196,11 @@
 	if got := r.needEnd(n); !got.Equal(killed) {
 		t.Errorf("the need ends at %v, its server at %v", got, killed)
 	}
+	left := Step{Fault: ServerLeave, For: leaveLasts} // it begins before the need and ends within it
+	r.spans = []span{{Step: left, From: now.Add(-time.Second)}}
+	if got, want := r.needEnd(n), now.Add(leaveLasts-time.Second); !got.Equal(want) {
+		t.Errorf("the need ends at %v, its server at %v", got, want)
+	}
 }
 
 // Symptom: a cut of a connection by a killed server is laid to the entry's planned end.
