Log the state of the retry budget with requests that used it

Callers' requests were repeated beyond the budget (BUDGET), and no line told whether entries counted too few, started anew, or assumed too few others: a request's line had its sends and the limit that ended it only. It now has the retries and requests that the entry counts, what it may send and the number of entries. TestLogLineShowsRetryBudget fails without the fields.

--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -61,19 +61,40 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.countsLocked(service, now)
-	requests, retries := 0, 0
-	for i := range budgetBuckets {
-		requests += c.requests[i]
-		retries += c.retries[i]
-	}
-	allowed := budgetFraction * (b.ratio*float64(requests) + b.slack/float64(b.entries))
-	if float64(retries+1) > allowed {
+	usage := b.usageLocked(c)
+	if float64(usage.Retries+1) > usage.Allowed {
 		return false
 	}
 	c.retries[c.newestBucket%budgetBuckets]++
 	return true
 }
 
+// BudgetUsage is what an entry has used of the retry budget of a service in the current window,
+// and what its share is computed from.
+type BudgetUsage struct {
+	Requests int     // first sends of this entry
+	Retries  int     // of this entry
+	Allowed  float64 // retries that this entry may send
+	Entries  int     // entries that share the slack
+}
+
+// Usage returns the use of a service's budget.
+func (b *RetryBudget) Usage(service string, now time.Time) BudgetUsage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.usageLocked(b.countsLocked(service, now))
+}
+
+func (b *RetryBudget) usageLocked(c *retryCounts) BudgetUsage {
+	u := BudgetUsage{Entries: b.entries}
+	for i := range budgetBuckets {
+		u.Requests += c.requests[i]
+		u.Retries += c.retries[i]
+	}
+	u.Allowed = budgetFraction * (b.ratio*float64(u.Requests) + b.slack/float64(b.entries))
+	return u
+}
+
 // countsLocked returns the counts of a service and clears the buckets that have left the
 // window. The caller holds mu.
 func (b *RetryBudget) countsLocked(service string, now time.Time) *retryCounts {
--- a/gateway/log_test.go
+++ b/gateway/log_test.go
@@ -241,3 +241,16 @@
 		}
 	}
 }
+
+// Guards against retries beyond what all entries may send that no log can attribute: the lines of
+// requests lacked the state of the budget.
+func TestLogLineShowsRetryBudget(t *testing.T) {
+	gw, hook := newHookedGateway(t, respondNotRun, respondNotRun)
+	r, _, err := gw.send(http.MethodPost, "/safe/", "body", hID, "again")
+	wantStatus(t, r, err, http.StatusServiceUnavailable)
+	line := waitForRequestLine(t, hook, "again")
+	wantField(t, line, "budget_requests", 1)
+	wantField(t, line, "budget_retries", 1)
+	wantField(t, line, "budget_allowed", 750.0)
+	wantField(t, line, "budget_entries", 1)
+}
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -78,12 +78,23 @@
 	if e.limit != "" {
 		fields["limit"] = e.limit
 	}
+	if e.sends > 1 || e.limit == limitBudget {
+		e.addBudgetFields(fields)
+	}
 	if skipped > 0 {
 		fields["not_logged"] = skipped
 	}
 	e.gateway.cfg.Log.WithFields(fields).Info("request")
 }
 
+// addBudgetFields adds the use of the service's retry budget to the log line of a request that
+// used it or was denied a retry.
+func (e *exchange) addBudgetFields(fields logrus.Fields) {
+	u := e.gateway.cfg.Budget.Usage(e.service.Name, time.Now())
+	fields["budget_retries"], fields["budget_requests"] = u.Retries, u.Requests
+	fields["budget_allowed"], fields["budget_entries"] = math.Floor(u.Allowed), u.Entries
+}
+
 // logRefused logs an attempt that a server refused, and the server that it named as the
 // cause.
 func (e *exchange) logRefused(status int, atFault string) {
