Bound the retries of all entries together by shares that hold in every window

Cause: an entry's part of the retry budget was kept in a window that was not the rule's. It slid by whole buckets of the time of day, so that what was spent at the end of a second was free again nine seconds later at all entries at once; it began anew with each process, while what the predecessor had sent still counted; it took a sixth of the slack until the store had listed the entries; and a retry counted when it was allowed, not when it was sent. The class: a count over all processes is bounded by a window that starts or moves differently in each of them.

Fix: package retrybudget replaces gateway.RetryBudget. Retries count until a window has passed since they may have arrived, by the boot clock; requests a little less than a window. A process uses no slack until its predecessor's retries no longer count, and none before the store has listed the entries; a removed entry keeps its part for a minute. An entry uses half of the ratio: the windows of two entries may count the requests of two windows. So the sum holds in every span whoever is in contact. An entry that has used up its share borrows: the lender counts what it lends until the loan's last send has left every window, so lost, late and repeated messages only lose budget. That serves callers of an entry that has just started, and of one that has most callers.

Changed checks: the case 'clock steps ahead and back' is gone, since the budget takes boottime.Instant, which the time of day doesn't change; clocks that are apart stay. TestRetriesStayWithinBudget keeps its bound of four retries, with a slack of 3 instead of 4, because the share of the slack is no longer cut by a quarter; TestLogLineShowsRetryBudget expects 1000 instead of 750 for the same reason.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/briarturn/briarturn/internal/boottime"
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/request"
 	"github.com/briarturn/briarturn/routetable"
@@ -31,6 +32,10 @@
 	if e.isQuarantined() { // other runs of it may have killed servers while this one waited
 		return stepFail, e.reasonBeforeSend(ReasonKillsServers)
 	}
+	if !e.spendRetry() {
+		e.stopRetrying(limitBudget)
+		return stepFail, e.reasonBeforeSend(ReasonServersRefused)
+	}
 	e.triedInstances[attempt.Server.Instance] = true
 	e.serverAddress = attempt.Server.Address
 	e.placement = attempt.Placement
@@ -45,6 +50,11 @@
 	return next, reason
 }
 
+// spendRetry counts a retry as sent now. It returns false if the budget no longer covers it.
+func (e *exchange) spendRetry() bool {
+	return e.retry == nil || e.retry.Sent(boottime.Now())
+}
+
 // sendAndRelay sends the request to the server of an attempt and, if there is a response,
 // relays it.
 func (e *exchange) sendAndRelay(ctx context.Context, attempt *placedAttempt) (nextStep, Reason) {
@@ -164,6 +174,7 @@
 		e.sends++
 	} else {
 		e.connectFailures++
+		e.retry.Return()
 		attempt.Refused("")
 	}
 	if ctx.Err() == nil {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -11,9 +11,11 @@
 	"github.com/juju/errors"
 
 	"github.com/briarturn/briarturn/eligible"
+	"github.com/briarturn/briarturn/internal/boottime"
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/quarantine"
 	"github.com/briarturn/briarturn/request"
+	"github.com/briarturn/briarturn/retrybudget"
 	"github.com/briarturn/briarturn/routetable"
 )
 
@@ -37,20 +39,21 @@
 	deadline    time.Time         // by the caller's or the route's timeout
 	stream      *streamRelay      // nil unless the route serves streams
 
-	sends           int                 // attempts that sent something
-	connectFailures int                 // attempts that sent nothing
-	triedInstances  map[string]bool     // instances that had an attempt
-	mayHaveRun      bool                // an attempt ended without proof that it did not run
-	lastFailure     *bufferedResponse   // last complete error response of a server, relayed if no attempt succeeds
-	firstByteAt     time.Time           // when the caller was sent the first byte
-	serverAddress   string              // address of the last attempt's server
-	placement       placement.Placement // of the last attempt
-	placedAt        time.Time           // when the last attempt was placed
-	exclusionCause  eligible.Cause      // why the last placement had no server
-	lateForecast    time.Duration       // forecast time to the first token if it misses the deadline, else 0
-	partsRunning    bool                // startParts admitted the attempt, and stopParts was not called
-	partsAlone      bool                // no other request with one of the parts may run beside it
-	partRetryAt     time.Time           // when a refused part is tried again
+	sends           int                     // attempts that sent something
+	connectFailures int                     // attempts that sent nothing
+	retry           *retrybudget.Withdrawal // of the attempt; nil before something was sent
+	triedInstances  map[string]bool         // instances that had an attempt
+	mayHaveRun      bool                    // an attempt ended without proof that it did not run
+	lastFailure     *bufferedResponse       // last complete error response of a server, relayed if no attempt succeeds
+	firstByteAt     time.Time               // when the caller was sent the first byte
+	serverAddress   string                  // address of the last attempt's server
+	placement       placement.Placement     // of the last attempt
+	placedAt        time.Time               // when the last attempt was placed
+	exclusionCause  eligible.Cause          // why the last placement had no server
+	lateForecast    time.Duration           // forecast time to the first token if it misses the deadline, else 0
+	partsRunning    bool                    // startParts admitted the attempt, and stopParts was not called
+	partsAlone      bool                    // no other request with one of the parts may run beside it
+	partRetryAt     time.Time               // when a refused part is tried again
 	outcome         string
 	limit           string // limit that ended the attempts, if one did
 	status          int
@@ -238,9 +241,11 @@
 		e.stream = newStreamRelay(e)
 	}
 	e.triedInstances = map[string]bool{}
-	e.gateway.cfg.Budget.RecordRequest(e.service.Name, time.Now())
+	e.gateway.cfg.Budget.RecordRequest(e.service.Name, boottime.Now())
+	defer func() { e.retry.Release() }() // also if an attempt panics to abort the response
 	for {
 		next, reason := e.attempt(ctx)
+		e.retry.Release()
 		if next == stepDone {
 			return
 		}
@@ -294,7 +299,7 @@
 	if e.sends >= max(1, e.route.MaxAttempts) {
 		return e.stopRetrying(limitAttempts)
 	}
-	if !e.gateway.cfg.Budget.TryWithdraw(e.service.Name, time.Now()) {
+	if e.retry = e.gateway.cfg.Budget.TryWithdraw(e.service.Name, boottime.Now()); e.retry == nil {
 		e.gateway.counters.retriesOverBudget.Inc(1)
 		return e.stopRetrying(limitBudget)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/quarantine"
 	"github.com/briarturn/briarturn/reservation"
+	"github.com/briarturn/briarturn/retrybudget"
 	"github.com/briarturn/briarturn/routetable"
 	"github.com/briarturn/briarturn/serverlimit"
 	"github.com/briarturn/briarturn/servernotice"
@@ -35,7 +36,7 @@
 	DrainReporter DrainReporter
 	Pool          *upstream.Pool
 	Placer        Placer
-	Budget        *RetryBudget
+	Budget        *retrybudget.Budget
 	Reserver      *reservation.Reserver
 	Quarantine    *quarantine.Tracker
 	Parts         *quarantine.PartTracker
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/briarturn/briarturn/internal/rawserver"
 	"github.com/briarturn/briarturn/placement"
+	"github.com/briarturn/briarturn/retrybudget"
 	"github.com/briarturn/briarturn/routetable"
 	"github.com/briarturn/briarturn/upstream"
 )
@@ -422,12 +423,12 @@
 // request goes to a second one. Nothing bounded the retries.
 func TestRetriesStayWithinBudget(t *testing.T) {
 	gw := newTestGateway(t, respondNotRun, respondNotRun).withSampleConfig()
-	gw.gateway.cfg.Budget = NewRetryBudget(0.2, 4, time.Hour, 1)
+	gw.gateway.cfg.Budget = newRetryBudget(retrybudget.Options{Ratio: 0.2, Slack: 3, Window: time.Hour})
 	for i := range 10 {
 		r, _, err := gw.send(http.MethodPost, "/safe/", "body", hID, fmt.Sprint(i))
 		wantStatus(t, r, err, http.StatusServiceUnavailable)
 	}
-	// 0.75 of 0.2 × 10 requests and 4 more at most
+	// half of 0.2 × 10 requests and 3 more at most
 	if n := strings.Count(gw.arrivals(), "s2"); n == 0 || n > 4 {
 		t.Errorf("%d retries", n)
 	}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -20,6 +20,7 @@
 	"github.com/briarturn/briarturn/internal/quiet"
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/quarantine"
+	"github.com/briarturn/briarturn/retrybudget"
 	"github.com/briarturn/briarturn/routetable"
 	"github.com/briarturn/briarturn/serverlimit"
 	"github.com/briarturn/briarturn/servernotice"
@@ -184,7 +185,7 @@
 		DrainReporter: gw.drains,
 		Pool:          upstream.NewPool(r),
 		Placer:        firstPlacer{placement.NewPlanner(ledger, 1, time.Now, nil)},
-		Budget:        NewRetryBudget(0, 1000, time.Minute, 1),
+		Budget:        newRetryBudget(retrybudget.Options{Slack: 1000, Window: time.Minute}),
 		Quarantine:    quarantine.NewTracker(QuarantineOptions()),
 		Parts:         quarantine.NewPartTracker(quarantine.DefaultPartOptions),
 		DeathReporter: gw.deaths,
@@ -331,3 +332,10 @@
 	}
 	return b.String()
 }
+
+// newRetryBudget returns the budget of the only entry, which started long ago.
+func newRetryBudget(o retrybudget.Options) *retrybudget.Budget {
+	b := retrybudget.New(o, boottime.Now().Add(-time.Hour).Add(-o.Window))
+	b.SetEntries(1, boottime.Now())
+	return b
+}
--- a/gateway/log_test.go
+++ b/gateway/log_test.go
@@ -251,6 +251,6 @@
 	line := waitForRequestLine(t, hook, "again")
 	wantField(t, line, "budget_requests", 1)
 	wantField(t, line, "budget_retries", 1)
-	wantField(t, line, "budget_allowed", 750.0)
+	wantField(t, line, "budget_allowed", 1000.0)
 	wantField(t, line, "budget_entries", 1)
 }
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/briarturn/briarturn/internal/boottime"
 	"github.com/briarturn/briarturn/placement"
 )
 
@@ -90,9 +91,10 @@
 // addBudgetFields adds the use of the service's retry budget to the log line of a request that
 // used it or was denied a retry.
 func (e *exchange) addBudgetFields(fields logrus.Fields) {
-	u := e.gateway.cfg.Budget.Usage(e.service.Name, time.Now())
+	u := e.gateway.cfg.Budget.Usage(e.service.Name, boottime.Now())
 	fields["budget_retries"], fields["budget_requests"] = u.Retries, u.Requests
 	fields["budget_allowed"], fields["budget_entries"] = math.Floor(u.Allowed), u.Entries
+	fields["budget_borrowed"] = u.Borrowed
 }
 
 // logRefused logs an attempt that a server refused, and the server that it named as the
--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -24,6 +24,7 @@
 	"github.com/briarturn/briarturn/quarantine"
 	"github.com/briarturn/briarturn/replica"
 	"github.com/briarturn/briarturn/reservation"
+	"github.com/briarturn/briarturn/retrybudget"
 	"github.com/briarturn/briarturn/routetable"
 	"github.com/briarturn/briarturn/serverlimit"
 	"github.com/briarturn/briarturn/servernotice"
@@ -46,9 +47,6 @@
 	// watchBackoffMax is the longest pause between two attempts while the store is
 	// unavailable: half a second of the five within which a removed key must be refused.
 	watchBackoffMax = 500 * time.Millisecond
-	// assumedEntries is the number of entries that are assumed to share the retry budget
-	// until the real number is known, so that a new process doesn't use all of it.
-	assumedEntries = 6
 	// sweepInterval is the interval at which idle connections, and the state of removed servers,
 	// are released.
 	sweepInterval = time.Second
@@ -178,7 +176,9 @@
 	partOptions := quarantine.DefaultPartOptions
 	partOptions.TrialDelay = rand.Float64()
 	n.parts = quarantine.NewPartTracker(partOptions)
-	budget := gateway.NewRetryBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow, assumedEntries)
+	budget := retrybudget.New(retrybudget.Options{
+		Ratio: cfg.RetryRatio, Slack: cfg.RetrySlack, Window: cfg.RetryWindow, ArrivalDelay: upstream.DefaultDialTimeout,
+	}, boottime.Now())
 	exchange, err := peering.Start(ctx, peering.Config{
 		Name:          cfg.Name,
 		ListenAddress: cfg.Datagram,
@@ -193,9 +193,10 @@
 		Parts:         n.parts,
 		Limits:        n.limits,
 		Notices:       n.notices,
+		Retries:       budget,
 		OnEntriesChanged: func(names []string, listed bool) {
-			budget.SetEntries(len(names))
 			if listed {
+				budget.SetEntries(len(names), boottime.Now())
 				n.coldSends.SetEntries(names, time.Now())
 				n.limitedSends.SetEntries(names, time.Now())
 			}
@@ -213,6 +214,7 @@
 		return nil, err
 	}
 	n.exchange = exchange
+	budget.SetAsker(exchange.RetryAsker())
 	n.gateway = gateway.New(gateway.Config{
 		Protocol:      cfg.Protocol,
 		Routes:        n.routes,
--- a/peering/exchange.go
+++ b/peering/exchange.go
@@ -16,6 +16,7 @@
 	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/quarantine"
+	"github.com/briarturn/briarturn/retrybudget"
 	"github.com/briarturn/briarturn/serverlimit"
 	"github.com/briarturn/briarturn/servernotice"
 	"github.com/briarturn/briarturn/wire"
@@ -59,6 +60,7 @@
 	Parts         *quarantine.PartTracker
 	Limits        *serverlimit.Table
 	Notices       *servernotice.Table
+	Retries       *retrybudget.Budget // lends to peers and borrows from them; nil: neither
 	// OnEntriesChanged is called with the names of all known entries, including this one,
 	// and with whether the object API has listed them at least once. Before the first
 	// listing the names may be incomplete.
@@ -201,6 +203,7 @@
 		for _, m := range x.outbox.drain(time.Now()) {
 			x.broadcast(m)
 		}
+		x.sendRetries(time.Now())
 	}
 }
 
@@ -361,6 +364,7 @@
 	x.handleParts(m, now)
 	x.handleRates(m.GetRates(), now)
 	x.handleDrains(m.GetDrains(), now)
+	x.handleRetries(m)
 	if m.GetBeat() {
 		x.cfg.Ledger.Reconcile(owner, m.GetActive(), m.GetUpTo(), now.Add(-reorderTolerance))
 	}
--- a/peering/exchange_test.go
+++ b/peering/exchange_test.go
@@ -36,6 +36,12 @@
 }
 
 func startEntryInZone(t *testing.T, store objectapi.Store, name string, incarnation uint64, zone string) *entry {
+	t.Helper()
+	return startEntryWith(t, store, name, incarnation, func(c *Config) { c.Zone = zone })
+}
+
+// startEntryWith starts an entry with a changed Config.
+func startEntryWith(t *testing.T, store objectapi.Store, name string, incarnation uint64, change func(*Config)) *entry {
 	t.Helper()
 	ctx, stop := context.WithCancel(t.Context())
 	e := &entry{
@@ -47,10 +53,12 @@
 		stop:        stop,
 		entryCounts: make(chan int, 64),
 	}
-	x, err := Start(ctx, Config{
-		Name: name, Zone: zone, ListenAddress: "127.0.0.1:0", Incarnation: incarnation, Store: store, Ledger: e.ledger, Quarantine: e.quarantine, Parts: e.parts, Limits: e.limits, Notices: e.notices,
+	cfg := Config{
+		Name: name, ListenAddress: "127.0.0.1:0", Incarnation: incarnation, Store: store, Ledger: e.ledger, Quarantine: e.quarantine, Parts: e.parts, Limits: e.limits, Notices: e.notices,
 		OnEntriesChanged: func(names []string, _ bool) { e.entryCounts <- len(names) }, Log: quiet.Logger(), Metrics: metrics.NewRegistry(),
-	})
+	}
+	change(&cfg)
+	x, err := Start(ctx, cfg)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/peering/outbox.go
+++ b/peering/outbox.go
@@ -7,6 +7,7 @@
 
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/quarantine"
+	"github.com/briarturn/briarturn/retrybudget"
 	"github.com/briarturn/briarturn/serverlimit"
 	"github.com/briarturn/briarturn/servernotice"
 	"github.com/briarturn/briarturn/wire/wirepb"
@@ -22,8 +23,8 @@
 const maxBegunPerMessage = 3
 
 // outbox collects this entry's updates until publishLoop sends them. It implements
-// placement.AttemptPublisher, gateway.DeathReporter, gateway.LimitReporter and
-// gateway.DrainReporter.
+// placement.AttemptPublisher, gateway.DeathReporter, gateway.LimitReporter,
+// gateway.DrainReporter and retrybudget.Asker.
 type outbox struct {
 	owner uint64
 	wake  chan struct{} // holds one token while updates are pending
@@ -37,6 +38,8 @@
 	parts     partReports
 	// reportedParts was sent lately, oldest first.
 	reportedParts partReports
+	asks          []retrybudget.Ask
+	loans         []retryLoan
 	limits        []serverlimit.Observation
 	drains        []servernotice.Server
 	firstTokens   []uint64
@@ -103,11 +106,12 @@
 	}
 }
 
-// urgent reports whether attempt starts, or deaths, limits or drains of servers are pending.
+// urgent reports whether attempt starts, questions about retries, or deaths, limits or drains of
+// servers are pending.
 func (o *outbox) urgent() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.began)+len(o.deaths)+len(o.limits)+len(o.drains) > 0 || !o.parts.empty()
+	return len(o.began)+len(o.deaths)+len(o.limits)+len(o.drains)+len(o.asks)+len(o.loans) > 0 || !o.parts.empty()
 }
 
 // drain empties the outbox and returns its updates as messages that each fit a datagram.
--- a/wire/check.go
+++ b/wire/check.go
@@ -22,6 +22,7 @@
 	maxRates             = 60      // server rates of one datagram
 	maxDrains            = 60      // draining servers of one datagram
 	maxCompleted         = 120     // completed fingerprints of one datagram
+	maxRetryTokens       = 1024    // retries that one entry asks another for, or lends it
 	maxEntries           = 512     // entries of a region
 	maxRequests          = 1 << 20 // running or waiting on one server
 	maxTokens            = 1 << 40 // any count or rate of tokens
@@ -85,6 +86,8 @@
 		checkDrains(w.GetDrains()),
 		checkPartDeaths(w.GetPartDeaths()),
 		checkPartsCleared(w.GetPartsCleared()),
+		checkRetryAsks(w.GetRetryAsks()),
+		checkRetryLoans(w.GetRetryLoans()),
 		checkWorkHello(w),
 	)
 	if err != nil {
@@ -108,6 +111,35 @@
 	return nil
 }
 
+func checkRetryAsks(list []*wirepb.RetryAsk) error {
+	for _, a := range list {
+		err := firstError(
+			require(validName(a.GetService()), "work.retry_asks.service"),
+			require(a.GetTokens() > 0 && a.GetTokens() <= maxRetryTokens, "work.retry_asks.tokens"),
+			require(a.GetSeq() != 0, "work.retry_asks.seq"),
+		)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkRetryLoans(list []*wirepb.RetryLoan) error {
+	for _, l := range list {
+		err := firstError(
+			require(l.GetTo() != 0, "work.retry_loans.to"),
+			require(validName(l.GetService()), "work.retry_loans.service"),
+			require(l.GetTokens() > 0 && l.GetTokens() <= maxRetryTokens, "work.retry_loans.tokens"),
+			require(l.GetSeq() != 0, "work.retry_loans.seq"),
+		)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func checkPartDeaths(list []*wirepb.PartDeath) error {
 	for _, d := range list {
 		err := firstError(
--- a/wire/check_test.go
+++ b/wire/check_test.go
@@ -77,3 +77,25 @@
 		}
 	}
 }
+
+// Guards against questions and loans of a corrupt datagram that take or give any number of retries.
+func TestInvalidRetryLoansAreRejected(t *testing.T) {
+	for name, w := range map[string]*wirepb.WorkNews{
+		"":                {RetryAsks: []*wirepb.RetryAsk{{Service: "s", Tokens: 4, Seq: 1}}, RetryLoans: []*wirepb.RetryLoan{{To: 1, Service: "s", Tokens: 4, Seq: 1}}}, // valid
+		"no service":      {RetryAsks: []*wirepb.RetryAsk{{Tokens: 4, Seq: 1}}},
+		"no tokens":       {RetryAsks: []*wirepb.RetryAsk{{Service: "s", Seq: 1}}},
+		"many tokens":     {RetryAsks: []*wirepb.RetryAsk{{Service: "s", Tokens: maxRetryTokens + 1, Seq: 1}}},
+		"no seq":          {RetryAsks: []*wirepb.RetryAsk{{Service: "s", Tokens: 4}}},
+		"loan to nobody":  {RetryLoans: []*wirepb.RetryLoan{{Service: "s", Tokens: 4, Seq: 1}}},
+		"loan of nothing": {RetryLoans: []*wirepb.RetryLoan{{To: 1, Service: "s", Seq: 1}}},
+		"large loan":      {RetryLoans: []*wirepb.RetryLoan{{To: 1, Service: "s", Tokens: maxRetryTokens + 1, Seq: 1}}},
+		"loan of what":    {RetryLoans: []*wirepb.RetryLoan{{To: 1, Tokens: 4, Seq: 1}}},
+		"loan for what":   {RetryLoans: []*wirepb.RetryLoan{{To: 1, Service: "s", Tokens: 4}}},
+	} {
+		w.Owner = 5
+		err := Check(&wirepb.Datagram{Body: &wirepb.Datagram_Work{Work: w}})
+		if (err == nil) != (name == "") {
+			t.Errorf("%q: %v", name, err)
+		}
+	}
+}
