--- a/internal/standin/objectapi/memory.go
+++ b/internal/standin/objectapi/memory.go
@@ -29,6 +29,7 @@
 	keep int
 
 	mu       sync.Mutex // guards everything below
+	era      uint64     // number of restores
 	revision uint64
 	live     map[objectKey]objectapi.Object
 	history  []objectapi.Object // oldest first, deletions as tombstones
