Keep one holder of a lease when the store comes back from an older copy

What callers could see: two leaders give orders. In an older copy a lease can be released, or held by an earlier holder, while a term that the store has lost is running. A contender took a released lease at once, so that two held it; and an agent that restarted read its floor of fencing numbers from the copy and admitted orders of a holder before the last.

Fix: a release counts only in the era in which its term began; otherwise a contender observes the record for a term, as any other. The floor of a record of an older era is the beginning of the new era. Fencing numbers rise over eras, because they are revisions, which are ordered by the era first.

--- a/lease/gate.go
+++ b/lease/gate.go
@@ -71,10 +71,15 @@
 		return err
 	}
 	floor := value.Fence
-	if floor == 0 {
+	switch {
+	case floor == 0:
 		// The object was recreated after a deletion: every earlier fence is
 		// below its version.
 		floor = obj.Version
+	case objectapi.EraOf(floor) < objectapi.EraOf(obj.Version):
+		// The store came back from an older copy and may have lost later terms. Their holders
+		// lose their leases with the next renewal.
+		floor = objectapi.JoinRevision(objectapi.EraOf(obj.Version), 0)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/lease/manager.go
+++ b/lease/manager.go
@@ -92,6 +92,13 @@
 	Released bool   `json:"released,omitempty"`
 }
 
+// releasedIn reports whether the record, read at a version, is of a term that began and was released in
+// the same era of the store. In an older copy the lease may be released while a term that the store has
+// lost is running.
+func (r leaseRecord) releasedIn(version uint64) bool {
+	return r.Released && objectapi.EraOf(r.Fence) == objectapi.EraOf(version)
+}
+
 // NewManager returns a manager for one process.
 func NewManager(cfg Config) *Manager {
 	if cfg.Term <= 0 {
@@ -187,15 +194,16 @@
 // sent, so the observer always waits longer than the holder's term.
 func (m *Manager) isFree(name string, version uint64, old leaseRecord) bool {
 	now := m.now()
+	released := old.releasedIn(version)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	o, known := m.observations[name]
 	if !known || o.version != version {
 		m.observations[name] = observation{version: version, unchangedSince: now, maxFence: max(o.maxFence, old.Fence)}
-		return old.Released
+		return released
 	}
 	term := time.Duration(old.TermMS) * time.Millisecond
-	return old.Released || now.Sub(o.unchangedSince) >= term+term/driftDivisor
+	return released || now.Sub(o.unchangedSince) >= term+term/driftDivisor
 }
 
 // writeTerm writes a new term over an object of a known version. The fence is
