Keep declared state in force while the store recovers from an older copy

What callers could see: limits of workspaces, pools and server sets that come back older, or are gone, after the store came back from an older copy, and processes that count as ready by it. The catalog took a list of a new era as the newest state at once (with revisions of an older one it took none, and served unconfirmed).

Fix: entries read the store through objectapi.Settling. While it is recovering, the catalog keeps what it has, applies what is written since, and takes neither as confirmed; a process without any state uses the list without confirming it. The first complete list afterwards stands, deletions included. Entries that are missing from the list of entries are kept for so long, and one that doesn't find itself announces itself again, also where the list has an older process of its name.

--- a/declared/catalog.go
+++ b/declared/catalog.go
@@ -92,20 +92,28 @@
 	return c.update(func(e *edit) { e.apply(o) })
 }
 
-// Snapshot applies the store's complete list of a kind.
+// Snapshot applies the store's complete list of a kind. While the store is recovering from an older
+// copy, the list is used only by a process that holds none, and confirms nothing.
 func (c *Catalog) Snapshot(kind string, l objectapi.Listing) {
 	if !slices.Contains(c.config.Kinds, kind) {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if l.Recovery == objectapi.Recovering {
+		if _, listed := c.State().completeThrough[kind]; !listed {
+			c.update(func(e *edit) { e.applySnapshot(kind, l.Objects, l.Revision) })
+		}
+		return
+	}
 	behind := l.Revision < c.State().completeThrough[kind]
 	c.update(func(e *edit) { e.applySnapshot(kind, l.Objects, l.Revision) })
 	c.recordStoreResponse(behind, kind)
 }
 
 // Events applies the store's changes of a kind. They must continue from what
-// the store returned before; an objectapi.Watcher ensures that.
+// the store returned before; an objectapi.Watcher ensures that. While the store is recovering from
+// an older copy, they are applied and confirm nothing, because the list before them isn't in force.
 func (c *Catalog) Events(kind string, l objectapi.Listing) {
 	if !slices.Contains(c.config.Kinds, kind) {
 		return
@@ -117,19 +125,24 @@
 		return // the events continue from a list that is not known yet
 	}
 	behind := l.Revision < through
+	recovering := l.Recovery == objectapi.Recovering
 	c.update(func(e *edit) {
 		for _, o := range l.Objects {
 			e.apply(o)
 		}
-		e.advanceThrough(kind, l.Revision)
+		if !recovering {
+			e.advanceThrough(kind, l.Revision)
+		}
 	})
+	if recovering {
+		return
+	}
 	c.recordStoreResponse(behind, kind)
 }
 
 // recordStoreResponse records that the store has confirmed these kinds, unless
 // it returned a revision from before what it or a peer returned earlier. In
-// that case the store lags or was restored from an old copy; the state in
-// force stays, and the response confirms nothing.
+// that case the store lags; the state in force stays, and the response confirms nothing.
 func (c *Catalog) recordStoreResponse(behind bool, kinds ...string) {
 	if behind {
 		c.counters.storeBehind.Inc(1)
--- a/internal/node/entry_upkeep.go
+++ b/internal/node/entry_upkeep.go
@@ -32,9 +32,11 @@
 // startUpkeep starts what keeps soft state in step with the rest of the system.
 func (n *Entry) startUpkeep() {
 	watcher := objectapi.NewWatcher(objectapi.WatcherConfig{
-		Store:   n.cfg.Store,
-		Kinds:   watchedKinds(),
-		Sink:    newStoreSink(n),
+		Store: n.cfg.Store,
+		Kinds: watchedKinds(),
+		Sink: objectapi.NewSettling(objectapi.SettlingConfig{
+			Next: newStoreSink(n), Log: n.tasks.log, Metrics: n.cfg.Metrics,
+		}),
 		Metrics: n.cfg.Metrics,
 		Log:     n.tasks.log,
 	})
--- a/internal/node/store_sink.go
+++ b/internal/node/store_sink.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/briarturn/briarturn/declared"
@@ -31,11 +32,13 @@
 func (s *storeSink) Snapshot(kind string, l objectapi.Listing) {
 	switch kind {
 	case KindEntry:
-		clear(s.peers)
+		if l.Recovery != objectapi.Recovering { // otherwise the others write their presence again
+			clear(s.peers)
+		}
 		s.takePeers(l.Objects)
 		// A deletion before the first list, or in a gap of the watch, shows only
 		// by absence.
-		if s.peers[s.node.cfg.Name] == nil && s.node.announced.Load() {
+		if !lists(l.Objects, s.node.cfg.Name) && s.node.announced.Load() {
 			s.node.announceAgain()
 		}
 	case KindVM:
@@ -58,6 +61,11 @@
 	}
 }
 
+// lists reports whether objects contain one with a name.
+func lists(objects []objectapi.Object, name string) bool {
+	return slices.ContainsFunc(objects, func(o objectapi.Object) bool { return o.Name == name && !o.Deleted })
+}
+
 func (s *storeSink) takePeers(objects []objectapi.Object) {
 	if len(objects) == 0 {
 		return
