Don't run a call twice because the store lost the record of its claim

What callers could see: a confirmation that runs twice. The record of a claim is in the store; when the store came back from an older copy without it, the next send of the call found no record and was granted again.

Fix: entries remember the records that they have written in the last 30 s.

Not covered: the record of an entry that ended within the lost seconds.

--- a/claim/claimer.go
+++ b/claim/claimer.go
@@ -418,6 +418,7 @@
 	granted, prior, refused, released, overloaded, shardFull                  metrics.Counter
 	keysIssued, issuerLost                                                    metrics.Counter
 	storeReads, storeWrites, storeConflicts, storeResponsesLost, opsCommitted metrics.Counter
+	restored                                                                  metrics.Counter
 	responsesDropped, settlementsDropped                                      metrics.Counter
 	sealed, unsealFailed                                                      metrics.Counter
 	forwarded, forwardsLost, withdrawnDropped                                 metrics.Counter
@@ -446,5 +447,6 @@
 		unsealFailed:       get("unseal_failed"),
 		responsesDropped:   get("answers_dropped"),
 		settlementsDropped: get("settlements_dropped"),
+		restored:           get("restored"),
 	}
 }
--- a/claim/commit.go
+++ b/claim/commit.go
@@ -42,6 +42,8 @@
 		}
 		switch {
 		case tryErr == nil:
+			g.written.lost = false
+			g.written.remember(last, g.claimer.now())
 			g.completeGroup(last)
 			g.adjustSpacing(n)
 			if len(last.expiredSealed) > 0 {
@@ -149,7 +151,14 @@
 	if err != nil {
 		return nil, err
 	}
+	if g.restored.Swap(false) {
+		g.written.noteRestored(g.claimer.now())
+	}
+	g.written.noteVersion(version, g.claimer.now())
+	restored := g.written.restore(s, view)
+	g.claimer.counters.restored.Inc(int64(restored))
 	p := g.buildPlan(s, view, batch)
+	p.needsWrite = p.needsWrite || restored > 0
 	if !p.needsWrite {
 		return p, nil
 	}
--- a/claim/group.go
+++ b/claim/group.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -60,8 +61,10 @@
 	lastFailure    time.Time     // time of the last failure; zero if the last group succeeded
 	claimQueued    chan struct{} // buffered by one: a claim or lookup was queued
 	sealed         *indexCache
-	failures       int // owned by run: failed groups since the last success
-	intervalFactor int // owned by run: groups start intervalFactor times MinGroupInterval apart
+	written        writtenRecords // owned by run
+	restored       atomic.Bool    // the store came back from an older copy
+	failures       int            // owned by run: failed groups since the last success
+	intervalFactor int            // owned by run: groups start intervalFactor times MinGroupInterval apart
 }
 
 func newGroup(c *Claimer, name string) *group {
--- a/claim/plan.go
+++ b/claim/plan.go
@@ -15,21 +15,22 @@
 
 // plan is the result of applying a group to one read of the shard.
 type plan struct {
-	view          sealedView
-	needsWrite    bool
-	results       map[*op]result
-	granted       []*op           // claims that are granted once the write has taken effect
-	grantedHashes map[string]bool // hashes of the claims in granted
-	dependent     []*op           // claims refused because granted has a claim of the same key
-	settled       []*op
-	overCapacity  []*op // claims that don't fit into the shard
+	view           sealedView
+	needsWrite     bool
+	results        map[*op]result
+	granted        []*op           // claims that are granted once the write has taken effect
+	grantedHashes  map[string]bool // hashes of the claims in granted
+	dependent      []*op           // claims refused because granted has a claim of the same key
+	settled        []*op
+	settledRecords map[string]keyRecord // records of settled after them, by hash; none if the key is free
+	overCapacity   []*op                // claims that don't fit into the shard
 
 	newSealed     objectapi.Object // new sealed object, in use only once the shard's write has taken effect
 	expiredSealed []string         // sealed objects to delete once the write has taken effect
 }
 
 func (g *group) buildPlan(s *shard, view sealedView, batch []*op) *plan {
-	p := &plan{view: view, results: make(map[*op]result, len(batch)), grantedHashes: map[string]bool{}}
+	p := &plan{view: view, results: make(map[*op]result, len(batch)), grantedHashes: map[string]bool{}, settledRecords: map[string]keyRecord{}}
 	now := g.claimer.now()
 	for _, o := range batch {
 		switch o.kind {
@@ -40,6 +41,9 @@
 				g.claimer.counters.withdrawnDropped.Inc(int64(s.withdraw(o.mark, now)))
 			}
 			p.settled = append(p.settled, o)
+			if r, ok := s.Claims[o.hash]; ok {
+				p.settledRecords[o.hash] = r
+			}
 			p.needsWrite = true // even if nothing changed: a late write of the claim must fail its condition
 		case opLookup:
 			g.planLookup(p, s, o, now)
@@ -75,18 +79,19 @@
 
 func (g *group) planClaim(p *plan, s *shard, o *op, now time.Time) {
 	if s.isWithdrawn(o.mark) || o.fromPeer && now.After(o.expiresAt) {
-		verdict := ErrUnverified
-		if o.fromPeer {
-			verdict = errOutcomeUncertain
-		}
-		p.results[o] = result{err: errors.Annotatef(verdict, "step claim, shard %s: late", g.name)}
+		p.results[o] = result{err: errors.Annotatef(g.heldError(o), "step claim, shard %s: late", g.name)}
 		return
 	}
 	if name, ok := p.view.find(o.hash); ok {
 		p.results[o] = result{verdict: verdictRefuse, prior: Prior{State: Unknown}, sealed: name}
 		return
 	}
-	before := s.Claims[o.hash]
+	before, recorded := s.Claims[o.hash]
+	if !recorded && now.Before(g.written.heldUntil) {
+		// The store may have lost the record of an earlier send.
+		p.results[o] = result{err: errors.Annotatef(g.heldError(o), "step claim, shard %s: the store came back from an older copy", g.name)}
+		return
+	}
 	switch s.claim(o.hash, o.mark, now) {
 	case verdictGrant:
 		p.needsWrite = true
@@ -102,6 +107,14 @@
 	}
 }
 
+// heldError is the error of a claim that isn't recorded though no other claim is.
+func (g *group) heldError(o *op) error {
+	if o.fromPeer {
+		return errOutcomeUncertain
+	}
+	return ErrUnverified
+}
+
 // encode reduces the shard to its size limit: it first drops claims past their
 // retention, then stored responses, and if that is not enough refuses the group's
 // new claims. Settlements may use the space between the limit and the store's
--- a/internal/node/entry_upkeep.go
+++ b/internal/node/entry_upkeep.go
@@ -35,7 +35,7 @@
 		Store: n.cfg.Store,
 		Kinds: watchedKinds(),
 		Sink: objectapi.NewSettling(objectapi.SettlingConfig{
-			Next: newStoreSink(n), Log: n.tasks.log, Metrics: n.cfg.Metrics,
+			Next: newStoreSink(n), Log: n.tasks.log, Metrics: n.cfg.Metrics, OnEra: n.claimer.StoreRestored,
 		}),
 		Metrics: n.cfg.Metrics,
 		Log:     n.tasks.log,
