Soak: a store that comes back from older copies, and entries killed while servers fail

The stand-in store has control paths for the copy and the return. All promises and bounds are unchanged.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -122,6 +122,8 @@
 		return b.crashes(s.Target, s.For)
 	case OneEntry:
 		return b.prefer(s.Target, s.For)
+	case StoreRestore:
+		return b.restoreStore(s.For)
 	}
 	return b.onStore(s)
 }
@@ -252,13 +254,18 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	response, err := http.Post("http://"+b.fleet.storeAt+"/standin/fault", "application/json", bytes.NewReader(body))
+	return b.controlStore("fault", body)
+}
+
+// controlStore calls a control path of the stand-in store.
+func (b *breaker) controlStore(path string, body []byte) error {
+	response, err := http.Post("http://"+b.fleet.storeAt+"/standin/"+path, "application/json", bytes.NewReader(body))
 	if err != nil {
-		return errors.Annotatef(err, "step set faults, peer %s", b.fleet.storeAt)
+		return errors.Annotatef(err, "step control store, %s, peer %s", path, b.fleet.storeAt)
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return errors.Errorf("step set faults, peer %s: status %d", b.fleet.storeAt, response.StatusCode)
+		return errors.Errorf("step control store, %s, peer %s: status %d", path, b.fleet.storeAt, response.StatusCode)
 	}
 	return nil
 }
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -13,7 +13,6 @@
 
 	"github.com/juju/errors"
 
-	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/platform"
 	"github.com/briarturn/briarturn/platform/standin"
 )
@@ -48,6 +47,9 @@
 	keys    map[string]string
 	traffic traffic
 	ended   chan *serverProcess // that crashed and are to be started again
+
+	mu        sync.Mutex      // guards evacuated
+	evacuated map[string]bool // zones that operators have evacuated
 }
 
 // maxEnded bounds the servers that wait to be started again; each crashes once before that.
@@ -95,7 +97,7 @@
 
 // startFleet starts the stand-ins, declares the routes and servers, and starts the entries.
 func startFleet(ctx context.Context, o Options, r *record) (*fleet, error) {
-	f := &fleet{dir: o.Dir, record: r, ended: make(chan *serverProcess, maxEnded), keys: map[string]string{"kept": keptKey, "removed": removedKey, "bound": boundKey}}
+	f := &fleet{dir: o.Dir, record: r, ended: make(chan *serverProcess, maxEnded), evacuated: map[string]bool{}, keys: map[string]string{"kept": keptKey, "removed": removedKey, "bound": boundKey}}
 	var err error
 	if f.ports, err = claimPorts(); err != nil {
 		return f, err
@@ -248,16 +250,28 @@
 // configure writes the next version of the configuration.
 func (f *fleet) configure(ctx context.Context) error {
 	f.version++
-	data := standin.Configuration(f.version, standin.ConfigurationOptions{
+	err := f.put(ctx, standin.ConfigurationKind, standin.ConfigurationName, f.configuration())
+	return errors.Annotatef(err, "step write configuration %d", f.version)
+}
+
+// configuration is the configuration of the current version.
+func (f *fleet) configuration() json.RawMessage {
+	return standin.Configuration(f.version, standin.ConfigurationOptions{
 		Keys: f.keys, Regions: map[string][]string{"bound": {boundRegion}}, ColdPerSecond: coldPerSecond,
 	})
-	o, err := f.client.Get(ctx, standin.ConfigurationKind, standin.ConfigurationName)
-	if errors.Is(err, objectapi.ErrNotFound) {
-		_, err = f.client.Create(ctx, standin.ConfigurationKind, standin.ConfigurationName, data)
-	} else if err == nil {
-		_, err = f.client.Update(ctx, standin.ConfigurationKind, standin.ConfigurationName, data, o.Version)
-	}
-	return errors.Annotatef(err, "step write configuration %d", f.version)
+}
+
+// setEvacuated records whether operators have evacuated a zone.
+func (f *fleet) setEvacuated(zone string, evacuated bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.evacuated[zone] = evacuated
+}
+
+func (f *fleet) isEvacuated(zone string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.evacuated[zone]
 }
 
 // awaitService waits until each entry has answered a request whole, and reports whether
--- a/internal/soak/places.go
+++ b/internal/soak/places.go
@@ -10,35 +10,24 @@
 
 	"github.com/juju/errors"
 
-	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/platform/standin"
 )
 
 // evacuate evacuates a zone for a while.
 func (b *breaker) evacuate(zone string, d time.Duration) error {
-	client := b.fleet.client
-	var o objectapi.Object
-	err := untilDone(func(ctx context.Context) (err error) {
-		o, err = client.Create(ctx, standin.EvacuationKind, zone, json.RawMessage(`{}`))
-		if errors.Is(err, objectapi.ErrExists) { // by a try whose answer was lost
-			o, err = client.Get(ctx, standin.EvacuationKind, zone)
-		}
-		return err
+	err := untilDone(func(ctx context.Context) error {
+		return b.fleet.put(ctx, standin.EvacuationKind, zone, json.RawMessage(`{}`))
 	})
 	if err != nil {
 		return errors.Annotatef(err, "step empty %s", zone)
 	}
+	b.fleet.setEvacuated(zone, true)
 	e := evacuated{zone: zone, from: time.Now()}
 	time.Sleep(d)
 	e.to = time.Now()
 	b.fleet.record.evacuation(e)
-	err = untilDone(func(ctx context.Context) error {
-		_, err := client.Delete(ctx, standin.EvacuationKind, zone, o.Version)
-		if errors.Is(err, objectapi.ErrNotFound) { // as above
-			return nil
-		}
-		return err
-	})
+	b.fleet.setEvacuated(zone, false)
+	err = untilDone(func(ctx context.Context) error { return b.fleet.remove(ctx, standin.EvacuationKind, zone) })
 	return errors.Annotatef(err, "step restore %s", zone)
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -41,6 +41,8 @@
 	ServerBackOff Fault = "server_back_off"
 	PartCrash     Fault = "part_crash" // requests with a part that crashes servers; its target is the part
 	OneEntry      Fault = "one_entry"  // most new connections go to one entry
+	// The store is away for a moment and comes back from a copy as old as the step lasts.
+	StoreRestore Fault = "store_restore"
 )
 
 // kinds that a plan draws from. Revoke comes once by itself.
@@ -85,6 +87,8 @@
 	out = append(out, noticeSteps(seed, lasts, servers)...)
 	out = append(out, crashSteps(seed, lasts)...)
 	out = append(out, onlySteps(seed, lasts, entries)...)
+	out = append(out, restoreSteps(seed, lasts)...)
+	out = append(out, stormSteps(seed, lasts, entries, servers)...)
 	slices.SortStableFunc(out, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return out
 }
