Don't let a peer of an older era confirm a kind after another kind has left that era

What callers could see: requests by a configuration that counts as current though the store has come back from an older copy since. Each kind of object changes its era with its own next answer; until then a lagging peer with the same objects could confirm a kind of the old era. The replica now keeps one newest era for all kinds, and neither takes nor confirms a state of an older one. TestEraOfOneKindEndsThatOfAll fails without it.

--- a/replica/era_test.go
+++ b/replica/era_test.go
@@ -58,6 +58,22 @@
 	}
 }
 
+// Guards against a peer of an older era that confirms a kind, after another kind has shown that the era
+// ended.
+func TestEraOfOneKindEndsThatOfAll(t *testing.T) {
+	r, _ := eraReplica(objectapi.JoinRevision(1, 90), "a")
+	digest := r.Digest("K")
+	r.Snapshot("L", objectapi.Listing{Revision: objectapi.JoinRevision(2, 44)})
+	if r.Confirm("K", digest, boottime.Instant(time.Hour)) {
+		t.Error("a state of an older era is confirmed")
+	}
+	r.Events("K", objectapi.Listing{Revision: objectapi.JoinRevision(1, 91), CurrentAsOf: boottime.Instant(time.Hour)})
+	r.Snapshot("K", objectapi.Listing{Revision: objectapi.JoinRevision(1, 92), CurrentAsOf: boottime.Instant(time.Hour)})
+	if age, _ := r.Age("K"); age == 0 {
+		t.Error("a state of an older era counts as current")
+	}
+}
+
 // Guards against the differences between two eras that are forwarded as events: what the newer one lacks
 // would count as deleted.
 func TestChangesAcrossErasAreForwardedAsAState(t *testing.T) {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -23,6 +23,7 @@
 
 	mu    sync.Mutex
 	kinds map[string]*kindState
+	era   uint64 // newest one of all kinds: a state of an older one is confirmed by nobody
 	eras  EraSource
 }
 
@@ -58,7 +59,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.kinds[kind]
-	if old != nil && l.Revision < old.revision {
+	if old != nil && l.Revision < old.revision || r.isOlderLocked(l.Revision) {
 		return
 	}
 	s := &kindState{revision: l.Revision, confirmed: l.CurrentAsOf, objects: make(map[string]objectapi.Object, len(l.Objects))}
@@ -84,7 +85,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.kinds[kind]
-	if s == nil || l.Revision < s.revision {
+	if s == nil || l.Revision < s.revision || r.isOlderLocked(l.Revision) {
 		return
 	}
 	if objectapi.EraOf(l.Revision) > objectapi.EraOf(s.revision) {
@@ -102,6 +103,13 @@
 	r.next.Events(kind, l)
 }
 
+// isOlderLocked reports whether a revision is of an older era than another kind has reached.
+func (r *Replica) isOlderLocked(revision uint64) bool {
+	era := objectapi.EraOf(revision)
+	r.era = max(r.era, era)
+	return era < r.era
+}
+
 // enterEra applies the difference between the held state and one of a newer era, and forwards the
 // whole state: what it lacks may only be lost.
 func (r *Replica) enterEra(kind string, s *kindState, l objectapi.Listing) {
@@ -131,7 +139,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.kinds[kind]
-	if s == nil || s.digest() != digest {
+	if s == nil || s.digest() != digest || r.isOlderLocked(s.revision) {
 		return false
 	}
 	s.confirmed = max(s.confirmed, confirmed)
