briarturnctl prints revisions as ERA.NUMBER where the store names an era

A revision holds the era and the store's number in one integer, which nobody can read in a table. Without an era it is printed as before; JSON output has the integer.

--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -15,6 +15,7 @@
 	"github.com/briarturn/briarturn/internal/admin"
 	"github.com/briarturn/briarturn/internal/sleep"
 	"github.com/briarturn/briarturn/internal/table"
+	"github.com/briarturn/briarturn/objectapi"
 )
 
 // pollInterval is how often a waiting command asks again.
@@ -180,7 +181,7 @@
 			continue
 		}
 		processes = append(processes, []string{p.Name, p.Role, p.Zone, readiness(&p.Status),
-			fmt.Sprint(p.ConfigRevision), fmt.Sprint(p.Queued), fmt.Sprint(p.Running)})
+			objectapi.FormatRevision(p.ConfigRevision), fmt.Sprint(p.Queued), fmt.Sprint(p.Running)})
 		for i := range p.Servers {
 			servers = append(servers, serverCells(p.Name, &p.Servers[i]))
 		}
@@ -200,7 +201,7 @@
 		}
 	}
 	for _, r := range f.Revisions {
-		fmt.Fprintf(w, "revision %d: %d processes, %.1f%%\n", r.Revision, r.Processes, 100*r.Share)
+		fmt.Fprintf(w, "revision %s: %d processes, %.1f%%\n", objectapi.FormatRevision(r.Revision), r.Processes, 100*r.Share)
 	}
 	if f.Wanted > 0 {
 		fmt.Fprintf(w, "revision %d in force at %d of %d\n", f.Wanted, f.InForce, f.Known)
@@ -223,7 +224,7 @@
 	if s.Draining {
 		state = "draining"
 	}
-	line := []string{s.Name, teller, s.Zone, s.Pool, state, fmt.Sprint(s.ConfigRevision)}
+	line := []string{s.Name, teller, s.Zone, s.Pool, state, objectapi.FormatRevision(s.ConfigRevision)}
 	for _, n := range []int64{s.Running, s.Waiting, s.UsedTokens, s.HeldTokens, s.CapacityTokens, s.LoadAgeMS} {
 		line = append(line, fmt.Sprint(n))
 	}
--- a/internal/ctl/watch.go
+++ b/internal/ctl/watch.go
@@ -94,7 +94,7 @@
 		return string(data), errors.Annotate(err, "step print object")
 	}
 	if o.Deleted {
-		return fmt.Sprintf("%d %s/%s deleted", o.Version, o.Kind, o.Name), nil
+		return fmt.Sprintf("%s %s/%s deleted", objectapi.FormatRevision(o.Version), o.Kind, o.Name), nil
 	}
-	return fmt.Sprintf("%d %s/%s %s", o.Version, o.Kind, o.Name, oneLine(o.Data)), nil
+	return fmt.Sprintf("%s %s/%s %s", objectapi.FormatRevision(o.Version), o.Kind, o.Name, oneLine(o.Data)), nil
 }
