--- a/internal/gatewaynode/recovery_test.go
+++ b/internal/gatewaynode/recovery_test.go
@@ -12,6 +12,7 @@
 	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/platform"
 	"github.com/briarturn/briarturn/routetable"
+	"github.com/briarturn/briarturn/upstream"
 )
 
 // recoveringNode is a node whose clock the test sets. It had configuration 5 under number 48 in
@@ -103,6 +104,19 @@
 	n.want(t, "recovered", 4, true)
 }
 
+// Guards against servers of a restored zone that count as warm by a list that may lack what they said.
+func TestServersOfAnOlderCopyAreNotCurrent(t *testing.T) {
+	n := newRecoveringNode()
+	n.cfg.Decoder.ServersKind = platform.KindServers
+	n.directory = upstream.NewDirectory(0)
+	for _, recovery := range []objectapi.Recovery{objectapi.Recovering, objectapi.JustRecovered} {
+		(*sink)(n.Node).Snapshot(platform.KindServers, objectapi.Listing{CurrentAsOf: n.now, Recovery: recovery})
+		if current := n.directory.CurrentAsOf() == n.now; current != (recovery == objectapi.JustRecovered) {
+			t.Errorf("recovery %d: current %v", recovery, current)
+		}
+	}
+}
+
 // Guards against requests to a zone whose evacuation the store lost, and against a zone that is
 // evacuated again because the store lost its end.
 func TestEvacuationsOfAnOlderCopy(t *testing.T) {
--- a/objectapi/settling_test.go
+++ b/objectapi/settling_test.go
@@ -13,9 +13,13 @@
 )
 
 // recoveryRecorder is a Sink that keeps a line for each call.
-type recoveryRecorder struct{ calls []string }
+type recoveryRecorder struct {
+	calls      []string
+	heldBefore uint64 // of the last call
+}
 
 func (r *recoveryRecorder) record(call string, l Listing) {
+	r.heldBefore = l.HeldBefore
 	names := []string{}
 	for _, o := range l.Objects {
 		names = append(names, o.Name)
@@ -32,12 +36,13 @@
 type settlingTest struct {
 	*Settling
 	recoveryRecorder
-	now boottime.Instant
+	now  boottime.Instant
+	eras int // calls of OnEra
 }
 
 func newSettlingTest() *settlingTest {
 	s := &settlingTest{now: boottime.Instant(time.Hour)}
-	s.Settling = NewSettling(SettlingConfig{Next: &s.recoveryRecorder, Clock: func() boottime.Instant { return s.now }})
+	s.Settling = NewSettling(SettlingConfig{Next: &s.recoveryRecorder, Clock: func() boottime.Instant { return s.now }, OnEra: func() { s.eras++ }})
 	return s
 }
 
@@ -71,6 +76,9 @@
 	s.list(1, 48, "a", "b")
 	s.events(1, 49)
 	s.list(2, 44, "a")
+	if s.heldBefore != JoinRevision(1, 49) || s.eras != 1 {
+		t.Errorf("held before up to %s, %d eras reported", FormatRevision(s.heldBefore), s.eras)
+	}
 	s.now = s.now.Add(DefaultRecoveryTime - 1)
 	s.events(2, 45, "c")
 	s.now = s.now.Add(1)
--- a/replica/era_test.go
+++ b/replica/era_test.go
@@ -5,9 +5,11 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/briarturn/briarturn/internal/boottime"
 	"github.com/briarturn/briarturn/objectapi"
+	"github.com/briarturn/briarturn/wire/wirepb"
 )
 
 // eraSink keeps the last listing, and whether it was complete.
@@ -74,6 +76,37 @@
 	}
 }
 
+// eraRecorder is an EraSource.
+type eraRecorder struct{ vouched []uint64 }
+
+func (e *eraRecorder) Vouch(era uint64) { e.vouched = append(e.vouched, era) }
+func (e *eraRecorder) Vouches() bool    { return true }
+
+// Guards against an entry that waits out a recovery that its peers have behind them, or that goes on
+// waiting for a watch of an era that a peer knows to have ended.
+func TestPeersShareWhatTheyKnowOfTheEra(t *testing.T) {
+	asked, _ := eraReplica(objectapi.JoinRevision(2, 44), "a")
+	asked.SetEras(&eraRecorder{})
+	held, ok := asked.copyState("K", 0, 0, 0)
+	if !ok || !held.recovered {
+		t.Fatal("a peer that knows the era for long doesn't say so")
+	}
+	state := encodeState(&wirepb.StateHeld{Kind: "K"}, held)
+	asking, _ := eraReplica(objectapi.JoinRevision(1, 90), "a")
+	eras, observed := &eraRecorder{}, uint64(0)
+	asking.SetEras(eras)
+	p := NewPuller(PullerConfig{Replica: asking, OnEra: func(era uint64) { observed = era }, Metrics: metrics.NewRegistry()})
+	p.apply(state, 0)
+	if d := cmp.Diff([]uint64{2}, eras.vouched); d != "" || observed != 2 {
+		t.Errorf("observed %d; vouched %s", observed, d)
+	}
+	state.Recovered = false
+	p.apply(state, 0)
+	if len(eras.vouched) != 1 {
+		t.Error("a peer that is recovering itself counts as vouching")
+	}
+}
+
 // Guards against the differences between two eras that are forwarded as events: what the newer one lacks
 // would count as deleted.
 func TestChangesAcrossErasAreForwardedAsAState(t *testing.T) {
--- a/upstream/olderlist_test.go
+++ b/upstream/olderlist_test.go
@@ -51,6 +51,24 @@
 	d = newOlderList(registered("a", 5, false))
 	d.MergeOlder([]Server{registered("a", 6, true)}, d.now)
 	d.wantAvailable(t, "drains since", "a", false)
+	d = newOlderList(registered("a", 0, false))
+	d.MergeOlder([]Server{registered("a", 0, true)}, d.now)
+	d.wantAvailable(t, "drains, of unknown order", "a", false)
+	d = newOlderList(registered("a", 5, false))
+	d.ReplaceOlder([]Server{registered("a", 0, true)}, d.now)
+	d.wantAvailable(t, "drains, of unknown order, complete", "a", false)
+}
+
+// Guards against sound servers that get no requests because the copies of their registrations expire right
+// after the return, before they register again.
+func TestRegistrationThatExpiresAfterTheReturnIsKeptForAWhile(t *testing.T) {
+	d := newOlderList(registered("a", 5, false))
+	d.MergeOlder([]Server{registered("a", 4, false)}, d.now)
+	d.Remove("a", d.now.Add(time.Second))
+	d.now = d.now.Add(time.Second)
+	d.wantAvailable(t, "expired", "a", true)
+	d.now = d.now.Add(DefaultAbsentGrace)
+	d.wantAvailable(t, "not registered again", "a", false)
 }
 
 // Guards against sound servers that get no requests because the store lost their registrations.
