Evacuate a zone that an older copy lists, at once

Cause: what a list of an older copy has was treated as what it lacks, as doubtful. But an evacuation in it was written at some time, and only a later end that the entry has seen makes it old.

Fix: evacuation.Zones.Merge begins what the list has, except where the entry has seen an end within the last minute, and ends nothing.

--- a/evacuation/zones.go
+++ b/evacuation/zones.go
@@ -17,13 +17,18 @@
 	mu          sync.Mutex
 	evacuated   map[string]bool
 	restored    map[string]boottime.Instant // when the end of an evacuation was read, by zone
+	ended       map[string]boottime.Instant // the same, kept for good: there are few zones
 	currentAsOf boottime.Instant
 	listed      bool // a complete list was received
 }
 
+// endRetention is how long the end of an evacuation outweighs an older list: longer than the store's
+// older copies go back.
+const endRetention = time.Minute
+
 // NewZones returns Zones without any list yet.
 func NewZones(now boottime.Clock) *Zones {
-	return &Zones{now: now, evacuated: map[string]bool{}, restored: map[string]boottime.Instant{}}
+	return &Zones{now: now, evacuated: map[string]bool{}, restored: map[string]boottime.Instant{}, ended: map[string]boottime.Instant{}}
 }
 
 // Replace sets the complete list of evacuated zones, from a store call that started at
@@ -47,6 +52,25 @@
 	return began, ended
 }
 
+// Merge adds the zones of a list that may be older than what is known, from a store that came back from
+// an older copy: a zone whose evacuation has ended of late stays restored, and one that isn't listed
+// stays evacuated. It returns the zones whose evacuation began.
+func (z *Zones) Merge(zones []string) (began []string) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	z.listed = true
+	for _, zone := range zones {
+		ended, ok := z.ended[zone]
+		if ok && z.now().Sub(ended) < endRetention {
+			continue
+		}
+		if z.beginLocked(zone) {
+			began = append(began, zone)
+		}
+	}
+	return began
+}
+
 // Begin marks a zone as evacuated and reports whether that is a change.
 func (z *Zones) Begin(zone string) bool {
 	z.mu.Lock()
@@ -84,6 +108,7 @@
 func (z *Zones) endLocked(zone string) {
 	delete(z.evacuated, zone)
 	z.restored[zone] = z.now()
+	z.ended[zone] = z.now()
 }
 
 func (z *Zones) markCurrentLocked(requestedAt boottime.Instant) {
--- a/internal/gatewaynode/zones.go
+++ b/internal/gatewaynode/zones.go
@@ -27,13 +27,16 @@
 }
 
 func (s *sink) replaceEvacuations(l objectapi.Listing) {
-	if l.Recovery == objectapi.Recovering && (*Node)(s).zonesListed() {
-		return // operators may have evacuated or restored zones since
-	}
 	zones := make([]string, len(l.Objects))
 	for i, o := range l.Objects {
 		zones[i] = o.Name
 	}
+	if l.Recovery == objectapi.Recovering {
+		for _, zone := range s.zones.Merge(zones) {
+			s.logZone(zone, "evacuated", l.Revision)
+		}
+		return
+	}
 	began, ended := s.zones.Replace(zones, l.CurrentAsOf)
 	for _, zone := range began {
 		s.logZone(zone, "evacuated", l.Revision)
