Count a server as cold or draining if an older copy or what is held says so

Its registration was read only in a list of a store that had just come back from an older copy. Servers there don't number their messages, so the order of the two registrations can't be told, and the held one, warm, was kept until the recovery ended.

Fix: of two registrations in unknown order the more careful counts for draining and coldness. And a registration that is read again in a new era, which its own number shows, doesn't begin its cold time anew. TestServerIsColdIfEitherListSaysSo fails without it.

--- a/upstream/directory.go
+++ b/upstream/directory.go
@@ -97,7 +97,7 @@
 
 // MergeOlder adds the listed servers of a store that came back from an older copy a moment ago. What it
 // lacks or has in an older state is kept as it is. If the order of two states can't be told, the held one
-// is kept, unless the listed one drains.
+// is kept, and the server counts as draining, or cold, if either says so.
 func (d *Directory) MergeOlder(servers []Server, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -108,8 +108,17 @@
 		left, isGone := d.gone[s.Instance]
 		switch {
 		case isGone && !left.server.olderThan(s):
-		case known && !held.olderThan(s) && (s.olderThan(held) || !s.Draining):
+		case known && s.olderThan(held):
 			delete(d.absentUntil, s.Instance)
+		case known && !held.olderThan(s):
+			if d.isSameLocked(s) {
+				s.ColdUntil = held.ColdUntil
+			}
+			held.Draining = held.Draining || s.Draining
+			if s.ColdUntil.After(held.ColdUntil) {
+				held.ColdUntil = s.ColdUntil
+			}
+			d.putLocked(held)
 		default:
 			d.putLocked(s)
 		}
@@ -196,8 +205,8 @@
 // first read of its registration. If the same revision is read again, from another
 // peer or after a gap, ColdUntil is kept, so that the cold period doesn't restart.
 func (d *Directory) putLocked(s Server) {
-	if held, ok := d.servers[s.Instance]; ok && s.Revision != 0 && held.Revision == s.Revision {
-		s.ColdUntil = held.ColdUntil
+	if d.isSameLocked(s) {
+		s.ColdUntil = d.servers[s.Instance].ColdUntil
 	}
 	d.servers[s.Instance] = s
 	delete(d.absentUntil, s.Instance)
@@ -205,6 +214,17 @@
 	d.version++
 }
 
+// isSameLocked reports whether a registration is the held one, read again. The revision of one differs
+// between the eras of the store; what the server counts itself doesn't.
+func (d *Directory) isSameLocked(s Server) bool {
+	held, ok := d.servers[s.Instance]
+	if !ok {
+		return false
+	}
+	return s.Revision != 0 && s.Revision == held.Revision ||
+		s.Sequence != 0 && s.Sequence == held.Sequence && s.StartedUnixMs == held.StartedUnixMs
+}
+
 // removeLocked removes a server. Shortly after an outage of the store it keeps the
 // server for the grace period instead, so that it can register again: otherwise a
 // store that returns with an empty list would leave no servers although all of them
--- a/upstream/olderlist_test.go
+++ b/upstream/olderlist_test.go
@@ -59,6 +59,42 @@
 	d.wantAvailable(t, "drains, of unknown order, complete", "a", false)
 }
 
+// Guards against a server that has become cold and gets requests as a warm one, because its registration can't
+// be told from an older one, and against one that counts as cold anew with each list of the same registration.
+func TestServerIsColdIfEitherListSaysSo(t *testing.T) {
+	cold := func(sequence uint64, d time.Duration, now time.Time) Server {
+		s := registered("a", sequence, false)
+		s.ColdUntil = now.Add(d)
+		return s
+	}
+	for _, c := range []struct {
+		name           string
+		held, listed   uint64 // sequences
+		heldFor, found time.Duration
+		want           time.Duration
+	}{
+		{"unknown order, cold since", 0, 0, 0, 5 * time.Second, 5 * time.Second},
+		{"unknown order, warm in the copy", 0, 0, 5 * time.Second, 0, 5 * time.Second},
+		{"older", 5, 4, time.Second, 9 * time.Second, time.Second},
+		{"newer", 5, 6, 9 * time.Second, time.Second, time.Second},
+		{"the same, read again", 5, 5, time.Second, 9 * time.Second, time.Second},
+	} {
+		d := newOlderList()
+		d.Put(cold(c.held, c.heldFor, d.now))
+		d.MergeOlder([]Server{cold(c.listed, c.found, d.now)}, d.now)
+		got, _ := d.Lookup("a")
+		if left := got.ColdUntil.Sub(d.now); left != c.want {
+			t.Errorf("%s: cold for %v, want %v", c.name, left, c.want)
+		}
+	}
+	d := newOlderList()
+	d.Put(cold(5, time.Second, d.now))
+	d.ReplaceOlder([]Server{cold(5, 9*time.Second, d.now)}, d.now)
+	if got, _ := d.Lookup("a"); got.ColdUntil.Sub(d.now) != time.Second {
+		t.Errorf("complete list: cold for %v", got.ColdUntil.Sub(d.now))
+	}
+}
+
 // Guards against sound servers that get no requests because the copies of their registrations expire right
 // after the return, before they register again.
 func TestRegistrationThatExpiresAfterTheReturnIsKeptForAWhile(t *testing.T) {
