Compare a server's own numbers only between eras of the store

Within an era the revision decides, as before; a server that changes its registration without counting it would have stayed warm. Between eras the registration that is held is kept if the listed one is the same. The tests are unchanged.

--- a/upstream/directory.go
+++ b/upstream/directory.go
@@ -33,6 +33,12 @@
 	return s.Sequence < other.Sequence && s.Sequence != 0
 }
 
+// sameAs reports whether a registration is another one, read again in a newer era of the store, in which
+// its revision differs. It is false if that can't be told.
+func (s Server) sameAs(other Server) bool {
+	return s.StartedUnixMs == other.StartedUnixMs && s.Sequence == other.Sequence && s.Sequence != 0
+}
+
 // DefaultAbsentGrace is how long a server that is missing after an outage of the
 // store stays in use. Registrations expire while the store is unavailable; live
 // servers register again within about two seconds after it returns.
@@ -111,11 +117,8 @@
 		case known && s.olderThan(held):
 			delete(d.absentUntil, s.Instance)
 		case known && !held.olderThan(s):
-			if d.isSameLocked(s) {
-				s.ColdUntil = held.ColdUntil
-			}
 			held.Draining = held.Draining || s.Draining
-			if s.ColdUntil.After(held.ColdUntil) {
+			if s.ColdUntil.After(held.ColdUntil) && !s.sameAs(held) {
 				held.ColdUntil = s.ColdUntil
 			}
 			d.putLocked(held)
@@ -132,7 +135,7 @@
 	d.mu.Lock()
 	newest := servers[:0:0]
 	for _, s := range servers {
-		if held, known := d.servers[s.Instance]; known && s.olderThan(held) {
+		if held, known := d.servers[s.Instance]; known && (s.olderThan(held) || s.sameAs(held)) {
 			s = held
 		}
 		if left, ok := d.gone[s.Instance]; ok && (s.olderThan(left.server) || s.Sequence == left.server.Sequence && s.Sequence != 0) {
@@ -205,8 +208,8 @@
 // first read of its registration. If the same revision is read again, from another
 // peer or after a gap, ColdUntil is kept, so that the cold period doesn't restart.
 func (d *Directory) putLocked(s Server) {
-	if d.isSameLocked(s) {
-		s.ColdUntil = d.servers[s.Instance].ColdUntil
+	if held, ok := d.servers[s.Instance]; ok && s.Revision != 0 && held.Revision == s.Revision {
+		s.ColdUntil = held.ColdUntil
 	}
 	d.servers[s.Instance] = s
 	delete(d.absentUntil, s.Instance)
@@ -214,17 +217,6 @@
 	d.version++
 }
 
-// isSameLocked reports whether a registration is the held one, read again. The revision of one differs
-// between the eras of the store; what the server counts itself doesn't.
-func (d *Directory) isSameLocked(s Server) bool {
-	held, ok := d.servers[s.Instance]
-	if !ok {
-		return false
-	}
-	return s.Revision != 0 && s.Revision == held.Revision ||
-		s.Sequence != 0 && s.Sequence == held.Sequence && s.StartedUnixMs == held.StartedUnixMs
-}
-
 // removeLocked removes a server. Shortly after an outage of the store it keeps the
 // server for the grace period instead, so that it can register again: otherwise a
 // store that returns with an empty list would leave no servers although all of them
