--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -106,7 +106,7 @@
 			met[s.Fault] = true
 		}
 	}
-	for _, kind := range append(kinds, Revoke, Evacuate, ServerCold, ServerNeed, ServerLeave, ServerBackOff, PartCrash, OneEntry) {
+	for _, kind := range append(kinds, Revoke, Evacuate, ServerCold, ServerNeed, ServerLeave, ServerBackOff, PartCrash, OneEntry, StoreRestore) {
 		if !met[kind] {
 			t.Errorf("%s is in none of twenty plans", kind)
 		}
