--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -53,6 +53,22 @@
 		seed: 52002, entries: 4, servers: 4, callers: 24, lasts: 20 * time.Second,
 		cause: "calls with sound parts were quarantined after deaths under calls with the same path and another part",
 	},
+	{
+		seed: 55127, entries: 4, servers: 4, callers: 24, lasts: 20 * time.Second,
+		cause: "a server that became cold counted as warm until the store had recovered from an older copy",
+	},
+}
+
+// restoredTwice is a play in which the store comes back twice in a row, and servers crash beside it.
+var restoredTwice = play{
+	seed: 55125, entries: 4, servers: 4, callers: 24, lasts: 20 * time.Second,
+	cause: "an evacuation was ignored while the store recovered twice; sound parts were refused since one death had several IDs",
+}
+
+// killedTwice is a play in which most entries are killed twice while a server names a rate.
+var killedTwice = play{
+	seed: 55211, entries: 4, servers: 4, callers: 24, lasts: 20 * time.Second,
+	cause: "two entries together sent a server twice the rate that it named",
 }
 
 // sharedDeaths is a play in which sound parts are under more deaths than the part that crashes servers.
@@ -83,6 +99,13 @@
 // Guards against refusing a sound part for a moment, in place of the one that crashes servers.
 func TestSoundPartsAreServedBesideCrashes(t *testing.T) { holdPromises(t, sharedDeaths) }
 
+// Guards against evacuations that are missed, and sound parts that are refused, when the store comes back
+// from older copies twice in a row.
+func TestPromisesHoldAfterTwoReturnsFromCopies(t *testing.T) { holdPromises(t, restoredTwice) }
+
+// Guards against more requests than a server that names a rate takes, while entries are killed.
+func TestNamedRateHoldsWhileEntriesAreKilled(t *testing.T) { holdPromises(t, killedTwice) }
+
 func holdPromises(t *testing.T, plays ...play) {
 	t.Helper()
 	for _, p := range plays {
