Soak: an entry knows a rate from responses that name it and arrive

The check took any arrival at the server for a response that the entry relayed. It now takes the arrivals that ran, which name the rate, while the link to the server wasn't broken. TestRateIsKnownFromResponsesThatArrive checks both sides: without the lost responses the promise is broken as before.

--- a/internal/soak/need.go
+++ b/internal/soak/need.go
@@ -83,7 +83,10 @@
 		}
 		told, ok := toldAt[entry]
 		if !ok || r.entryDisturbed(entry, told, a.At) {
-			toldAt[entry] = a.At
+			delete(toldAt, entry)
+			if a.Ran && !r.responseLost(a) { // a refusal names no rate
+				toldAt[entry] = a.At
+			}
 			continue
 		}
 		if a.At.Sub(told) > needNotice && a.At.Sub(n.from) > needSettles && !r.heldUp(a) {
@@ -101,6 +104,15 @@
 	return nil
 }
 
+// responseLost reports whether the link to the server of an arrival was broken then, so that no entry
+// got the response.
+func (r *record) responseLost(a arrival) bool {
+	return slices.ContainsFunc(r.spans, func(s span) bool {
+		broken := serverName(s.Target) == a.Instance && slices.Contains([]Fault{ServerReset, ServerCut}, s.Fault)
+		return broken && !a.At.Before(s.From) && !a.At.After(s.To)
+	})
+}
+
 // needEnd returns when a server's need ended: its next start names no rate.
 func (r *record) needEnd(n need) time.Time {
 	if end := r.serverEnd(n.instance, n.from); end.Before(n.to) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -65,10 +65,10 @@
 	cause: "an evacuation was ignored while the store recovered twice; sound parts were refused since one death had several IDs",
 }
 
-// killedTwice is a play in which most entries are killed twice while a server names a rate.
+// killedTwice is a play in which most entries are killed twice while links are reset and a server names a rate.
 var killedTwice = play{
 	seed: 55211, entries: 4, servers: 4, callers: 24, lasts: 20 * time.Second,
-	cause: "two entries together sent a server twice the rate that it named",
+	cause: "the soak's own check held entries to a rate that no response had brought them: refusals name none, and the others were lost on links that were reset",
 }
 
 // sharedDeaths is a play in which sound parts are under more deaths than the part that crashes servers.
@@ -232,6 +232,32 @@
 	}
 }
 
+// Guards against holding an entry to a rate whose every response was lost on a broken link, and against
+// letting it off after the first response that wasn't.
+func TestRateIsKnownFromResponsesThatArrive(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, whole := range []bool{false, true} {
+		r := good(now)
+		refused := r.arrivals[0]
+		refused.At, refused.Ran = now.Add(-needSettles-time.Second), false
+		r.arrivals = append([]arrival{refused}, r.arrivals...)
+		n := need{instance: "server-0", from: now.Add(-2 * needSettles), to: now.Add(2 * needWindow)}
+		r.spans = []span{{Step: Step{Fault: ServerReset}, From: n.from, To: n.to}}
+		if whole {
+			r.spans[0].From = now.Add(-needSettles + 1)
+		}
+		r.arrivals[1].At = now.Add(-needSettles)
+		for i := range int(needOverage*needPerSecond*needWindow.Seconds()) + needSlack {
+			at := now.Add(time.Duration(i) * 100 * time.Millisecond)
+			r.requests = append(r.requests, request{ID: fmt.Sprint(i), Path: standin.PathIdempotent, Key: keptKey, Sent: at, Ended: at, Outcome: Broken})
+			r.arrivals = append(r.arrivals, arrival{ReceivedRequest: standin.ReceivedRequest{ID: fmt.Sprint(i), Instance: "server-0", Ran: true}, At: at})
+		}
+		if got := r.judgeNeed(n); (len(got) > 0) != whole {
+			t.Errorf("a response arrived: %v; told are %v", whole, got)
+		}
+	}
+}
+
 // Guards against holding a server's next start to the rate that the one before had named.
 func TestNeedEndsWithTheServer(t *testing.T) {
 	now := time.Unix(1000, 0)
