Name the sink of the recovery and its methods by what they do

RecoverySink, MarkRecovered and EraRecovered in place of Settling, Vouch and Vouches; no logic is changed. A question to the users: from which number Store-Era counts, and when the operator has written again what was lost.

--- a/declared/recovery_test.go
+++ b/declared/recovery_test.go
@@ -7,7 +7,7 @@
 	"github.com/briarturn/briarturn/objectapi"
 )
 
-// recoveringCatalog is a catalog with its clock and the Settling that feeds it.
+// recoveringCatalog is a catalog with its clock and the RecoverySink that feeds it.
 type recoveringCatalog struct {
 	*Catalog
 	now time.Time
--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -164,7 +164,7 @@
 		n.zones.Replace(nil, boottime.Now())
 	}
 	n.ledger = placement.NewLedger(n.engineProfile)
-	eras := objectapi.NewSettling(objectapi.SettlingConfig{Next: (*sink)(n), Log: cfg.Log, Metrics: cfg.Metrics})
+	eras := objectapi.NewRecoverySink(objectapi.RecoverySinkConfig{Next: (*sink)(n), Log: cfg.Log, Metrics: cfg.Metrics})
 	n.replica = replica.New(eras, boottime.Now)
 	n.replica.SetEras(eras)
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/node/entry_upkeep.go
+++ b/internal/node/entry_upkeep.go
@@ -34,7 +34,7 @@
 	watcher := objectapi.NewWatcher(objectapi.WatcherConfig{
 		Store: n.cfg.Store,
 		Kinds: watchedKinds(),
-		Sink: objectapi.NewSettling(objectapi.SettlingConfig{
+		Sink: objectapi.NewRecoverySink(objectapi.RecoverySinkConfig{
 			Next: newStoreSink(n), Log: n.tasks.log, Metrics: n.cfg.Metrics, OnEra: n.claimer.StoreRestored,
 		}),
 		Metrics: n.cfg.Metrics,
--- a/objectapi/settling.go
+++ b/objectapi/recovery.go
@@ -35,8 +35,8 @@
 // firstRestoredEra is the lowest era in which the store may have lost something: it counts from 1.
 const firstRestoredEra = 2
 
-// SettlingConfig configures a Settling. Zero values select the defaults.
-type SettlingConfig struct {
+// RecoverySinkConfig configures a RecoverySink. Zero values select the defaults.
+type RecoverySinkConfig struct {
 	Next         Sink
 	RecoveryTime time.Duration
 	Clock        boottime.Clock
@@ -46,22 +46,22 @@
 	Metrics metrics.Registry
 }
 
-// Settling is a Sink that marks what it forwards by the time since the era began, and forwards the
+// RecoverySink is a Sink that marks what it forwards by the time since the era began, and forwards the
 // complete state again once a kind has recovered. The first listing of a process counts as recovering, too,
 // if the store was ever restored: it may have come back just before. It is safe for concurrent use.
-type Settling struct {
-	config  SettlingConfig
+type RecoverySink struct {
+	config  RecoverySinkConfig
 	changes metrics.Counter
 
-	mu       sync.Mutex // guards the fields below; held while the next sink is called
-	era      uint64     // the newest one
-	eraSince boottime.Instant
-	settled  bool // a peer vouches for the era, or recovered in it
-	kinds    map[string]*settlingKind
+	mu        sync.Mutex // guards the fields below; held while the next sink is called
+	era       uint64     // the newest one
+	eraSince  boottime.Instant
+	recovered bool // the recovery of the era is over, here or at a peer
+	kinds     map[string]*recoveringKind
 }
 
-// settlingKind is the state of a kind.
-type settlingKind struct {
+// recoveringKind is the state of a kind.
+type recoveringKind struct {
 	era        uint64
 	recovering bool
 	revision   uint64
@@ -69,10 +69,10 @@
 	objects    map[string]Object // of the era; nil unless recovering
 }
 
-var _ Sink = (*Settling)(nil)
+var _ Sink = (*RecoverySink)(nil)
 
-// NewSettling returns a Settling.
-func NewSettling(c SettlingConfig) *Settling {
+// NewRecoverySink returns a RecoverySink.
+func NewRecoverySink(c RecoverySinkConfig) *RecoverySink {
 	if c.RecoveryTime <= 0 {
 		c.RecoveryTime = DefaultRecoveryTime
 	}
@@ -85,11 +85,11 @@
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewRegistry()
 	}
-	return &Settling{config: c, changes: metrics.GetOrRegisterCounter("platform.recoveries", c.Metrics), kinds: map[string]*settlingKind{}}
+	return &RecoverySink{config: c, changes: metrics.GetOrRegisterCounter("platform.recoveries", c.Metrics), kinds: map[string]*recoveringKind{}}
 }
 
 // Snapshot implements Sink.
-func (s *Settling) Snapshot(kind string, l Listing) {
+func (s *RecoverySink) Snapshot(kind string, l Listing) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := s.kindLocked(kind, l.Revision)
@@ -101,7 +101,7 @@
 }
 
 // Events implements Sink.
-func (s *Settling) Events(kind string, l Listing) {
+func (s *RecoverySink) Events(kind string, l Listing) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := s.kindLocked(kind, l.Revision)
@@ -109,44 +109,44 @@
 	s.forwardLocked(kind, k, l, false)
 }
 
-// Vouch records that another process knows an era for longer than the recovery takes.
-func (s *Settling) Vouch(era uint64) {
+// MarkRecovered records that another process knows an era for longer than the recovery takes.
+func (s *RecoverySink) MarkRecovered(era uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if era == s.era {
-		s.settled = true
+		s.recovered = true
 	}
 }
 
-// Vouches reports whether this process can vouch for the era of its state: that the writers have
+// EraRecovered reports whether this process has known the era for as long as its recovery takes: the writers have
 // written again what the store lost.
-func (s *Settling) Vouches() bool {
+func (s *RecoverySink) EraRecovered() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.settledLocked()
+	return s.recoveredLocked()
 }
 
-func (s *Settling) settledLocked() bool {
-	if !s.settled && s.config.Clock().Sub(s.eraSince) >= s.config.RecoveryTime {
-		s.settled = true
+func (s *RecoverySink) recoveredLocked() bool {
+	if !s.recovered && s.config.Clock().Sub(s.eraSince) >= s.config.RecoveryTime {
+		s.recovered = true
 	}
-	return s.settled
+	return s.recovered
 }
 
 // kindLocked returns the state of a kind, as of the era of a revision.
-func (s *Settling) kindLocked(kind string, revision uint64) *settlingKind {
+func (s *RecoverySink) kindLocked(kind string, revision uint64) *recoveringKind {
 	era := EraOf(revision)
 	if era > s.era || len(s.kinds) == 0 {
 		s.config.Log.WithFields(logrus.Fields{"era": era, "era_before": s.era, "revision": NumberOf(revision), "kind": kind}).Info("first state of an era")
 		s.era, s.eraSince = era, s.config.Clock()
-		s.settled = len(s.kinds) == 0 && era < firstRestoredEra
+		s.recovered = len(s.kinds) == 0 && era < firstRestoredEra
 		if len(s.kinds) > 0 && s.config.OnEra != nil {
 			s.config.OnEra()
 		}
 	}
 	k := s.kinds[kind]
 	if k == nil {
-		k = &settlingKind{era: era, recovering: !s.settledLocked()}
+		k = &recoveringKind{era: era, recovering: !s.recoveredLocked()}
 		s.kinds[kind] = k
 	}
 	if era > k.era {
@@ -154,13 +154,13 @@
 		s.config.Log.WithFields(logrus.Fields{
 			"kind": kind, "held_revision": FormatRevision(k.revision), "revision": FormatRevision(revision),
 		}).Info("store came back from an older copy")
-		*k = settlingKind{era: era, recovering: true, heldBefore: k.revision}
+		*k = recoveringKind{era: era, recovering: true, heldBefore: k.revision}
 	}
 	return k
 }
 
 // take applies a listing to the kept objects.
-func (k *settlingKind) take(l Listing) {
+func (k *recoveringKind) take(l Listing) {
 	k.revision = l.Revision
 	if !k.recovering {
 		return
@@ -178,10 +178,10 @@
 }
 
 // forwardLocked forwards a listing, or the complete state if the kind has recovered.
-func (s *Settling) forwardLocked(kind string, k *settlingKind, l Listing, complete bool) {
+func (s *RecoverySink) forwardLocked(kind string, k *recoveringKind, l Listing, complete bool) {
 	switch {
 	case !k.recovering:
-	case s.settledLocked():
+	case s.recoveredLocked():
 		s.config.Log.WithFields(logrus.Fields{"kind": kind, "revision": FormatRevision(l.Revision), "objects": len(k.objects)}).Info("kind recovered")
 		l.Objects = slices.Collect(maps.Values(k.objects))
 		l.Recovery = JustRecovered
--- a/objectapi/settling_test.go
+++ b/objectapi/recovery_test.go
@@ -32,26 +32,26 @@
 func (r *recoveryRecorder) Snapshot(_ string, l Listing) { r.record("list", l) }
 func (r *recoveryRecorder) Events(_ string, l Listing)   { r.record("events", l) }
 
-// settlingTest is a Settling whose clock the test sets.
-type settlingTest struct {
-	*Settling
+// recoveryTest is a RecoverySink whose clock the test sets.
+type recoveryTest struct {
+	*RecoverySink
 	recoveryRecorder
 	now  boottime.Instant
 	eras int // calls of OnEra
 }
 
-func newSettlingTest() *settlingTest {
-	s := &settlingTest{now: boottime.Instant(time.Hour)}
-	s.Settling = NewSettling(SettlingConfig{Next: &s.recoveryRecorder, Clock: func() boottime.Instant { return s.now }, OnEra: func() { s.eras++ }})
+func newRecoveryTest() *recoveryTest {
+	s := &recoveryTest{now: boottime.Instant(time.Hour)}
+	s.RecoverySink = NewRecoverySink(RecoverySinkConfig{Next: &s.recoveryRecorder, Clock: func() boottime.Instant { return s.now }, OnEra: func() { s.eras++ }})
 	return s
 }
 
-func (s *settlingTest) list(era, number uint64, names ...string) {
-	s.Settling.Snapshot("K", listing(era, number, names...))
+func (s *recoveryTest) list(era, number uint64, names ...string) {
+	s.RecoverySink.Snapshot("K", listing(era, number, names...))
 }
 
-func (s *settlingTest) events(era, number uint64, names ...string) {
-	s.Settling.Events("K", listing(era, number, names...))
+func (s *recoveryTest) events(era, number uint64, names ...string) {
+	s.RecoverySink.Events("K", listing(era, number, names...))
 }
 
 func listing(era, number uint64, names ...string) Listing {
@@ -62,7 +62,7 @@
 	return l
 }
 
-func (s *settlingTest) want(t *testing.T, calls ...string) {
+func (s *recoveryTest) want(t *testing.T, calls ...string) {
 	t.Helper()
 	if d := cmp.Diff(calls, s.calls); d != "" {
 		t.Error(d)
@@ -72,7 +72,7 @@
 // Guards against a listing of an older copy that removes what its writers have not written again yet,
 // or that confirms what they hold.
 func TestStateOfNewEraIsMarkedUntilItRecovered(t *testing.T) {
-	s := newSettlingTest()
+	s := newRecoveryTest()
 	s.list(1, 48, "a", "b")
 	s.events(1, 49)
 	s.list(2, 44, "a")
@@ -90,7 +90,7 @@
 
 // Guards against a recovery that ends too early because the store came back again.
 func TestEachEraRecoversAnew(t *testing.T) {
-	s := newSettlingTest()
+	s := newRecoveryTest()
 	s.list(1, 48, "a")
 	s.list(2, 44, "a")
 	s.now = s.now.Add(DefaultRecoveryTime - 1)
@@ -104,18 +104,18 @@
 
 // Guards against a process that starts just after the return, and takes an older copy for the state.
 func TestFirstListMayBeOfAnOlderCopy(t *testing.T) {
-	s := newSettlingTest()
+	s := newRecoveryTest()
 	s.list(2, 44, "a")
-	s.Vouch(1) // a peer of an older era
+	s.MarkRecovered(1) // a peer of an older era
 	s.list(2, 45, "a")
-	if s.Vouches() {
-		t.Error("vouches for an era that it has just read for the first time")
+	if s.EraRecovered() {
+		t.Error("an era that was just read for the first time counts as recovered")
 	}
-	s.Vouch(2)
+	s.MarkRecovered(2)
 	s.events(2, 46, "b")
 	s.want(t, "list 2.44 recovering: a", "list 2.45 recovering: a", "list 2.46 just recovered: a b")
 	for _, era := range []uint64{0, 1} {
-		s = newSettlingTest()
+		s = newRecoveryTest()
 		s.list(era, 44, "a")
 		if s.calls[0] != "list "+FormatRevision(JoinRevision(era, 44))+" recovered: a" {
 			t.Errorf("a store that was never restored: %v", s.calls)
@@ -125,10 +125,10 @@
 
 // Guards against a kind that is read late, after the era has recovered, and never confirmed.
 func TestKindsRecoverWithTheirEra(t *testing.T) {
-	s := newSettlingTest()
+	s := newRecoveryTest()
 	s.list(2, 44)
 	s.now = s.now.Add(DefaultRecoveryTime)
-	s.Settling.Snapshot("L", listing(2, 50, "x"))
+	s.RecoverySink.Snapshot("L", listing(2, 50, "x"))
 	s.want(t, "list 2.44 recovering: ", "list 2.50 recovered: x")
 }
 
--- a/objectapi/store.go
+++ b/objectapi/store.go
@@ -69,7 +69,7 @@
 	// the listing or, with WatcherConfig.EmptyWaitIsCurrent, the end of a wait
 	// without a change.
 	CurrentAsOf boottime.Instant `json:"-"`
-	// Recovery tells how far the writers have written again what the store lost; a Settling sets it.
+	// Recovery tells how far the writers have written again what the store lost; a RecoverySink sets it.
 	Recovery Recovery `json:"-"`
 	// HeldBefore is the revision up to which the kind was known in the era before; 0: none. What has a
 	// number up to it and wasn't known was written since the store came back. It is set while Recovering.
--- a/replica/era_test.go
+++ b/replica/era_test.go
@@ -77,10 +77,10 @@
 }
 
 // eraRecorder is an EraSource.
-type eraRecorder struct{ vouched []uint64 }
+type eraRecorder struct{ marked []uint64 }
 
-func (e *eraRecorder) Vouch(era uint64) { e.vouched = append(e.vouched, era) }
-func (e *eraRecorder) Vouches() bool    { return true }
+func (e *eraRecorder) MarkRecovered(era uint64) { e.marked = append(e.marked, era) }
+func (e *eraRecorder) EraRecovered() bool       { return true }
 
 // Guards against an entry that waits out a recovery that its peers have behind them, or that goes on
 // waiting for a watch of an era that a peer knows to have ended.
@@ -97,13 +97,13 @@
 	asking.SetEras(eras)
 	p := NewPuller(PullerConfig{Replica: asking, OnEra: func(era uint64) { observed = era }, Metrics: metrics.NewRegistry()})
 	p.apply(state, 0)
-	if d := cmp.Diff([]uint64{2}, eras.vouched); d != "" || observed != 2 {
-		t.Errorf("observed %d; vouched %s", observed, d)
+	if d := cmp.Diff([]uint64{2}, eras.marked); d != "" || observed != 2 {
+		t.Errorf("observed %d; marked %s", observed, d)
 	}
 	state.Recovered = false
 	p.apply(state, 0)
-	if len(eras.vouched) != 1 {
-		t.Error("a peer that is recovering itself counts as vouching")
+	if len(eras.marked) != 1 {
+		t.Error("a peer that is recovering itself counts as recovered")
 	}
 }
 
--- a/replica/puller.go
+++ b/replica/puller.go
@@ -243,7 +243,7 @@
 		p.cfg.OnEra(era)
 	}
 	if s.GetRecovered() {
-		p.cfg.Replica.vouch(era)
+		p.cfg.Replica.markRecovered(era)
 	}
 	if p.cfg.Replica.Confirm(kind, s.GetDigest(), confirmed) {
 		return
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -27,12 +27,12 @@
 	eras  EraSource
 }
 
-// EraSource shares with peers what is known of the era of the store. objectapi.Settling implements it.
+// EraSource shares with peers what is known of the era of the store. objectapi.RecoverySink implements it.
 type EraSource interface {
-	// Vouch records that a peer knows an era for longer than its recovery takes.
-	Vouch(era uint64)
-	// Vouches reports whether this process knows the era of its state for so long.
-	Vouches() bool
+	// MarkRecovered records that a peer knows an era for longer than its recovery takes.
+	MarkRecovered(era uint64)
+	// EraRecovered reports whether this process knows the era of its state for so long.
+	EraRecovered() bool
 }
 
 // SetEras sets the source of what the Replica tells peers of the era. Call it before its first use.
@@ -186,7 +186,7 @@
 	incremental bool              // the objects are the changes, with deletions as tombstones
 	digest      uint64
 	confirmed   ConfirmedOffset
-	recovered   bool // this process vouches for the era of the state
+	recovered   bool // the recovery of the era of the state is over
 }
 
 // copyState returns what a peer that has the given digest and revision of a kind lacks. The
@@ -199,7 +199,7 @@
 		return stateCopy{}, false
 	}
 	c := stateCopy{listing: objectapi.Listing{Revision: s.revision}, digest: s.digest(), confirmed: newConfirmedOffset(s.confirmed, arrived)}
-	c.recovered = r.eras != nil && r.eras.Vouches()
+	c.recovered = r.eras != nil && r.eras.EraRecovered()
 	if c.digest == digest {
 		return c, true
 	}
@@ -225,9 +225,9 @@
 	return sum
 }
 
-// vouch records that a peer vouches for an era.
-func (r *Replica) vouch(era uint64) {
+// markRecovered records that the recovery of an era is over at a peer.
+func (r *Replica) markRecovered(era uint64) {
 	if r.eras != nil {
-		r.eras.Vouch(era)
+		r.eras.MarkRecovered(era)
 	}
 }
