Keep the later cold time of two registrations when they are merged

The merge of the two registrations took the later cold time, and then stored the result through putLocked, which keeps the held cold time where the revision is the held one; and the result has the held revision. It is now stored as it is. The test's registrations had no revisions; with them it fails without the change ('cold for 0s, want 5s').

--- a/upstream/directory.go
+++ b/upstream/directory.go
@@ -121,7 +121,7 @@
 			if s.ColdUntil.After(held.ColdUntil) && !s.sameAs(held) {
 				held.ColdUntil = s.ColdUntil
 			}
-			d.putLocked(held)
+			d.storeLocked(held)
 		default:
 			d.putLocked(s)
 		}
@@ -211,6 +211,11 @@
 	if held, ok := d.servers[s.Instance]; ok && s.Revision != 0 && held.Revision == s.Revision {
 		s.ColdUntil = held.ColdUntil
 	}
+	d.storeLocked(s)
+}
+
+// storeLocked stores a registration as it is.
+func (d *Directory) storeLocked(s Server) {
 	d.servers[s.Instance] = s
 	delete(d.absentUntil, s.Instance)
 	delete(d.gone, s.Instance)
--- a/upstream/olderlist_test.go
+++ b/upstream/olderlist_test.go
@@ -62,9 +62,9 @@
 // Guards against a server that has become cold and gets requests as a warm one, because its registration can't
 // be told from an older one, and against one that counts as cold anew with each list of the same registration.
 func TestServerIsColdIfEitherListSaysSo(t *testing.T) {
-	cold := func(sequence uint64, d time.Duration, now time.Time) Server {
+	cold := func(revision, sequence uint64, d time.Duration, now time.Time) Server {
 		s := registered("a", sequence, false)
-		s.ColdUntil = now.Add(d)
+		s.Revision, s.ColdUntil = revision, now.Add(d)
 		return s
 	}
 	for _, c := range []struct {
@@ -80,16 +80,16 @@
 		{"the same, read again", 5, 5, time.Second, 9 * time.Second, time.Second},
 	} {
 		d := newOlderList()
-		d.Put(cold(c.held, c.heldFor, d.now))
-		d.MergeOlder([]Server{cold(c.listed, c.found, d.now)}, d.now)
+		d.Put(cold(1, c.held, c.heldFor, d.now))
+		d.MergeOlder([]Server{cold(2, c.listed, c.found, d.now)}, d.now)
 		got, _ := d.Lookup("a")
 		if left := got.ColdUntil.Sub(d.now); left != c.want {
 			t.Errorf("%s: cold for %v, want %v", c.name, left, c.want)
 		}
 	}
 	d := newOlderList()
-	d.Put(cold(5, time.Second, d.now))
-	d.ReplaceOlder([]Server{cold(5, 9*time.Second, d.now)}, d.now)
+	d.Put(cold(1, 5, time.Second, d.now))
+	d.ReplaceOlder([]Server{cold(2, 5, 9*time.Second, d.now)}, d.now)
 	if got, _ := d.Lookup("a"); got.ColdUntil.Sub(d.now) != time.Second {
 		t.Errorf("complete list: cold for %v", got.ColdUntil.Sub(d.now))
 	}
