--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -57,6 +57,16 @@
 		seed: 55127, entries: 4, servers: 4, callers: 24, lasts: 20 * time.Second,
 		cause: "a server that became cold counted as warm until the store had recovered from an older copy",
 	},
+	{
+		seed: 55310, entries: 4, servers: 4, callers: 24, lasts: 20 * time.Second,
+		cause: "the cold time of a registration of a newer era was dropped when it was merged",
+	},
+}
+
+// endedBehindLink is a play in which servers are replaced twice at the same time.
+var endedBehindLink = play{
+	seed: 55323, entries: 4, servers: 4, callers: 24, lasts: 20 * time.Second,
+	cause: "a stream without a length was cut by the end of its server, whose address accepted connections, and counted as whole",
 }
 
 // restoredTwice is a play in which the store comes back twice in a row, and servers crash beside it.
@@ -103,6 +113,10 @@
 // from older copies twice in a row.
 func TestPromisesHoldAfterTwoReturnsFromCopies(t *testing.T) { holdPromises(t, restoredTwice) }
 
+// Guards against a stream that counts as whole because the address of its server, which has ended, accepts
+// connections.
+func TestCutStreamsAreNotWholeWhileServersAreReplaced(t *testing.T) { holdPromises(t, endedBehindLink) }
+
 // Guards against more requests than a server that names a rate takes, while entries are killed.
 func TestNamedRateHoldsWhileEntriesAreKilled(t *testing.T) { holdPromises(t, killedTwice) }
 
