Remember outcomes that another entry has written, for a store that loses them

What callers could see: a resend after the store came back from an older copy is told that the call is running, though its outcome was recorded before. An entry whose settlements are forwarded remembered the claim as running, and wrote that again before the other entry wrote the outcome. It now remembers the outcome, too. The test, unchanged: 14 failures in 60 passes before, none in 60 after.

--- a/claim/forward.go
+++ b/claim/forward.go
@@ -227,6 +227,7 @@
 	if err != nil || slices.ContainsFunc(results, unsettled) {
 		return false
 	}
+	g.written.rememberForwarded(batch, g.claimer.now())
 	for _, o := range batch {
 		o.resultCh <- result{}
 	}
--- a/claim/restore.go
+++ b/claim/restore.go
@@ -52,6 +52,22 @@
 	}
 }
 
+// rememberForwarded records the outcomes that another entry has written for this one.
+func (w *writtenRecords) rememberForwarded(batch []*op, now time.Time) {
+	for _, o := range batch {
+		known, ok := w.records[o.hash]
+		if !ok {
+			continue
+		}
+		s := shard{Claims: map[string]keyRecord{o.hash: known.keyRecord}}
+		s.settle(o.hash, o.mark, o.outcome, o.issued, now)
+		delete(w.records, o.hash)
+		if settled, ok := s.Claims[o.hash]; ok {
+			w.records[o.hash] = writtenRecord{settled, now}
+		}
+	}
+}
+
 // noteRestored records that the store came back from an older copy.
 func (w *writtenRecords) noteRestored(now time.Time) {
 	w.lost = true
