Agree on the interfaces of the parts that decide under contention

They are built side by side, so the types come first.

The log line of a request names its workspace. Nothing is decided differently yet: the workspace is sent only where the queue is on.

Measured: go test of the changed packages passes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -114,9 +114,34 @@
 		Waited:              time.Since(e.startedAt),
 		Priority:            e.priority(),
 		Stream:              e.route.Kind == routetable.Stream,
+		Workspace:           e.announcedWorkspace(),
 	}
 }
 
+// announcedWorkspace returns the key of the workspace that the other entries are told of with
+// an attempt, so that all of them count it against the same share; 0 if the service has no
+// shares.
+func (e *exchange) announcedWorkspace() uint32 {
+	if !e.queueEnabled() {
+		return 0
+	}
+	return placement.WorkspaceKey(e.workspaceName())
+}
+
+// queueEnabled reports whether requests for the service wait in a queue for room.
+func (e *exchange) queueEnabled() bool {
+	f := e.gateway.cfg.Options.Features
+	return f.Enabled(f.Queue, e.service)
+}
+
+// workspaceName returns the name of the request's workspace; empty if its route needs none.
+func (e *exchange) workspaceName() string {
+	if e.workspace == nil {
+		return ""
+	}
+	return e.workspace.Name
+}
+
 // priority returns the priority of the request. The workspace's priority overrides the
 // route's.
 func (e *exchange) priority() int {
@@ -134,9 +159,7 @@
 		LastEventID:   e.info.LastEventID,
 		QueuePriority: attempt.QueuePriority,
 	}
-	if e.workspace != nil {
-		a.Workspace = e.workspace.Name
-	}
+	a.Workspace = e.workspaceName()
 	if e.stream != nil && e.stream.lastEventID != "" {
 		a.LastEventID = e.stream.lastEventID
 	}
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"time"
+
+	"github.com/briarturn/briarturn/routetable"
 )
 
 const (
@@ -84,6 +86,9 @@
 	// MemoryWait is how long the gateway looks for free memory before it refuses a
 	// request.
 	MemoryWait time.Duration
+	// Features switches what decides under contention for servers; the zero value switches
+	// all of it off.
+	Features routetable.Features
 }
 
 func (o Options) withDefaults() Options {
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -55,6 +55,9 @@
 		fields["route"] = e.route.Name
 		fields["objective_ms"] = e.route.Objective.Milliseconds()
 	}
+	if name := e.workspaceName(); name != "" {
+		fields["workspace"] = name
+	}
 	if e.info.Prompt.InputTokens > 0 {
 		fields["tokens"] = e.info.Prompt.InputTokens
 	}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -259,6 +259,7 @@
 func gatewayOptions(g *settings.Gateway) gateway.Options {
 	l := &g.Limits
 	return gateway.Options{
+		Features:           g.Contention.Features(),
 		KeyAge:             time.Duration(l.KeyAge),
 		RefusalAge:         time.Duration(g.ConfigWithin),
 		BodiesBytes:        l.BodiesBytes,
--- a/peering/outbox.go
+++ b/peering/outbox.go
@@ -180,6 +180,7 @@
 		Writing:      w.Decoding,
 		Holders:      w.Holders,
 		HolderTokens: uint32(w.HolderTokens),
+		Workspace:    w.Workspace,
 	}
 }
 
@@ -198,5 +199,6 @@
 		Decoding:           b.GetWriting(),
 		Holders:            b.GetHolders(),
 		HolderTokens:       int(b.GetHolderTokens()),
+		Workspace:          b.GetWorkspace(),
 	}
 }
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -139,6 +139,7 @@
 		PauseObjective:     q.PauseObjective,
 		FirstTokenDeadline: now.Add(q.FirstTokenObjective),
 		Weight:             WeightOf(q.InputTokens),
+		Workspace:          q.Workspace,
 	}
 	out := Placement{Server: primary.candidate, QueuePriority: q.queuePriority(), planner: p, attemptID: attempt.ID, key: primary.key}
 	if q.Engine != nil && q.InputTokens > 0 {
--- a/placement/query.go
+++ b/placement/query.go
@@ -26,6 +26,7 @@
 	Waited              time.Duration // time since the request arrived
 	Priority            int           // priority of its workspace or route; 0 is the highest
 	Stream              bool
+	Workspace           uint32 // WorkspaceKey of its workspace
 }
 
 // meanOutputShare is the mean length of an answer as a fraction of its upper bound.
--- a/placement/work.go
+++ b/placement/work.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // AttemptID identifies an attempt across all entries.
@@ -28,6 +30,16 @@
 	FirstTokenDeadline time.Time     // latest time at which the first token is on time
 	Weight             float64       // value of being on time, relative to other attempts
 	Decoding           bool          // the first token has arrived
+	Workspace          uint32        // WorkspaceKey of its workspace; 0: none
+}
+
+// WorkspaceKey returns the key that identifies a workspace in messages between entries; 0 for
+// no workspace.
+func WorkspaceKey(name string) uint32 {
+	if name == "" {
+		return 0
+	}
+	return uint32(xxhash.Sum64String(name))
 }
 
 // tokensPerWeight is the prompt length that adds 1 to the fixed weight 1 of a request. With
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -8,6 +8,7 @@
 	"github.com/briarturn/briarturn/gateway"
 	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/placement"
+	"github.com/briarturn/briarturn/routetable"
 )
 
 // Defaults of all roles.
@@ -123,6 +124,13 @@
 		DrainWithin:  config.Duration(DefaultDrainWithin),
 		RoutineLines: DefaultRoutineLines,
 		Placement:    string(placement.LeastLoss),
+		Contention: Contention{
+			Queue:           string(routetable.SwitchAuto),
+			LostServers:     string(routetable.SwitchAuto),
+			SilentAttempts:  string(routetable.SwitchAuto),
+			ServerPace:      string(routetable.SwitchAuto),
+			MixedObjectives: routetable.DefaultMixedObjectives,
+		},
 		Limits: GatewayLimits{
 			KeyAge:             config.Duration(gateway.DefaultKeyAge),
 			BodiesBytes:        gateway.DefaultBodiesBytes,
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -1,6 +1,9 @@
 package settings
 
-import "github.com/briarturn/briarturn/config"
+import (
+	"github.com/briarturn/briarturn/config"
+	"github.com/briarturn/briarturn/routetable"
+)
 
 // Gateway holds the settings of a gateway, which serves routed requests. The values
 // are those with which the operators run the platform.
@@ -38,6 +41,32 @@
 	// Placement is the policy that selects servers (placement.Policy).
 	Placement string        `json:"placement" validate:"oneof=least_loss least_requests"`
 	Limits    GatewayLimits `json:"limits"`
+	// Contention switches the features that decide under contention for servers.
+	Contention Contention `json:"contention"`
+}
+
+// Contention switches features for services whose servers have too little room at times. The
+// features are described at routetable.Features. With "auto" a feature is on for services
+// with mixed objectives.
+type Contention struct {
+	Queue          string `json:"queue" validate:"oneof=auto on off"`
+	LostServers    string `json:"lost_servers" validate:"oneof=auto on off"`
+	SilentAttempts string `json:"silent_attempts" validate:"oneof=auto on off"`
+	ServerPace     string `json:"server_pace" validate:"oneof=auto on off"`
+	// MixedObjectives is how many times as long as the shortest first-token objective of a
+	// service its longest one is, for the objectives to count as mixed.
+	MixedObjectives float64 `json:"mixed_objectives" validate:"gte=1,lte=10000"`
+}
+
+// Features returns the switches in the form that the gateway takes.
+func (c Contention) Features() routetable.Features {
+	return routetable.Features{
+		Queue:           routetable.Switch(c.Queue),
+		LostServers:     routetable.Switch(c.LostServers),
+		SilentAttempts:  routetable.Switch(c.SilentAttempts),
+		ServerPace:      routetable.Switch(c.ServerPace),
+		MixedObjectives: c.MixedObjectives,
+	}
 }
 
 // GatewayLimits limits requests and connections. The fields are described at
--- a/workspace/item.go
+++ b/workspace/item.go
@@ -20,6 +20,12 @@
 	// first. A request whose value is lower by one may arrive up to priorityStep
 	// later and still start first.
 	Priority int32
+	// OnTimeUntil is the latest start with which the request can be on time. After it the
+	// request ranks behind those that can still be on time; zero: it has no objective.
+	OnTimeUntil time.Time
+	// Subject identifies what the request is about, for example the last shared part of its
+	// prompt. Subjects of a workspace share its room equally; 0: none.
+	Subject uint64
 }
 
 // agingFactor limits how long after its arrival other requests may still overtake a
