Count one death of an engine once, whatever registrations its reporters hold

Cause: a death's ID holds the start of the engine as the reporting entry knows it.

Change: reports of deaths under parts carry the engine's instance, and two reports of one instance that ended within half a second of each other are about one death. Deaths at an unknown time (silent) are still told apart by their IDs only.

--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/quarantine"
 )
 
@@ -110,7 +111,9 @@
 	if len(s.parts) == 0 {
 		return
 	}
-	death := quarantine.PartDeath{Death: s.death, Silent: s.silent, Parts: s.parts}
+	death := quarantine.PartDeath{
+		Death: s.death, Silent: s.silent, Server: placement.ServerKey(s.server.Instance), Parts: s.parts,
+	}
 	if g.cfg.Parts.Record(death, time.Now()) {
 		g.cfg.DeathReporter.ReportPartDeath(death)
 	}
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -57,9 +57,16 @@
 	// Silent means that the connection to the engine didn't break, so that the engine died at
 	// an unknown time between Began and Ended.
 	Silent bool
+	// Server identifies the engine regardless of its start, which entries may know differently;
+	// 0: unknown. Then only Death.ID tells whether two reports are about one death.
+	Server uint64
 	Parts  []Part
 }
 
+// sameDeathWindow is the time within which the reports of one death by several entries end. An
+// engine that crashed takes longer to be back.
+const sameDeathWindow = 500 * time.Millisecond
+
 // PartOptions configures a PartTracker.
 type PartOptions struct {
 	// HoldThreshold is the number of independent deaths from which requests with a part run
@@ -99,11 +106,24 @@
 // request with it begins to respond.
 type trackedDeath struct {
 	id     uint64
+	server uint64 // PartDeath.Server
 	ended  time.Time
 	silent bool
 	began  map[Part]time.Time // when the last request with the part was sent to the engine
 }
 
+// isReportedBy reports whether a report is about this death. The IDs of one death differ if the
+// registrations of the engine that the entries hold do.
+func (d *trackedDeath) isReportedBy(r PartDeath) bool {
+	if d.id == r.ID {
+		return true
+	}
+	if d.server == 0 || d.server != r.Server || d.silent || r.Silent {
+		return false
+	}
+	return d.ended.Sub(r.Ended).Abs() <= sameDeathWindow
+}
+
 // PartTracker finds parts of prompts that crash engines. It is safe for concurrent use; mu guards
 // its fields.
 //
@@ -143,7 +163,7 @@
 		return false
 	}
 	var counted []Part
-	known := t.deathLocked(d.ID)
+	known := t.deathLocked(d)
 	for _, part := range d.Parts {
 		if began, ok := t.cleared.Peek(part); ok && !began.Before(d.Ended) {
 			continue
@@ -154,7 +174,7 @@
 		return false
 	}
 	if known == nil {
-		known = &trackedDeath{id: d.ID, ended: d.Ended, silent: d.Silent, began: map[Part]time.Time{}}
+		known = &trackedDeath{id: d.ID, server: d.Server, ended: d.Ended, silent: d.Silent, began: map[Part]time.Time{}}
 		t.insertLocked(known)
 	}
 	if known.silent && !d.Silent {
@@ -176,9 +196,9 @@
 	return isNew
 }
 
-// deathLocked returns the death with an ID, or nil.
-func (t *PartTracker) deathLocked(id uint64) *trackedDeath {
-	i := slices.IndexFunc(t.deaths, func(d *trackedDeath) bool { return d.id == id })
+// deathLocked returns the death that a report is about, or nil if it isn't known.
+func (t *PartTracker) deathLocked(r PartDeath) *trackedDeath {
+	i := slices.IndexFunc(t.deaths, func(d *trackedDeath) bool { return d.isReportedBy(r) })
 	if i < 0 {
 		return nil
 	}
@@ -276,7 +296,7 @@
 			runs[run] = append(runs[run], part)
 		}
 		for run, parts := range runs {
-			out = append(out, PartDeath{Death: Death{ID: d.id, Began: run.began, Ended: d.ended}, Silent: d.silent, Parts: parts})
+			out = append(out, PartDeath{Death: Death{ID: d.id, Began: run.began, Ended: d.ended}, Silent: d.silent, Server: d.server, Parts: parts})
 		}
 	}
 	return out
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -370,3 +370,43 @@
 	w.crashes(1, bad)
 	w.want(Refuse, bad)
 }
+
+// Guards against counting one death several times because the entries that report it hold different
+// registrations of the engine, for example after the store came back from an older copy.
+func TestDeathWithSeveralIDsCountsOnce(t *testing.T) {
+	w := newPartWorld(t)
+	for range DefaultPartOptions.RefuseThreshold - 1 {
+		w.now = w.now.Add(time.Second)
+		for range 3 { // entries
+			w.deaths++
+			d := PartDeath{
+				Death:  Death{ID: w.deaths, Began: w.now.Add(-50 * time.Millisecond), Ended: w.now},
+				Server: 7, Parts: scope.Parts([]uint64{bad}),
+			}
+			w.tracker.Record(d, w.now)
+			w.now = w.now.Add(40 * time.Millisecond)
+		}
+	}
+	w.want(RunAlone, bad)
+	if got := len(w.tracker.Deaths(w.now)); got != DefaultPartOptions.RefuseThreshold-1 {
+		t.Errorf("%d deaths are known, want %d", got, DefaultPartOptions.RefuseThreshold-1)
+	}
+}
+
+// Guards against counting the deaths of several engines at one moment, or of one engine that came
+// back, as one.
+func TestDeathsOfSeveralEnginesAreToldApart(t *testing.T) {
+	w := newPartWorld(t)
+	record := func(id, server uint64) {
+		d := PartDeath{Death: Death{ID: id, Began: w.now, Ended: w.now}, Server: server, Parts: scope.Parts([]uint64{bad})}
+		w.tracker.Record(d, w.now)
+	}
+	record(1, 7)
+	record(2, 8)
+	record(3, 0)
+	w.now = w.now.Add(2 * sameDeathWindow)
+	record(4, 7)
+	if got := len(w.tracker.Deaths(w.now)); got != 4 {
+		t.Errorf("%d deaths are known, want 4", got)
+	}
+}
--- a/wire/parts.go
+++ b/wire/parts.go
@@ -17,6 +17,7 @@
 	return &wirepb.PartDeath{
 		Scope:  scopeToProto(d.Parts),
 		Death:  d.ID,
+		Server: d.Server,
 		RanMs:  toMillis(d.Ended.Sub(d.Began)),
 		AgeMs:  toMillis(now.Sub(d.Ended)),
 		Silent: d.Silent,
@@ -30,6 +31,7 @@
 	return quarantine.PartDeath{
 		Death:  quarantine.Death{ID: m.GetDeath(), Began: ended.Add(-fromMillis(m.GetRanMs())), Ended: ended},
 		Silent: m.GetSilent(),
+		Server: m.GetServer(),
 		Parts:  scopeFromProto(m.GetScope()).Parts(m.GetParts()),
 	}
 }
