--- a/wire/dialer.go
+++ b/wire/dialer.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
@@ -169,13 +170,16 @@
 	d.openConns.Inc(1)
 	counted := &countedConn{Conn: raw, openConns: d.openConns}
 	conn := drpcconn.NewWithOptions(counted, drpcconn.Options{Manager: d.opts.managerOptions()})
-	return callConn{conn}, nil
+	return callConn{Conn: conn, received: &counted.received}, nil
 }
 
-// callConn closes itself when a call gets no response in time. The connection may be silent
-// for good, and a soft cancel would leave it in the pool, where each further call would time
-// out too.
-type callConn struct{ *drpcconn.Conn }
+// callConn closes itself when a call or a stream gets nothing in time. The connection may be
+// silent for good, and a soft cancel would leave it in the pool, where each further call would
+// time out too.
+type callConn struct {
+	*drpcconn.Conn
+	received *atomic.Int64 // bytes
+}
 
 // Invoke implements drpc.Conn.
 func (c callConn) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
@@ -186,13 +190,21 @@
 	return err
 }
 
-// countedConn decrements a counter when it is closed for the first time.
+// countedConn counts the bytes that it receives, and decrements a counter when it is closed for
+// the first time.
 type countedConn struct {
 	net.Conn
+	received  atomic.Int64
 	openConns metrics.Counter
 	closeOnce sync.Once
 }
 
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(int64(n))
+	return n, err
+}
+
 func (c *countedConn) Close() error {
 	c.closeOnce.Do(func() { c.openConns.Dec(1) })
 	return c.Conn.Close()
