Let the entry of a hello test list its own store first

Cause (traced): TestHelloTriggersSyncBeforeListing gives b a listing of another store, while b's watcher lists b's own one, without a. If the two listings come at once, the empty one is stored between the other's two steps, b never has a peer, sends no hello, and the test hangs. Entries have one source of listings.

Change: the test waits for b's first listing before it gives the other one. The check is the same.

--- a/peering/exchange_test.go
+++ b/peering/exchange_test.go
@@ -140,6 +140,8 @@
 	}
 	// b announces itself in another store, so that a finds b only through its hello.
 	b := startEntry(t, memory.NewMemory(memory.Config{}), "b", 2)
+	// The listing of its own store, which lacks a, must not follow that of the other one.
+	waitFor(t, "b listed its own store", func() bool { return <-b.entryCounts == 1 })
 	b.exchange.PresenceSink().Snapshot(KindGateway, listed)
 	waitFor(t, "b received all attempts", func() bool { return b.attemptsOf(1) == 10 })
 	waitFor(t, "a found b", func() bool { return <-a.entryCounts == 2 })
