Limit what a server sends that is no answer, in bytes and in time

Cause: package upstream read the head of a response, interim responses and the bodies of responses to other requests without a bound.

Change: a reader below net/http's holds each head, with the interim responses before it, to 64 KB and 2 s, and what is skipped of other responses to 1 MB and 2 s. Time passes only while bytes come. An exchange over a limit ends with a LimitError, which is an ErrBroken.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -28,16 +28,18 @@
 // conn is one connection to a backend server. One exchange owns it at a time.
 type conn struct {
 	net.Conn
+	source    *boundedReader // of reader
 	reader    *bufio.Reader
 	idleSince time.Time     // when the connection entered the pool
 	maxIdle   time.Duration // how long it may stay in the pool
 }
 
-func newConn(c net.Conn) *conn {
+func newConn(c net.Conn, address string) *conn {
 	if tcp, ok := c.(*net.TCPConn); ok {
 		setPeerTimeouts(tcp)
 	}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferSize)}
+	source := &boundedReader{source: c, peer: address}
+	return &conn{Conn: c, source: source, reader: bufio.NewReaderSize(source, readBufferSize)}
 }
 
 // setPeerTimeouts makes the kernel close a connection whose peer disappeared
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -81,6 +80,7 @@
 	response, err := x.roundTrip(r)
 	if err != nil {
 		x.finish(false)
+		p.countLimit(err)
 		return nil, errors.Annotatef(err, "step exchange, peer %s", address)
 	}
 	return response, nil
@@ -90,8 +90,9 @@
 	if err := x.write(r); err != nil {
 		return nil, err
 	}
+	skipped := &Quota{MaxBytes: maxOtherResponseBytes, MaxTime: maxUselessTime}
 	for stray := 0; ; stray++ {
-		raw, err := readHead(x.conn.reader, r.Method)
+		raw, err := x.readHead(r.Method)
 		if err != nil {
 			return nil, errors.WithType(err, ErrBroken)
 		}
@@ -105,6 +106,7 @@
 		if stray == maxStrayResponses {
 			return nil, errors.WithType(errors.New("responses to other requests"), ErrBroken)
 		}
+		x.conn.source.bound(LimitOtherResponse, skipped)
 		if _, err := io.Copy(io.Discard, raw.Body); err != nil {
 			return nil, errors.WithType(err, ErrBroken)
 		}
@@ -161,10 +163,17 @@
 	return nil
 }
 
-// readHead reads a response head. It skips interim (1xx) responses other than 101.
-func readHead(r *bufio.Reader, method string) (*http.Response, error) {
+// readHead reads a response head and the interim (1xx) responses before it other than 101.
+// What follows the head has no limit.
+func (x *exchange) readHead(method string) (*http.Response, error) {
+	quota := &Quota{MaxBytes: maxHeadBytes, MaxTime: maxUselessTime}
+	x.conn.source.bound(LimitHead, quota)
+	defer x.conn.source.unbound()
 	for {
-		raw, err := http.ReadResponse(r, &http.Request{Method: method, URL: &url.URL{}})
+		raw, err := http.ReadResponse(x.conn.reader, &http.Request{Method: method, URL: &url.URL{}})
+		if quota.Exhausted() && err != nil {
+			return nil, x.conn.source.exhausted() // net/http may have parsed a part of a line
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -172,6 +181,7 @@
 		if !interim {
 			return raw, nil
 		}
+		x.conn.source.bound(LimitInterim, quota)
 	}
 }
 
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -34,6 +34,8 @@
 	dialer net.Dialer
 	opened metrics.Counter
 	reused metrics.Counter
+	// overLimit counts the exchanges that each limit ended.
+	overLimit limitCounters
 
 	mu   sync.Mutex
 	idle map[string][]*conn // newest last
@@ -42,10 +44,11 @@
 // NewPool returns an empty Pool.
 func NewPool(r metrics.Registry) *Pool {
 	return &Pool{
-		dialer: net.Dialer{Timeout: DefaultDialTimeout},
-		opened: metrics.GetOrRegisterCounter("upstream.connections.opened", r),
-		reused: metrics.GetOrRegisterCounter("upstream.connections.reused", r),
-		idle:   map[string][]*conn{},
+		dialer:    net.Dialer{Timeout: DefaultDialTimeout},
+		opened:    metrics.GetOrRegisterCounter("upstream.connections.opened", r),
+		reused:    metrics.GetOrRegisterCounter("upstream.connections.reused", r),
+		overLimit: newLimitCounters(r),
+		idle:      map[string][]*conn{},
 	}
 }
 
@@ -69,7 +72,7 @@
 		return nil, errors.Annotatef(err, "step connect, peer %s", address)
 	}
 	p.opened.Inc(1)
-	return newConn(c), nil
+	return newConn(c, address), nil
 }
 
 // ProbeResult is what a new connection to an address shows.
@@ -93,7 +96,7 @@
 	c, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err == nil {
 		p.opened.Inc(1)
-		p.put(address, newConn(c), defaultMaxIdle)
+		p.put(address, newConn(c, address), defaultMaxIdle)
 		return ProbeAccepted
 	}
 	if timeout := net.Error(nil); ctx.Err() != nil || errors.As(err, &timeout) && timeout.Timeout() {
