Limit events, comments and what exchanges hold of responses together

Cause: the gateway relayed comments, and events that the caller has, for as long as a server sent them, and held up to 1.25 MB for each of any number of exchanges.

Change: the bytes of a stream since its last event with data are limited to 64 KB and to the time that callers wait between events, repeated events to what the caller has, and an event to 1 MB as before. Buffers double up to the limit, and all exchanges together hold no more of responses than of request bodies (bodies_bytes); a response beyond that is relayed as it comes. A server that exceeds a limit counts as one that has refused, and its exchange as no evidence of a death.

--- a/gateway/deaths.go
+++ b/gateway/deaths.go
@@ -112,6 +112,9 @@
 // silent until the request timed out. An attempt that its caller ended shows nothing of the
 // request, but its server may have died under a part of the prompt.
 func (e *exchange) recordBreak(ctx context.Context, attempt *placedAttempt, stage brokenStage, err error) {
+	if e.recordOverLimit(attempt, err) {
+		return
+	}
 	ended := time.Now()
 	if timedOut := errors.Is(ctx.Err(), context.DeadlineExceeded); timedOut {
 		e.addPossibleDeaths(attempt, ended, true)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -44,6 +44,7 @@
 	retry           *retrybudget.Withdrawal // of the attempt; nil before something was sent
 	triedInstances  map[string]bool         // instances that had an attempt
 	mayHaveRun      bool                    // an attempt ended without proof that it did not run
+	held            holding                 // of a response that is not relayed yet
 	lastFailure     *bufferedResponse       // last complete error response of a server, relayed if no attempt succeeds
 	firstByteAt     time.Time               // when the caller was sent the first byte
 	serverAddress   string                  // address of the last attempt's server
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,13 +63,14 @@
 	activeRequests    atomic.Int64
 	phase             atomic.Int32 // shutdown phase
 	bufferedBodyBytes atomic.Int64 // bytes of request bodies held in memory
+	heldResponses     heldBytes
 	possibleDeaths    possibleDeathList
 }
 
 // New returns a Gateway. Options that are not set take their defaults.
 func New(cfg Config) *Gateway {
 	cfg.Options = cfg.Options.withDefaults()
-	return &Gateway{cfg: cfg, counters: newCounters(cfg.Metrics)}
+	return &Gateway{cfg: cfg, counters: newCounters(cfg.Metrics), heldResponses: heldBytes{max: cfg.Options.BodiesBytes}}
 }
 
 // ServeHTTP implements http.Handler.
@@ -79,7 +80,8 @@
 	if g.ShuttingDown() {
 		w.Header().Set("Connection", "close")
 	}
-	e := &exchange{gateway: g, writer: w, incoming: r, startedAt: time.Now()}
+	e := &exchange{gateway: g, writer: w, incoming: r, startedAt: time.Now(), held: holding{total: &g.heldResponses}}
+	defer e.held.resize(0)
 	e.serve()
 }
 
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -103,6 +103,7 @@
 	deaths       *deathRecorder
 	limits       *limitRecorder
 	drains       *drainRecorder
+	metrics      metrics.Registry
 
 	mu         sync.Mutex
 	arrivalLog []string // "server id" of each request that arrived at a server, in order
@@ -171,6 +172,7 @@
 	gw.limitedSends.SetEntries(nil, time.Now())
 	gw.routes = routetable.NewHolder(func() boottime.Instant { return *gw.clock })
 	r := metrics.NewRegistry()
+	gw.metrics = r
 	ledger := placement.NewLedger(func(uint64) *placement.EngineProfile { return nil })
 	gw.gateway = New(Config{
 		Protocol:      testProtocol{},
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -66,7 +66,8 @@
 	// what the configuration lacks. It is KeyAge at most.
 	RefusalAge time.Duration
 	// BodiesBytes is the total size of the request bodies in memory, in bytes, above
-	// which requests are refused.
+	// which requests are refused. Of responses that are not relayed yet as much is held
+	// at most.
 	BodiesBytes int64
 	// BodyTimeout is how long a caller may take to send a body. Without it a caller that
 	// stops in the middle would hold its connection and its memory forever.
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -24,8 +24,8 @@
 // relayResponse relays a response that is not an event stream. If it breaks off or
 // reports an error of the server, another server may be tried.
 func (e *exchange) relayResponse(ctx context.Context, attempt *placedAttempt, r *upstream.Response) (nextStep, Reason) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedResponse+1))
-	if err == nil && len(body) <= maxBufferedResponse {
+	body, whole, err := e.readBuffered(r.Body)
+	if whole {
 		err = e.confirmEnd(ctx, attempt, r)
 	}
 	if err != nil {
@@ -34,7 +34,7 @@
 		return e.decideNext(request.AttemptOutcome{Sent: true, Deadline: requestEnded(ctx)})
 	}
 	a := &bufferedResponse{status: r.Status, header: r.Header, body: body}
-	if len(body) > maxBufferedResponse {
+	if !whole {
 		return e.relayLongResponse(ctx, attempt, a, r)
 	}
 	if isRetryable(r.Status) && e.route.Repeatable() {
@@ -49,6 +49,26 @@
 	return stepDone, ""
 }
 
+// readBuffered reads a body up to its end, or until it is too long to be held. It reports whether
+// the body is whole.
+func (e *exchange) readBuffered(r io.Reader) (body []byte, whole bool, err error) {
+	for len(body) <= maxBufferedResponse {
+		body = grow(body, 1, maxBufferedResponse+1)
+		if !e.held.resize(cap(body)) {
+			return body, false, nil // all exchanges together hold enough
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			return body, len(body) <= maxBufferedResponse, nil
+		}
+		if err != nil {
+			return body, false, err
+		}
+	}
+	return body, false, nil
+}
+
 // writeTo sends the response to the caller.
 func (a *bufferedResponse) writeTo(e *exchange) {
 	e.writeHead(a.status, a.header, int64(len(a.body)))
@@ -67,6 +87,8 @@
 		e.outcome = outcomeCallerGone
 		return stepDone, ""
 	}
+	a.body = nil // its memory is free while the rest is relayed
+	e.held.resize(0)
 	_, err := io.Copy(e.writer, r.Body)
 	if err == nil {
 		err = e.confirmEnd(ctx, attempt, r)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/briarturn/briarturn/request"
@@ -21,11 +20,10 @@
 	// maxEventBytes is the size in bytes above which an event that has not ended makes
 	// the stream count as broken.
 	maxEventBytes = 1 << 20
+	// maxPendingBytes is the size of the largest buffer of an incomplete event.
+	maxPendingBytes = maxEventBytes + readBufferSize
 )
 
-// errEventTooLong means that a server sent an event of more than maxEventBytes.
-const errEventTooLong = errors.ConstError("event too long")
-
 // streamRelay relays the events of a stream. It sends complete events only: a server may
 // stop in the middle of one, and the stream that another server resumes begins with a
 // complete one.
@@ -37,6 +35,9 @@
 	lastEventAt  time.Time     // when the last event was sent
 	longestPause time.Duration // longest pause between two events
 	pending      []byte        // bytes of an incomplete event
+	scanned      int           // number of bytes of pending in complete lines that don't end the event
+	relayed      int64         // bytes of the events that were sent
+	useless      uselessBytes  // of the attempt
 	buffer       []byte
 }
 
@@ -47,21 +48,21 @@
 // relayStream relays a stream until it ends or breaks.
 func (e *exchange) relayStream(ctx context.Context, attempt *placedAttempt, r *upstream.Response) (nextStep, Reason) {
 	s := e.stream
-	s.pending = s.pending[:0]
+	s.pending, s.scanned = s.pending[:0], 0
+	s.useless = newUselessBytes(e.route, s.relayed)
 	if s.headSent {
 		e.gateway.counters.resumedStreams.Inc(1)
 	}
 	for {
 		n, err := r.Body.Read(s.buffer)
 		if n > 0 {
-			s.pending = append(s.pending, s.buffer[:n]...)
-			sent, writeErr := s.forwardEvents(r, attempt)
-			if writeErr != nil {
+			s.pending = append(grow(s.pending, n, maxPendingBytes), s.buffer[:n]...)
+			if writeErr := s.forwardEvents(r, attempt); writeErr != nil {
 				e.outcome = outcomeCallerGone
 				return stepDone, ""
 			}
-			if !sent && len(s.pending) > maxEventBytes {
-				return e.handleBrokenStream(ctx, attempt, errEventTooLong)
+			if over := s.exceeded(r, n, time.Now()); over != nil {
+				return e.handleBrokenStream(ctx, attempt, over)
 			}
 		}
 		if err == nil {
@@ -110,34 +111,32 @@
 	return e.decideNext(request.AttemptOutcome{Sent: true, Deadline: requestEnded(ctx)})
 }
 
-// forwardEvents sends the caller the complete events in pending that it does not have
-// yet, and reports whether there were any.
-func (s *streamRelay) forwardEvents(r *upstream.Response, attempt *placedAttempt) (sent bool, err error) {
-	for {
-		end := eventEnd(s.pending)
-		if end < 0 {
-			break
-		}
-		event := s.pending[:end]
+// forwardEvents sends the caller the complete events in pending that it does not have yet.
+func (s *streamRelay) forwardEvents(r *upstream.Response, attempt *placedAttempt) error {
+	sent := false
+	for event := s.nextEvent(); event != nil; event = s.nextEvent() {
 		if hasData(event) {
 			s.exchange.recordBegan(attempt)
+			s.useless.comments.Reset()
 		}
 		id, hasID := eventID(event)
 		if !hasID || isNewer(id, s.lastEventID) {
 			if err := s.writeEvent(event, r, attempt); err != nil {
-				return sent, err
+				return err
 			}
 			if hasID {
 				s.lastEventID = id
 			}
 			sent = true
+		} else {
+			s.useless.repeated.Add(len(event), time.Now())
 		}
-		s.pending = append(s.pending[:0], s.pending[end:]...)
+		s.pending, s.scanned = append(s.pending[:0], s.pending[len(event):]...), 0
 	}
 	if sent {
-		return true, http.NewResponseController(s.exchange.writer).Flush()
+		return http.NewResponseController(s.exchange.writer).Flush()
 	}
-	return false, nil
+	return nil
 }
 
 func (s *streamRelay) writeEvent(event []byte, r *upstream.Response, attempt *placedAttempt) error {
@@ -151,6 +150,7 @@
 	s.lastEventAt = now
 	attempt.recordEvent()
 	s.events++
+	s.relayed += int64(len(event))
 	_, err := s.exchange.writer.Write(event)
 	return err
 }
@@ -173,18 +173,18 @@
 	return false
 }
 
-// eventEnd returns the index after the first complete event, whose last part is the empty
-// line that ends it. It returns -1 if there is none.
-func eventEnd(b []byte) int {
-	for from := 0; ; {
-		i := bytes.IndexByte(b[from:], '\n')
+// nextEvent returns the first event in pending, with the empty line that ends it. It returns
+// nil if that is not complete.
+func (s *streamRelay) nextEvent() []byte {
+	for {
+		i := bytes.IndexByte(s.pending[s.scanned:], '\n')
 		if i < 0 {
-			return -1
+			return nil
 		}
-		line := bytes.TrimSuffix(b[from:from+i], []byte{'\r'})
-		from += i + 1
+		line := bytes.TrimSuffix(s.pending[s.scanned:s.scanned+i], []byte{'\r'})
+		s.scanned += i + 1
 		if len(line) == 0 {
-			return from
+			return s.pending[:s.scanned]
 		}
 	}
 }
--- a/upstream/limits.go
+++ b/upstream/limits.go
@@ -21,11 +21,12 @@
 	LimitEvent          Limit = "event"           // event of a stream
 	LimitComments       Limit = "comments"        // bytes of a stream without data
 	LimitRepeatedEvents Limit = "repeated_events" // events of a resumed stream that the caller has
+	LimitMemory         Limit = "memory"          // what all exchanges together hold
 )
 
 // Limits returns all limits.
 func Limits() []Limit {
-	return []Limit{LimitHead, LimitInterim, LimitOtherResponse, LimitBody, LimitEvent, LimitComments, LimitRepeatedEvents}
+	return []Limit{LimitHead, LimitInterim, LimitOtherResponse, LimitBody, LimitEvent, LimitComments, LimitRepeatedEvents, LimitMemory}
 }
 
 const (
