--- a/engine/client.go
+++ b/engine/client.go
@@ -34,6 +34,9 @@
 	DefaultCallTimeout  = 5 * time.Second
 )
 
+// maxHeadBytes limits a response's head.
+const maxHeadBytes = 64 << 10
+
 // idleTimeout is the time after which an idle connection to the engine is
 // closed.
 const idleTimeout = 60 * time.Second
@@ -74,10 +77,11 @@
 			}
 			return &countedConn{Conn: conn}, nil
 		},
-		MaxIdleConns:        cfg.MaxIdleConns,
-		MaxIdleConnsPerHost: cfg.MaxIdleConns,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		MaxIdleConns:           cfg.MaxIdleConns,
+		MaxIdleConnsPerHost:    cfg.MaxIdleConns,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeadBytes,
+		DisableCompression:     true,
 	}
 	c.http = &http.Client{
 		Transport:     c.transport,
--- a/engine/sse.go
+++ b/engine/sse.go
@@ -12,7 +12,8 @@
 const sseBufferBytes = 2048
 
 // sseReader reads the data of server-sent events and skips other fields and
-// comments. A line, and the data of one event, may have at most max bytes.
+// comments. A line, the data of one event, and what is skipped between two, may have
+// at most max bytes.
 type sseReader struct {
 	r    *bufio.Reader
 	max  int
@@ -34,7 +35,7 @@
 // and io.ErrUnexpectedEOF inside one.
 func (s *sseReader) next() ([]byte, error) {
 	s.data = s.data[:0]
-	found := false
+	found, skipped := false, 0
 	for {
 		line, err := s.readLine()
 		if err != nil {
@@ -43,13 +44,13 @@
 			}
 			return nil, err
 		}
-		if len(line) == 0 {
-			if found {
-				return s.data, nil
-			}
-			continue
+		if len(line) == 0 && found {
+			return s.data, nil
 		}
 		if !bytes.HasPrefix(line, dataPrefix) {
+			if skipped += len(line) + 1; skipped > s.max {
+				return nil, errors.Annotatef(ErrMalformed, "over %d bytes without data", s.max)
+			}
 			continue
 		}
 		if err := s.appendData(bytes.TrimPrefix(line[len(dataPrefix):], space), found); err != nil {
--- a/engine/sse_test.go
+++ b/engine/sse_test.go
@@ -36,6 +36,9 @@
 		{"cut in a line", "data: a\n\ndat", []string{"a"}, io.ErrUnexpectedEOF},
 		{"line too long", "data: " + strings.Repeat("x", 5000) + "\n\n", nil, ErrMalformed},
 		{"event too long", strings.Repeat("data: "+strings.Repeat("x", 1000)+"\n", 5) + "\n", nil, ErrMalformed},
+		{"comments without end", strings.Repeat(": ping\n\n", 1000), nil, ErrMalformed},
+		{"empty lines without end", strings.Repeat("\n", 5000), nil, ErrMalformed},
+		{"comments between events", strings.Repeat(strings.Repeat(": ping\n\n", 400)+"data: a\n\n", 3), []string{"a", "a", "a"}, io.EOF},
 		{"line over the buffer", "data: " + strings.Repeat("x", 3000) + "\n\n", []string{strings.Repeat("x", 3000)}, io.EOF},
 	} {
 		got, err := readEvents(strings.NewReader(c.in), 4096)
--- a/gateway/useless_test.go
+++ b/gateway/useless_test.go
@@ -22,6 +22,10 @@
 	"github.com/briarturn/briarturn/upstream"
 )
 
+// endlessBytes is what servers send that send without end. It is far more than any limit, and bounds
+// the memory of a test that fails.
+const endlessBytes = 8 << 20
+
 // endless is what a server sends in response to a request until its caller closes the connection.
 type endless struct {
 	begin, more string // begin is sent once, with the request's ID
@@ -44,7 +48,7 @@
 		} else {
 			_, err = io.WriteString(conn, s.begin)
 		}
-		for i := 0; err == nil && (s.times == 0 || i < s.times); i++ {
+		for i := 0; err == nil && (s.times == 0 && i*len(s.more) < endlessBytes || i < s.times); i++ {
 			_, err = io.WriteString(conn, s.more)
 			time.Sleep(s.pause)
 		}
--- a/upstream/limits_test.go
+++ b/upstream/limits_test.go
@@ -18,18 +18,24 @@
 	"github.com/briarturn/briarturn/internal/rawserver"
 )
 
-// hangLimit bounds an exchange of a test that no limit ends.
-const hangLimit = 20 * time.Second
+const (
+	// hangLimit bounds an exchange of a test that no limit ends.
+	hangLimit = 20 * time.Second
+	// endlessBytes is what servers send that send without end. It is far more than any limit, and
+	// bounds the memory of a test that fails.
+	endlessBytes = 8 << 20
+)
 
 // startEndless starts a server that answers each request with begin, and then sends more again and
-// again until its caller closes the connection.
+// again.
 func startEndless(t testing.TB, begin, more string) string {
+	more = strings.Repeat(more, 1+4096/len(more))
 	return rawserver.Start(t, func(conn net.Conn, in *bufio.Reader) {
 		if _, err := http.ReadRequest(in); err != nil {
 			return
 		}
 		_, err := io.WriteString(conn, begin)
-		for more = strings.Repeat(more, 1+4096/len(more)); err == nil; {
+		for sent := 0; err == nil && sent < endlessBytes; sent += len(more) {
 			_, err = io.WriteString(conn, more)
 		}
 	})
