Play servers that send bytes without end in the soak

Change: a stand-in server answers for a while with bytes that have no end (a line of a head, lines of a head, interim responses, another's response, an event), 32 MB at most, and records how much was taken. Each plan has one such server each 6 s, drawn apart. The new promise is broken where an entry takes all of such a response.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -124,6 +124,8 @@
 		return b.prefer(s.Target, s.For)
 	case StoreRestore:
 		return b.restoreStore(s.For)
+	case ServerEndless:
+		return b.sendsWithoutEnd(f.servers[s.Target], s.For)
 	}
 	return b.onStore(s)
 }
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -201,6 +201,10 @@
 		f.crashed(s, a.CrashedOn)
 		return true
 	}
+	if a.SentWithoutEnd > 0 {
+		f.record.sentWithoutEnd(a)
+		return true
+	}
 	f.record.arrival(a, time.Now())
 	return true
 }
--- a/internal/soak/need.go
+++ b/internal/soak/need.go
@@ -104,10 +104,10 @@
 	return nil
 }
 
-// responseLost reports whether the link to the server of an arrival was broken then, so that no entry
-// got the response.
+// responseLost reports whether no entry got the response to an arrival: it was none, or the link to its
+// server was broken then.
 func (r *record) responseLost(a arrival) bool {
-	return slices.ContainsFunc(r.spans, func(s span) bool {
+	return a.Endless || slices.ContainsFunc(r.spans, func(s span) bool {
 		broken := serverName(s.Target) == a.Instance && slices.Contains([]Fault{ServerReset, ServerCut}, s.Fault)
 		return broken && !a.At.Before(s.From) && !a.At.After(s.To)
 	})
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -39,8 +39,9 @@
 	// and names a time for which it wants no others.
 	ServerLeave   Fault = "server_leave"
 	ServerBackOff Fault = "server_back_off"
-	PartCrash     Fault = "part_crash" // requests with a part that crashes servers; its target is the part
-	OneEntry      Fault = "one_entry"  // most new connections go to one entry
+	PartCrash     Fault = "part_crash"     // requests with a part that crashes servers; its target is the part
+	OneEntry      Fault = "one_entry"      // most new connections go to one entry
+	ServerEndless Fault = "server_endless" // a server answers with bytes without end
 	// The store is away for a moment and comes back from a copy as old as the step lasts.
 	StoreRestore Fault = "store_restore"
 )
@@ -88,6 +89,7 @@
 	out = append(out, crashSteps(seed, lasts)...)
 	out = append(out, onlySteps(seed, lasts, entries)...)
 	out = append(out, restoreSteps(seed, lasts)...)
+	out = append(out, endlessSteps(seed, lasts, servers)...)
 	out = append(out, stormSteps(seed, lasts, entries, servers)...)
 	slices.SortStableFunc(out, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return out
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -69,10 +69,11 @@
 	cold      []cold
 	needs     []need
 	crashes   []crash
-	revoked   time.Time // when the store acknowledged that the key is gone
-	settled   bool      // all entries served again after the last fault
-	ended     []string  // processes that ended without being told to
-	stuck     []string  // entries that didn't end within their grace
+	endless   []standin.ReceivedRequest // responses without end
+	revoked   time.Time                 // when the store acknowledged that the key is gone
+	settled   bool                      // all entries served again after the last fault
+	ended     []string                  // processes that ended without being told to
+	stuck     []string                  // entries that didn't end within their grace
 }
 
 func (r *record) request(q request) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -160,7 +160,7 @@
 			met[s.Fault] = true
 		}
 	}
-	for _, kind := range append(kinds, Revoke, Evacuate, ServerCold, ServerNeed, ServerLeave, ServerBackOff, PartCrash, OneEntry, StoreRestore) {
+	for _, kind := range append(kinds, Revoke, Evacuate, ServerCold, ServerNeed, ServerLeave, ServerBackOff, PartCrash, OneEntry, StoreRestore, ServerEndless) {
 		if !met[kind] {
 			t.Errorf("%s is in none of twenty plans", kind)
 		}
@@ -245,6 +245,9 @@
 				r.arrivals = append(r.arrivals, arrival{ReceivedRequest: standin.ReceivedRequest{ID: id, Instance: "server-0", Ran: true, Part: "dead1"}, At: at})
 			}
 		},
+		PromiseEndless: func(r *record) {
+			r.endless = []standin.ReceivedRequest{{ID: "id" + standin.PathStream, Instance: "server-0", SentWithoutEnd: standin.EndlessBytes}}
+		},
 		PromiseRegion:   func(r *record) { r.requests[0].Key = boundKey },
 		PromiseGrace:    func(r *record) { r.stuck = []string{"entry-0"} },
 		PromiseLives:    func(r *record) { r.ended = []string{"entry-0"} },
--- a/internal/soak/verdict.go
+++ b/internal/soak/verdict.go
@@ -48,6 +48,7 @@
 	PromiseLeaving   = "a server that announces its end gets nothing new"
 	PromiseBackOff   = "a server that wants no requests for a time gets none"
 	PromiseParts     = "a part of prompts that crashes servers is refused, and no other"
+	PromiseEndless   = "a response without end is given up"
 	PromiseRegion    = "a request runs in its allowed regions only"
 	PromiseGrace     = "an entry that is told to end does so in time"
 	PromiseLives     = "no process ends by itself"
@@ -75,6 +76,7 @@
 	}
 	out = append(out, r.judgeNotices()...)
 	out = append(out, r.judgeParts()...)
+	out = append(out, r.judgeEndless()...)
 	for _, name := range r.ended {
 		out = append(out, Violation{PromiseLives, name})
 	}
