Let the stand-in engine answer with a head that has no end

Measured: its test passes; with the limit of the engine client's head taken out by hand it fails after 20 s. go test -race ./internal/standin/... ./engine pass.

--- a/internal/standin/engine/fault.go
+++ b/internal/standin/engine/fault.go
@@ -1,7 +1,9 @@
 package engine
 
 import (
+	"bytes"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -14,7 +16,7 @@
 
 // faultRequest is the body of POST /standin/fault.
 type faultRequest struct {
-	Fault  string  `json:"fault"` // die, hang, pause, slow, recover
+	Fault  string  `json:"fault"` // die, hang, pause, slow, endless, recover
 	ForMs  int64   `json:"for_ms"`
 	Factor float64 `json:"factor"`
 }
@@ -38,6 +40,8 @@
 		s.Pause(d)
 	case "slow":
 		s.Slow(f.Factor)
+	case "endless":
+		s.SendWithoutEnd()
 	case "recover":
 		s.Recover()
 	default:
@@ -99,6 +103,7 @@
 	defer s.mu.Unlock()
 	s.sched.slow = 1
 	s.hangNext = false
+	s.endless = false
 	s.unfreezeLocked()
 	if !s.dead || s.closed {
 		return
@@ -160,6 +165,32 @@
 	}
 }
 
+// endlessBytes is what the engine sends of an answer without end if its caller takes all of it. It
+// is silent then.
+const endlessBytes = 32 << 20
+
+// SendWithoutEnd makes the engine answer all calls with a head that has no end, until Recover.
+func (s *Server) SendWithoutEnd() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endless = true
+}
+
+// answerWithoutEnd writes such a head, until the caller closes the connection.
+func answerWithoutEnd(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { _ = conn.Close() }()
+	piece := bytes.Repeat([]byte("x"), 16<<10)
+	sent, err := conn.Write([]byte("HTTP/1.1 200 OK\r\nX-Long: "))
+	for n := 0; err == nil && sent < endlessBytes; sent += n {
+		n, err = conn.Write(piece)
+	}
+	_, _ = io.Copy(io.Discard, conn) // until the caller closes it
+}
+
 // Slow multiplies the cost of each step; 1 is normal speed.
 func (s *Server) Slow(factor float64) {
 	s.mu.Lock()
--- a/internal/standin/engine/fault_test.go
+++ b/internal/standin/engine/fault_test.go
@@ -478,3 +478,18 @@
 		t.Error("a waiting run was answered")
 	}
 }
+
+// Guards against a client that reads the head of an engine's answer until its memory is used up.
+func TestEndlessHeadEndsTheCall(t *testing.T) {
+	s, c := start(t, fast())
+	s.SendWithoutEnd()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	if _, err := c.Run(ctx, run("a", "hello", 1)); !errors.Is(err, client.ErrBroken) || ctx.Err() != nil {
+		t.Errorf("run: %v, %v", err, ctx.Err())
+	}
+	s.Recover()
+	if _, _, err := collect(begin(t, c, run("b", "hello", 1)), all); err != io.EOF {
+		t.Errorf("run after the recovery: %v", err)
+	}
+}
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -45,6 +45,7 @@
 	dead     bool
 	frozen   chan struct{} // closed when the hang or pause ends; nil if none
 	hangNext bool          // hang when a run is next admitted
+	endless  bool          // calls are answered with a head that has no end
 	died     chan struct{} // closed when the engine dies
 	counters Counters
 	http     *http.Server
@@ -314,11 +315,15 @@
 	if r.URL.Path != faultPath {
 		s.holdWhileFrozen(r.Context())
 		s.mu.Lock()
-		dead := s.dead
+		dead, endless := s.dead, s.endless
 		s.mu.Unlock()
 		if dead {
 			panic(http.ErrAbortHandler)
 		}
+		if endless {
+			answerWithoutEnd(w)
+			return
+		}
 	}
 	s.mux.ServeHTTP(w, r)
 }
