Limit comments in time only where the route's objectives name it; smaller buffers

Cause: a sound server may send comments for long on a route without objectives, and each stream's first buffer had 8 KB where most events have a few hundred bytes.

--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -15,4 +15,7 @@
 //     that the caller received. No event is sent twice and none is left out.
 //   - Only a configuration of bounded age authorizes an API key or proves that a route
 //     doesn't exist. With an older one, requests that need a key are refused.
+//   - An exchange holds 1 MB of a response at most beyond what it has relayed; above
+//     64 KB, all of them together hold Options.BodiesBytes. A limit in bytes and in time
+//     ends an attempt whose server sends what brings the caller nothing.
 package gateway
--- a/gateway/useless.go
+++ b/gateway/useless.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -14,12 +15,12 @@
 	// maxUselessBytes limits the bytes of a stream that bring the caller no event. Servers
 	// send some comments, to keep a connection open.
 	maxUselessBytes = 64 << 10
-	// minPatience, patienceObjectives and patiencePauses are how long callers wait for the
+	// minEventTimeout, timeoutObjectives and timeoutPauses are how long callers wait for the
 	// next event of a stream: the longest of the first, so many objectives of its first
 	// event, and so many of its longest pauses.
-	minPatience        = 2 * time.Second
-	patienceObjectives = 4
-	patiencePauses     = 8
+	minEventTimeout   = 2 * time.Second
+	timeoutObjectives = 4
+	timeoutPauses     = 8
 )
 
 // uselessBytes limits what one attempt of a stream may send without bringing the caller an event.
@@ -32,14 +33,18 @@
 // caller has relayed bytes. A server may send all of them again.
 func newUselessBytes(route *routetable.Route, relayed int64) uselessBytes {
 	return uselessBytes{
-		comments: upstream.Quota{MaxBytes: maxUselessBytes, MaxTime: eventPatience(route)},
+		comments: upstream.Quota{MaxBytes: maxUselessBytes, MaxTime: eventTimeout(route)},
 		repeated: upstream.Quota{MaxBytes: relayed + maxUselessBytes},
 	}
 }
 
-// eventPatience returns how long callers of a route wait for the next event of a stream.
-func eventPatience(route *routetable.Route) time.Duration {
-	return max(minPatience, patienceObjectives*route.Objective, patiencePauses*route.PauseObjective)
+// eventTimeout returns how long callers of a route wait for the next event of a stream; 0 if the
+// route has no objective, which tells it.
+func eventTimeout(route *routetable.Route) time.Duration {
+	if route.Objective <= 0 && route.PauseObjective <= 0 {
+		return 0
+	}
+	return max(minEventTimeout, timeoutObjectives*route.Objective, timeoutPauses*route.PauseObjective)
 }
 
 // exceeded records n bytes that were read at a time, and returns the error of the first limit
@@ -70,7 +75,7 @@
 // shrinkPending frees the buffer of a long event that was relayed.
 func (s *streamRelay) shrinkPending() {
 	if cap(s.pending) > freeHeldBytes && len(s.pending) < readBufferSize {
-		s.pending = append(make([]byte, 0, readBufferSize), s.pending...)
+		s.pending = slices.Clone(s.pending)
 	}
 }
 
@@ -90,13 +95,16 @@
 	return true
 }
 
+// minBufferBytes is the size of the smallest buffer that grow returns. Most events are shorter.
+const minBufferBytes = 512
+
 // grow returns b with room for n more bytes. Its capacity doubles up to most, so that all buffers
 // that b had before take less than the last one.
 func grow(b []byte, n, most int) []byte {
 	if len(b)+n <= cap(b) {
 		return b
 	}
-	size := max(cap(b), readBufferSize)
+	size := max(cap(b), minBufferBytes)
 	for size < len(b)+n {
 		size *= 2
 	}
--- a/upstream/doc.go
+++ b/upstream/doc.go
@@ -3,6 +3,7 @@
 //
 // Guarantees: a request is written to one connection once and is never resent by
 // this package; a response is accepted only if it carries the request's own id; a
-// connection is closed after anything unexpected on it; errors show whether anything
+// connection is closed after anything unexpected on it; what a server sends that is no answer is
+// limited in bytes and in time, and silence isn't; errors show whether anything
 // was written, so that the caller can distinguish "did not run" from "may have run".
 package upstream
