Let the responding server of the gateway's tests announce that it closes its connections

Cause (traced): TestCompanionOfRefusedPartIsServed and TestRequestWithOtherPartsIsNotQuarantined got 502 at times. Their server closes each connection after a response without saying so; the pool kept the connection, and the next request of a route that isn't idempotent was sent on it just before its end was visible. It also left the body unread, so that a reset could overtake the response.

Change: the server reads the body and sends Connection: close. The checks are the same.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -390,9 +390,14 @@
 func startRespondingServer(t *testing.T) string {
 	t.Helper()
 	return rawserver.Start(t, func(conn net.Conn, in *bufio.Reader) {
-		if r, err := http.ReadRequest(in); err == nil {
-			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", hID, r.Header.Get(hID))
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
 		}
+		// A connection that is closed with unread bytes is reset, and the reset may overtake the response.
+		_, _ = io.Copy(io.Discard, r.Body)
+		// Without Connection: close the next request may be sent just before the connection ends.
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", hID, r.Header.Get(hID))
 	})
 }
 
