--- /dev/null
+++ b/lostservers/record.go
@@ -0,0 +1,92 @@
+package lostservers
+
+import (
+	"time"
+
+	"github.com/briarturn/briarturn/internal/boottime"
+)
+
+// record holds the evidence on one instance, whatever starts of it the sources know.
+type record struct {
+	byEntry    map[uint64]testimony // newest of each source, by its incarnation
+	reportedAt boottime.Instant     // when the own evidence was last reported
+	trialUntil boottime.Instant     // this entry sends no other request until then
+}
+
+// testimony is the evidence of one source.
+type testimony struct {
+	Evidence
+	link string // as in Source
+}
+
+// put stores the newest evidence of a source. Of too many sources the one with the oldest evidence
+// is dropped.
+func (r *record) put(source Source, e Evidence) {
+	held, known := r.byEntry[source.Entry]
+	if known && held.SeenAt >= e.SeenAt {
+		return
+	}
+	if !known && len(r.byEntry) >= maxSources {
+		r.dropOldest()
+	}
+	r.byEntry[source.Entry] = testimony{Evidence: e, link: source.Link}
+}
+
+func (r *record) dropOldest() {
+	oldest, found := uint64(0), false
+	for entry, e := range r.byEntry {
+		if !found || e.SeenAt < r.byEntry[oldest].SeenAt {
+			oldest, found = entry, true
+		}
+	}
+	delete(r.byEntry, oldest)
+}
+
+// expire drops the evidence that is older than retention, and reports whether none is left.
+func (r *record) expire(now boottime.Instant) bool {
+	for entry, e := range r.byEntry {
+		if now.Sub(e.SeenAt) >= retention {
+			delete(r.byEntry, entry)
+		}
+	}
+	return len(r.byEntry) == 0
+}
+
+// verdict is what the evidence on one start of a server amounts to.
+type verdict struct {
+	lost      bool             // the evidence suffices for this entry
+	confirmed bool             // this entry, or more than one other, says so
+	newest    boottime.Instant // of the evidence
+	kind      Kind             // of the newest evidence
+	sources   int              // entries that say so
+}
+
+// judge weighs the evidence on one start of a server, from which something was received last at life.
+func (r *record) judge(self uint64, startedUnixMs int64, life, now boottime.Instant) verdict {
+	var v verdict
+	conclusive, own, independent := false, false, 0
+	links := map[string]bool{}
+	for entry, e := range r.byEntry {
+		if !e.appliesTo(startedUnixMs) || life >= e.SeenAt.Add(transitTime) || now.Sub(e.SeenAt) >= retention {
+			continue
+		}
+		v.sources++
+		if v.newest < e.SeenAt {
+			v.newest, v.kind = e.SeenAt, e.Kind
+		}
+		own = own || entry == self
+		conclusive = conclusive || e.Kind.conclusive()
+		if e.link == "" || !links[e.link] {
+			independent++
+		}
+		links[e.link] = true
+	}
+	v.confirmed = own || independent > 1
+	v.lost = v.confirmed || conclusive
+	return v
+}
+
+// holds reports whether a server gets no requests from this entry now.
+func (v verdict) holds(r *record, hold time.Duration, now boottime.Instant) bool {
+	return v.lost && (now.Sub(v.newest) < hold || now < r.trialUntil)
+}
