Share evidence of lost servers between entries and leave lost servers out

Change: refused and silent attempts to connect, and probes after broken attempts, feed lostservers.Table; entries exchange evidence in WorkNews; placement leaves lost servers out where the feature is on.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -199,6 +199,7 @@
 		e.connectFailures++
 		e.retry.Return()
 		attempt.Refused("")
+		e.observeDialFailure(ctx, attempt.Server, err)
 	}
 	if ctx.Err() == nil {
 		e.gateway.cfg.Log.WithError(err).WithField("request", e.info.ID).Info("attempt failed")
--- a/gateway/candidates.go
+++ b/gateway/candidates.go
@@ -36,17 +36,22 @@
 	if len(candidates) == 0 {
 		candidates = alreadyTried
 	}
-	return e.gateway.cfg.Placer.Place(e.placementQuery(), candidates)
+	placed, decision := e.gateway.cfg.Placer.Place(e.placementQuery(), candidates)
+	if decision == placement.Placed {
+		e.startTrial(placed)
+	}
+	return placed, decision
 }
 
 // eligibleServers returns the servers that the request may be sent to now, or the cause why there
 // are none.
 func (e *exchange) eligibleServers(coldLimit eligible.ColdLimit, now time.Time) ([]upstream.Server, eligible.Cause) {
 	notices := e.gateway.cfg.Notices.View()
-	return eligible.Filter(e.gateway.cfg.Directory.AvailableServers(e.service.Name, now),
+	servers, cause := eligible.Filter(e.gateway.cfg.Directory.AvailableServers(e.service.Name, now),
 		e.regionCondition(), eligible.NotEvacuated{Zones: coldLimit.Zones},
 		eligible.NotDraining{Notices: notices}, eligible.NotBackingOff{Notices: notices, Now: now},
 		coldLimit, e.rateLimit(now))
+	return e.withoutLost(servers), cause
 }
 
 // reasonAfterRefusals returns the reason for a refusal after servers have refused all attempts: why
--- a/gateway/deaths.go
+++ b/gateway/deaths.go
@@ -150,11 +150,13 @@
 // inspectServer checks what became of the server of an attempt that broke, and logs it with
 // the deaths that are known of the request, and with what the request may share with others.
 func (e *exchange) inspectServer(ctx context.Context, attempt *placedAttempt, stage brokenStage, err error) upstream.ProbeResult {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	found := upstream.ProbeSilent
 	if !isTimeout(err) { // a server that has been silent for the timeout would only delay the next attempt
-		found = e.gateway.cfg.Pool.Probe(ctx, attempt.Server.Address)
+		var probeErr error
+		found, probeErr = e.gateway.cfg.Pool.ProbeWithCause(probeCtx, attempt.Server.Address)
+		e.observeProbe(ctx, attempt.Server, found, probeErr)
 	}
 	e.gateway.counters.brokenAttempts[found].Inc(1)
 	e.gateway.cfg.Log.WithFields(logrus.Fields{
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,8 @@
 
 	"github.com/briarturn/briarturn/allowance"
 	"github.com/briarturn/briarturn/evacuation"
+	"github.com/briarturn/briarturn/internal/boottime"
+	"github.com/briarturn/briarturn/lostservers"
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/quarantine"
 	"github.com/briarturn/briarturn/reservation"
@@ -34,6 +36,8 @@
 	LimitReporter LimitReporter
 	Notices       *servernotice.Table // what servers announced in their responses
 	DrainReporter DrainReporter
+	Lost          *lostservers.Table // evidence of servers that don't serve
+	LossReporter  LossReporter
 	Pool          *upstream.Pool
 	Placer        Placer
 	Budget        *retrybudget.Budget
@@ -64,12 +68,14 @@
 	phase             atomic.Int32 // shutdown phase
 	bufferedBodyBytes atomic.Int64 // bytes of request bodies held in memory
 	possibleDeaths    possibleDeathList
+	lostClock         boottime.Clock  // of the evidence in cfg.Lost
+	loggedLost        map[uint64]bool // servers that counted as lost at the last LogLostServers
 }
 
 // New returns a Gateway. Options that are not set take their defaults.
 func New(cfg Config) *Gateway {
 	cfg.Options = cfg.Options.withDefaults()
-	return &Gateway{cfg: cfg, counters: newCounters(cfg.Metrics)}
+	return &Gateway{cfg: cfg, counters: newCounters(cfg.Metrics), lostClock: boottime.Now}
 }
 
 // ServeHTTP implements http.Handler.
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	"github.com/briarturn/briarturn/evacuation"
 	"github.com/briarturn/briarturn/internal/boottime"
 	"github.com/briarturn/briarturn/internal/quiet"
+	"github.com/briarturn/briarturn/lostservers"
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/quarantine"
 	"github.com/briarturn/briarturn/retrybudget"
@@ -103,6 +105,8 @@
 	deaths       *deathRecorder
 	limits       *limitRecorder
 	drains       *drainRecorder
+	losses       *lossRecorder
+	lostNow      atomic.Int64 // boottime.Instant; where losses are shared
 
 	mu         sync.Mutex
 	arrivalLog []string // "server id" of each request that arrived at a server, in order
@@ -125,6 +129,17 @@
 	d.servers = append(d.servers, s)
 }
 
+type lossRecorder struct {
+	mu   sync.Mutex
+	list []lostservers.Evidence
+}
+
+func (l *lossRecorder) ReportLoss(e lostservers.Evidence) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.list = append(l.list, e)
+}
+
 type deathRecorder struct {
 	records   []quarantine.Record
 	completed []uint64
@@ -162,7 +177,7 @@
 func newTestGateway(t testing.TB, servers ...http.HandlerFunc) *testGateway {
 	t.Helper()
 	now := boottime.Instant(time.Hour)
-	gw := &testGateway{t: t, clock: &now, directory: upstream.NewDirectory(0), deaths: &deathRecorder{}, limits: &limitRecorder{}, drains: &drainRecorder{}}
+	gw := &testGateway{t: t, clock: &now, directory: upstream.NewDirectory(0), deaths: &deathRecorder{}, limits: &limitRecorder{}, drains: &drainRecorder{}, losses: &lossRecorder{}}
 	gw.zones = evacuation.NewZones(func() boottime.Instant { return *gw.clock })
 	gw.zones.Replace(nil, now)
 	gw.coldSends = allowance.NewLimiter("e1", time.Now().Add(-time.Minute))
@@ -183,6 +198,8 @@
 		LimitReporter: gw.limits,
 		Notices:       servernotice.NewTable(),
 		DrainReporter: gw.drains,
+		Lost:          lostservers.NewTable(1),
+		LossReporter:  gw.losses,
 		Pool:          upstream.NewPool(r),
 		Placer:        firstPlacer{placement.NewPlanner(ledger, 1, time.Now, nil)},
 		Budget:        newRetryBudget(retrybudget.Options{Slack: 1000, Window: time.Minute}),
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -78,6 +78,7 @@
 	reserved, failed, err := e.gateway.cfg.Reserver.Acquire(ctx, e.info.ID, parts)
 	if err != nil {
 		placed.HolderRefused(failed)
+		e.observeDialFailure(ctx, placed.Holders[failed], err)
 		e.gateway.cfg.Log.WithError(err).WithFields(logrus.Fields{
 			"request": e.info.ID, "holders": len(parts), "tokens_each": placed.HolderTokens,
 		}).Info("memory not reserved")
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -16,12 +16,13 @@
 	ReportDrain(s servernotice.Server)
 }
 
-// observeServer records what the response to an attempt announces of its server. A response of
+// observeServer records what the response to an attempt shows of its server. A response of
 // another instance announces nothing of the expected one.
 func (e *exchange) observeServer(attempt *placedAttempt, v ResponseInfo) {
 	if v.OtherInstance {
 		return
 	}
+	e.observeLife(attempt.Server)
 	now := time.Now()
 	e.observeLimit(attempt, v.RateLimit, now)
 	e.observeDraining(attempt, v.Draining, now)
--- a/gateway/placedattempt.go
+++ b/gateway/placedattempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -16,6 +17,7 @@
 	reservation    *reservation.Reservation // nil if no memory is reserved
 	firstEventSeen bool                     // an event of the stream was relayed
 	began          bool                     // the server has begun to respond with content
+	lifeAt         time.Time                // when an event was last recorded as a sign of life of the server
 }
 
 // context returns a context that ends with its parent, or when the engines report that
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -149,6 +149,7 @@
 		s.longestPause = max(s.longestPause, now.Sub(s.lastEventAt))
 	}
 	s.lastEventAt = now
+	s.exchange.observeEvent(attempt, now)
 	attempt.recordEvent()
 	s.events++
 	_, err := s.exchange.writer.Write(event)
--- a/internal/capacity/measure_gateway.go
+++ b/internal/capacity/measure_gateway.go
@@ -10,6 +10,7 @@
 	"github.com/briarturn/briarturn/internal/quiet"
 	"github.com/briarturn/briarturn/internal/sleep"
 	standin "github.com/briarturn/briarturn/internal/standin/objectapi"
+	"github.com/briarturn/briarturn/lostservers"
 	"github.com/briarturn/briarturn/peering"
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/quarantine"
@@ -49,7 +50,7 @@
 		}
 		x, err := peering.Start(ctx, peering.Config{
 			Name: name, ListenAddress: "127.0.0.1:0", Incarnation: uint64(i) + 1, Zone: "z", Region: "r", Store: store,
-			Ledger: l, Quarantine: quarantine.NewTracker(quarantine.DefaultOptions), Parts: quarantine.NewPartTracker(quarantine.DefaultPartOptions), Limits: serverlimit.NewTable(),
+			Ledger: l, Quarantine: quarantine.NewTracker(quarantine.DefaultOptions), Parts: quarantine.NewPartTracker(quarantine.DefaultPartOptions), Limits: serverlimit.NewTable(), Lost: lostservers.NewTable(uint64(i) + 1),
 			OnEntriesChanged: func(names []string, _ bool) { known[i] <- len(names) }, Log: quiet.Logger(), Metrics: r,
 		})
 		if err != nil {
--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -18,6 +18,7 @@
 	"github.com/briarturn/briarturn/internal/boottime"
 	"github.com/briarturn/briarturn/internal/graceful"
 	"github.com/briarturn/briarturn/internal/sleep"
+	"github.com/briarturn/briarturn/lostservers"
 	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/peering"
 	"github.com/briarturn/briarturn/placement"
@@ -128,6 +129,7 @@
 	limits        *serverlimit.Table
 	limitedSends  *allowance.Limiter
 	notices       *servernotice.Table
+	lost          *lostservers.Table
 	parts         *quarantine.PartTracker
 	suspectLog    suspectLog
 	pool          *upstream.Pool
@@ -175,6 +177,7 @@
 		return nil, err
 	}
 	incarnation := rand.Uint64()
+	n.lost = lostservers.NewTable(incarnation)
 	suspects := quarantine.NewTracker(gateway.QuarantineOptions())
 	partOptions := quarantine.DefaultPartOptions
 	partOptions.TrialDelay = rand.Float64()
@@ -196,6 +199,7 @@
 		Parts:         n.parts,
 		Limits:        n.limits,
 		Notices:       n.notices,
+		Lost:          n.lost,
 		Retries:       budget,
 		OnEntriesChanged: func(names []string, listed bool) {
 			if listed {
@@ -229,6 +233,8 @@
 		LimitReporter: exchange.LimitReporter(),
 		Notices:       n.notices,
 		DrainReporter: exchange.DrainReporter(),
+		Lost:          n.lost,
+		LossReporter:  exchange.LossReporter(),
 		Pool:          n.pool,
 		Placer:        placement.NewPlanner(n.ledger, incarnation, time.Now, exchange.AttemptPublisher()).SetPolicy(cmp.Or(cfg.Policy, placement.LeastLoss)),
 		Budget:        budget,
@@ -306,6 +312,8 @@
 		registered := func(server uint64) bool { return n.engines.contains(n.directory, server) }
 		n.limits.Sweep(registered, time.Now())
 		n.notices.Sweep(registered, time.Now())
+		n.lost.Sweep(boottime.Now())
+		n.gateway.LogLostServers()
 		n.ledger.PruneServers(registered)
 		n.suspectLog.write(n.cfg.Log, n.parts.Suspicions())
 	}
--- a/peering/exchange.go
+++ b/peering/exchange.go
@@ -12,7 +12,9 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/briarturn/briarturn/gateway"
+	"github.com/briarturn/briarturn/internal/boottime"
 	"github.com/briarturn/briarturn/internal/sleep"
+	"github.com/briarturn/briarturn/lostservers"
 	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/quarantine"
@@ -60,6 +62,7 @@
 	Parts         *quarantine.PartTracker
 	Limits        *serverlimit.Table
 	Notices       *servernotice.Table
+	Lost          *lostservers.Table
 	Retries       *retrybudget.Budget // lends to peers and borrows from them; nil: neither
 	// OnEntriesChanged is called with the names of all known entries, including this one,
 	// and with whether the object API has listed them at least once. Before the first
@@ -149,6 +152,9 @@
 // that they drain.
 func (x *Exchange) DrainReporter() gateway.DrainReporter { return x.outbox }
 
+// LossReporter returns the reporter to which the entry's gateway reports evidence of lost servers.
+func (x *Exchange) LossReporter() gateway.LossReporter { return x.outbox }
+
 // Close closes the datagram socket.
 func (x *Exchange) Close() error { return errors.Trace(x.datagrams.Close()) }
 
@@ -189,7 +195,7 @@
 }
 
 // publishLoop broadcasts the contents of the outbox until ctx ends. Attempt starts, server
-// deaths, limits and drains of servers go out at once; other updates wait for batchDelay.
+// deaths, limits, drains and losses of servers go out at once; other updates wait for batchDelay.
 func (x *Exchange) publishLoop(ctx context.Context) {
 	for {
 		select {
@@ -218,6 +224,7 @@
 		x.repeatParts(time.Now())
 		x.repeatLimits(time.Now())
 		x.repeatDrains(time.Now())
+		x.repeatLostServers(boottime.Now())
 		// UpTo is read before the list: an attempt that starts in between may or may not
 		// be listed.
 		m := &wirepb.WorkNews{Owner: x.cfg.Incarnation, Beat: true, UpTo: x.outbox.lastSeq()}
@@ -364,6 +371,7 @@
 	x.handleParts(m, now)
 	x.handleRates(m.GetRates(), now)
 	x.handleDrains(m.GetDrains(), now)
+	x.handleLostServers(owner, m.GetLostServers(), boottime.Now())
 	x.handleRetries(m)
 	if m.GetBeat() {
 		x.cfg.Ledger.Reconcile(owner, m.GetActive(), m.GetUpTo(), now.Add(-reorderTolerance))
--- a/peering/exchange_test.go
+++ b/peering/exchange_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/briarturn/briarturn/internal/quiet"
 	memory "github.com/briarturn/briarturn/internal/standin/objectapi"
+	"github.com/briarturn/briarturn/lostservers"
 	"github.com/briarturn/briarturn/objectapi"
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/quarantine"
@@ -25,6 +26,7 @@
 	quarantine  *quarantine.Tracker
 	limits      *serverlimit.Table
 	notices     *servernotice.Table
+	lost        *lostservers.Table
 	parts       *quarantine.PartTracker
 	stop        context.CancelFunc
 	entryCounts chan int
@@ -49,12 +51,13 @@
 		quarantine:  quarantine.NewTracker(quarantine.DefaultOptions),
 		limits:      serverlimit.NewTable(),
 		notices:     servernotice.NewTable(),
+		lost:        lostservers.NewTable(incarnation),
 		parts:       quarantine.NewPartTracker(quarantine.DefaultPartOptions),
 		stop:        stop,
 		entryCounts: make(chan int, 64),
 	}
 	cfg := Config{
-		Name: name, ListenAddress: "127.0.0.1:0", Incarnation: incarnation, Store: store, Ledger: e.ledger, Quarantine: e.quarantine, Parts: e.parts, Limits: e.limits, Notices: e.notices,
+		Name: name, ListenAddress: "127.0.0.1:0", Incarnation: incarnation, Store: store, Ledger: e.ledger, Quarantine: e.quarantine, Parts: e.parts, Limits: e.limits, Notices: e.notices, Lost: e.lost,
 		OnEntriesChanged: func(names []string, _ bool) { e.entryCounts <- len(names) }, Log: quiet.Logger(), Metrics: metrics.NewRegistry(),
 	}
 	change(&cfg)
--- a/peering/outbox.go
+++ b/peering/outbox.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/briarturn/briarturn/internal/boottime"
+	"github.com/briarturn/briarturn/lostservers"
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/quarantine"
 	"github.com/briarturn/briarturn/retrybudget"
@@ -24,7 +26,7 @@
 
 // outbox collects this entry's updates until publishLoop sends them. It implements
 // placement.AttemptPublisher, gateway.DeathReporter, gateway.LimitReporter,
-// gateway.DrainReporter and retrybudget.Asker.
+// gateway.DrainReporter, gateway.LossReporter and retrybudget.Asker.
 type outbox struct {
 	owner uint64
 	wake  chan struct{} // holds one token while updates are pending
@@ -42,6 +44,7 @@
 	loans         []retryLoan
 	limits        []serverlimit.Observation
 	drains        []servernotice.Server
+	lost          []lostservers.Evidence
 	firstTokens   []uint64
 	ended         []uint64
 }
@@ -106,12 +109,12 @@
 	}
 }
 
-// urgent reports whether attempt starts, questions about retries, or deaths, limits or drains of
+// urgent reports whether attempt starts, questions about retries, or deaths, limits, drains or losses of
 // servers are pending.
 func (o *outbox) urgent() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.began)+len(o.deaths)+len(o.limits)+len(o.drains)+len(o.asks)+len(o.loans) > 0 || !o.parts.empty()
+	return len(o.began)+len(o.deaths)+len(o.limits)+len(o.drains)+len(o.lost)+len(o.asks)+len(o.loans) > 0 || !o.parts.empty()
 }
 
 // drain empties the outbox and returns its updates as messages that each fit a datagram.
@@ -119,8 +122,8 @@
 	o.mu.Lock()
 	began, first, ended, died, completed := o.began, o.firstTokens, o.ended, o.deaths, o.completed
 	o.began, o.firstTokens, o.ended, o.deaths, o.completed = nil, nil, nil, nil, nil
-	limits, drains, parts := o.limits, o.drains, o.parts
-	o.limits, o.drains, o.parts = nil, nil, partReports{}
+	limits, drains, lost, parts := o.limits, o.drains, o.lost, o.parts
+	o.limits, o.drains, o.lost, o.parts = nil, nil, nil, partReports{}
 	o.reportedParts.add(parts)
 	for _, r := range died {
 		o.reported = append(o.reported, reportedDeath{record: r, at: now})
@@ -132,6 +135,7 @@
 		completionMessages(o.owner, completed),
 		limitMessages(o.owner, limits),
 		drainMessages(o.owner, drains),
+		lostServerMessages(o.owner, lost, boottime.Now()),
 		partMessages(o.owner, parts, now),
 	)
 }
--- a/peering/relay.go
+++ b/peering/relay.go
@@ -58,7 +58,7 @@
 
 // bypassesRelays reports whether a message goes directly to every peer.
 func (x *Exchange) bypassesRelays(m *wirepb.WorkNews) bool {
-	if len(m.GetEvidence())+len(m.GetRates())+len(m.GetDrains())+len(m.GetPartDeaths()) > 0 || m.GetHello() != nil {
+	if len(m.GetEvidence())+len(m.GetRates())+len(m.GetDrains())+len(m.GetLostServers())+len(m.GetPartDeaths()) > 0 || m.GetHello() != nil {
 		return true
 	}
 	x.mu.Lock()
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -90,16 +90,22 @@
 // Probe opens a new connection to an address. An accepted connection is kept for the
 // next request.
 func (p *Pool) Probe(ctx context.Context, address string) ProbeResult {
+	found, _ := p.ProbeWithCause(ctx, address)
+	return found
+}
+
+// ProbeWithCause is Probe. It also returns why no connection was opened, for DialFailureOf.
+func (p *Pool) ProbeWithCause(ctx context.Context, address string) (ProbeResult, error) {
 	c, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err == nil {
 		p.opened.Inc(1)
 		p.put(address, newConn(c), defaultMaxIdle)
-		return ProbeAccepted
+		return ProbeAccepted, nil
 	}
 	if timeout := net.Error(nil); ctx.Err() != nil || errors.As(err, &timeout) && timeout.Timeout() {
-		return ProbeSilent
+		return ProbeSilent, errors.Trace(err)
 	}
-	return ProbeRefused
+	return ProbeRefused, errors.Trace(err)
 }
 
 // pop takes the most recently used idle connection out of the pool. It returns nil
--- a/wire/check.go
+++ b/wire/check.go
@@ -21,6 +21,7 @@
 	maxEvidence          = 40      // evidence records of one datagram
 	maxRates             = 60      // server rates of one datagram
 	maxDrains            = 60      // draining servers of one datagram
+	maxLostServers       = 60      // lost servers of one datagram
 	maxCompleted         = 120     // completed fingerprints of one datagram
 	maxRetryTokens       = 1024    // retries that one entry asks another for, or lends it
 	maxEntries           = 512     // entries of a region
@@ -84,6 +85,7 @@
 		require(len(w.GetCompleted()) <= maxCompleted, "work.completed"),
 		checkRates(w.GetRates()),
 		checkDrains(w.GetDrains()),
+		checkLostServers(w.GetLostServers()),
 		checkPartDeaths(w.GetPartDeaths()),
 		checkPartsCleared(w.GetPartsCleared()),
 		checkRetryAsks(w.GetRetryAsks()),
@@ -193,6 +195,24 @@
 	return nil
 }
 
+func checkLostServers(list []*wirepb.LostServer) error {
+	if err := require(len(list) <= maxLostServers, "work.lost_servers"); err != nil {
+		return err
+	}
+	for _, l := range list {
+		err := firstError(
+			require(l.GetServer() != 0, "work.lost_servers.server"),
+			require(l.GetStartedUnixMs() <= math.MaxInt64, "work.lost_servers.started_unix_ms"),
+			require(l.GetKind() >= 0, "work.lost_servers.kind"),
+			require(l.GetAgeMs() <= maxMillis, "work.lost_servers.age_ms"),
+		)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // MaxRatePerSecond is the greatest request rate of a server that a message may carry.
 const MaxRatePerSecond = 1e6
 
--- a/wire/check_test.go
+++ b/wire/check_test.go
@@ -54,6 +54,23 @@
 	}
 }
 
+// Guards against evidence of a corrupt datagram that excludes servers.
+func TestInvalidLostServersAreRejected(t *testing.T) {
+	for name, lost := range map[string][]*wirepb.LostServer{
+		"no server":  {{Kind: wirepb.LossKind_LOSS_REFUSED}},
+		"start time": {{Server: 1, StartedUnixMs: 1 << 63}},
+		"kind":       {{Server: 1, Kind: -1}},
+		"age":        {{Server: 1, AgeMs: maxMillis + 1}},
+		"too many":   slices.Repeat([]*wirepb.LostServer{{Server: 1}}, maxLostServers+1),
+		"":           {{Server: 1, StartedUnixMs: 1, Kind: 99, AgeMs: 1}}, // valid; a later release may have more kinds
+	} {
+		err := Check(&wirepb.Datagram{Body: &wirepb.Datagram_Work{Work: &wirepb.WorkNews{Owner: 5, LostServers: lost}}})
+		if (err == nil) != (name == "") {
+			t.Errorf("%q: %v", name, err)
+		}
+	}
+}
+
 // Guards against reports of a corrupt datagram that hold or refuse parts of prompts.
 func TestInvalidPartReportsAreRejected(t *testing.T) {
 	scope := &wirepb.PartScope{Service: "s", Model: "m"}
