Show lost servers in status and log, with who says so; bound the reports on one server

Cause: operators must see which servers get no requests and why; each entry that meets a death would report it.

An entry whose evidence two others have just sent sends none.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,8 +68,7 @@
 	phase             atomic.Int32 // shutdown phase
 	bufferedBodyBytes atomic.Int64 // bytes of request bodies held in memory
 	possibleDeaths    possibleDeathList
-	lostClock         boottime.Clock  // of the evidence in cfg.Lost
-	loggedLost        map[uint64]bool // servers that counted as lost at the last LogLostServers
+	lostClock         boottime.Clock // of the evidence in cfg.Lost
 }
 
 // New returns a Gateway. Options that are not set take their defaults.
--- a/gateway/lostservers.go
+++ b/gateway/lostservers.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/briarturn/briarturn/eligible"
 	"github.com/briarturn/briarturn/lostservers"
 	"github.com/briarturn/briarturn/placement"
@@ -30,7 +28,7 @@
 
 // withoutLost leaves out the servers that count as lost. Some server is always left.
 func (e *exchange) withoutLost(servers []upstream.Server) []upstream.Server {
-	if len(servers) == 0 || !e.sharesLosses() {
+	if len(servers) == 0 || !e.sharesLosses() || !e.gateway.cfg.Lost.HasEvidence() {
 		return servers
 	}
 	starts := make([]servernotice.Server, len(servers))
@@ -109,45 +107,3 @@
 	attempt.lifeAt = now
 	e.observeLife(attempt.Server)
 }
-
-// LogLostServers logs which servers count as lost since the last call, and which no longer do. Call
-// it about once a second, not concurrently.
-func (g *Gateway) LogLostServers() {
-	lost := map[uint64]bool{}
-	for _, s := range g.LostServers() {
-		lost[s.Server.Key] = true
-		if !g.loggedLost[s.Server.Key] {
-			g.cfg.Log.WithFields(logrus.Fields{
-				"server": s.Address, "instance": s.Instance, "kind": s.Kind.String(), "sources": s.Sources, "own": s.Own,
-				"age_ms": s.Age.Milliseconds(),
-			}).Info("server counts as lost")
-		}
-	}
-	for _, s := range g.cfg.Directory.All() {
-		key := placement.ServerKey(s.Instance)
-		if g.loggedLost[key] && !lost[key] {
-			g.cfg.Log.WithField("server", s.Address).WithField("instance", s.Instance).Info("server no longer counts as lost")
-		}
-	}
-	g.loggedLost = lost
-}
-
-// LostServer is a registered server that counts as lost.
-type LostServer struct {
-	lostservers.Status
-	Instance string
-	Address  string
-}
-
-// LostServers returns the registered servers that count as lost.
-func (g *Gateway) LostServers() []LostServer {
-	now := g.lostClock()
-	var out []LostServer
-	for _, s := range g.cfg.Directory.All() {
-		start := servernotice.ServerOf(s.Instance, s.StartedUnixMs)
-		for _, status := range g.cfg.Lost.Lost([]servernotice.Server{start}, now) {
-			out = append(out, LostServer{Status: status, Instance: s.Instance, Address: s.Address})
-		}
-	}
-	return out
-}
--- a/gateway/lostservers_test.go
+++ b/gateway/lostservers_test.go
@@ -56,6 +56,15 @@
 	}
 }
 
+// lostServers returns the registered servers that count as lost.
+func (gw *testGateway) lostServers() []lostservers.Status {
+	var servers []servernotice.Server
+	for _, s := range gw.directory.All() {
+		servers = append(servers, servernotice.ServerOf(s.Instance, s.StartedUnixMs))
+	}
+	return gw.gateway.cfg.Lost.Lost(servers, gw.gateway.lostClock())
+}
+
 // respondingServers returns n servers that respond.
 func respondingServers(n int) []http.HandlerFunc {
 	out := make([]http.HandlerFunc, n)
@@ -195,7 +204,7 @@
 	defer func() { _ = response.Body.Close() }()
 	s1 := servernotice.ServerOf("s1", 0)
 	gw.merge(lostservers.Source{Entry: 2}, lostservers.Refused, []servernotice.Server{s1})
-	if got := gw.gateway.LostServers(); len(got) != 1 || got[0].Instance != "s1" || got[0].Own {
+	if got := gw.lostServers(); len(got) != 1 || got[0].Server != s1 || got[0].Sources[0] != 2 {
 		t.Errorf("lost %+v", got)
 	}
 	gw.lostNow.Add(int64(time.Second)) // what the server sends now was not on its way
@@ -205,7 +214,7 @@
 	if err != nil || string(got) != eventText(1, 2) {
 		t.Errorf("%q, error %v", got, err)
 	}
-	if got := gw.gateway.LostServers(); len(got) != 0 {
+	if got := gw.lostServers(); len(got) != 0 {
 		t.Errorf("lost %+v although its events arrive", got)
 	}
 	gw.wantArrivals("s1 id-1")
@@ -216,7 +225,32 @@
 	gw := newTestGateway(t, append([]http.HandlerFunc{dropConnection}, respondingServers(2)...)...).sharingLosses()
 	r, _, err := gw.send(http.MethodPost, "/safe/", "body")
 	wantStatus(t, r, err, http.StatusOK)
-	if got := gw.gateway.LostServers(); len(got) != 0 || len(gw.losses.list) != 0 {
+	if got := gw.lostServers(); len(got) != 0 || len(gw.losses.list) != 0 {
 		t.Errorf("lost %+v, reported %+v", got, gw.losses.list)
 	}
 }
+
+// Guards against entries that each pay for the discovery of the same lost servers. The load: five
+// servers are down; one entry finds them, and the other has the next request.
+func TestOtherEntryServesAtFirstAttempt(t *testing.T) {
+	first, second := newTestGateway(t, respondingServers(6)...).sharingLosses(), newTestGateway(t).sharingLosses()
+	first.addLostServers(DefaultConnectTries + 1)
+	for _, s := range first.directory.All() {
+		second.directory.Put(s)
+	}
+	for range 2 { // the first request uses up its attempts
+		_, _, err := first.send(http.MethodPost, "/once/", "body")
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	now := second.gateway.lostClock()
+	for _, e := range first.losses.list {
+		second.gateway.cfg.Lost.Merge(lostservers.Source{Entry: 2}, e, now)
+	}
+	r, _, err := second.send(http.MethodPost, "/once/", "body")
+	wantStatus(t, r, err, http.StatusOK)
+	if got := second.gateway.counters.attempts.Count(); got != 1 {
+		t.Errorf("%d attempts, want 1", got)
+	}
+}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -47,6 +47,15 @@
 	HeldTokens     int64  `json:"held_tokens"`
 	CapacityTokens int64  `json:"capacity_tokens"`
 	LoadAgeMS      int64  `json:"load_age_ms"`
+	// Lost is set if a gateway sends the server no requests because evidence says that it doesn't serve.
+	Lost *LostServer `json:"lost,omitempty"`
+}
+
+// LostServer is the evidence that a server doesn't serve.
+type LostServer struct {
+	Evidence string   `json:"evidence"` // the newest: refused, reset or silent
+	Entries  []string `json:"entries"`  // who say so
+	AgeMS    int64    `json:"age_ms"`   // of the newest
 }
 
 // Status is the state of one process.
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -224,6 +224,9 @@
 	if s.Draining {
 		state = "draining"
 	}
+	if s.Lost != nil {
+		state = fmt.Sprintf("lost (%s %d ms ago, by %s)", s.Lost.Evidence, s.Lost.AgeMS, strings.Join(s.Lost.Entries, " "))
+	}
 	line := []string{s.Name, teller, s.Zone, s.Pool, state, objectapi.FormatRevision(s.ConfigRevision)}
 	for _, n := range []int64{s.Running, s.Waiting, s.UsedTokens, s.HeldTokens, s.CapacityTokens, s.LoadAgeMS} {
 		line = append(line, fmt.Sprint(n))
--- a/internal/ctl/status_test.go
+++ b/internal/ctl/status_test.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -56,3 +57,19 @@
 		t.Errorf("the agent alone: in force at %d of %d, want 0 of 1", f.InForce, f.Known)
 	}
 }
+
+// Guards against an operator who can't see that a gateway sends a server nothing, and who said that it
+// doesn't serve.
+func TestStatusShowsLostServer(t *testing.T) {
+	lost := admin.LostServer{Evidence: "refused", Entries: []string{"e1", "e2"}, AgeMS: 40}
+	f := &fleetStatus{Processes: []processStatus{{Status: admin.Status{
+		Name: "g1", Role: roleGateway, Servers: []admin.ServerStatus{{Name: "b1", State: "live", Lost: &lost}, {Name: "b2", State: "live"}},
+	}}}}
+	var out strings.Builder
+	if err := f.writeTable(&out); err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(out.String(), "lost (refused 40 ms ago, by e1 e2)") || strings.Count(out.String(), "lost") != 1 {
+		t.Error(out.String())
+	}
+}
--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -132,6 +132,7 @@
 	lost          *lostservers.Table
 	parts         *quarantine.PartTracker
 	suspectLog    suspectLog
+	lostLog       lostLog
 	pool          *upstream.Pool
 	gateway       *gateway.Gateway
 	callers       *graceful.Server
@@ -139,6 +140,7 @@
 	admin         *http.Server
 	stop          context.CancelFunc
 	serversListed listedFlag
+	incarnation   uint64
 	configVersion uint64 // object version of the configuration in force; only sink uses it
 	ledger        *placement.Ledger
 	exchange      *peering.Exchange
@@ -177,6 +179,7 @@
 		return nil, err
 	}
 	incarnation := rand.Uint64()
+	n.incarnation = incarnation
 	n.lost = lostservers.NewTable(incarnation)
 	suspects := quarantine.NewTracker(gateway.QuarantineOptions())
 	partOptions := quarantine.DefaultPartOptions
@@ -313,7 +316,7 @@
 		n.limits.Sweep(registered, time.Now())
 		n.notices.Sweep(registered, time.Now())
 		n.lost.Sweep(boottime.Now())
-		n.gateway.LogLostServers()
+		n.lostLog.write(n.cfg.Log, n.lostServers(boottime.Now()))
 		n.ledger.PruneServers(registered)
 		n.suspectLog.write(n.cfg.Log, n.parts.Suspicions())
 	}
--- a/internal/gatewaynode/status.go
+++ b/internal/gatewaynode/status.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/briarturn/briarturn/internal/admin"
+	"github.com/briarturn/briarturn/internal/boottime"
 	"github.com/briarturn/briarturn/servernotice"
 	"github.com/briarturn/briarturn/upstream"
 )
@@ -38,7 +39,7 @@
 	if table, _, ok := n.routes.Table(); ok {
 		s.ConfigRevision = table.Revision()
 	}
-	now, notices := time.Now(), n.notices.View()
+	now, notices, lost := time.Now(), n.notices.View(), n.lostServers(boottime.Now())
 	for _, server := range n.directory.All() {
 		state := stateLive
 		switch {
@@ -48,7 +49,11 @@
 			state = stateCold
 		}
 		draining := server.Draining || notices.Draining(servernotice.ServerOf(server.Instance, server.StartedUnixMs))
-		s.Servers = append(s.Servers, serverStatus(server, state, draining))
+		line := serverStatus(server, state, draining)
+		if evidence, ok := lost[server.Instance]; ok {
+			line.Lost = &evidence
+		}
+		s.Servers = append(s.Servers, line)
 	}
 	slices.SortFunc(s.Servers, func(a, b admin.ServerStatus) int { return cmp.Compare(a.Name, b.Name) })
 	return s
--- a/lostservers/evidence.go
+++ b/lostservers/evidence.go
@@ -41,6 +41,12 @@
 	return e.Server.StartedUnixMs == 0 || startedUnixMs <= e.Server.StartedUnixMs
 }
 
+// stands reports whether evidence counts now against a start of its server, from which something was
+// received last at life.
+func (e Evidence) stands(startedUnixMs int64, life, now boottime.Instant) bool {
+	return e.appliesTo(startedUnixMs) && life < e.SeenAt.Add(transitTime) && now.Sub(e.SeenAt) < retention
+}
+
 // Source is the entry that has seen something.
 type Source struct {
 	Entry uint64 // incarnation
@@ -67,6 +73,9 @@
 	transitTime = 100 * time.Millisecond
 	// reportInterval is the minimum time between two reports on one server.
 	reportInterval = 250 * time.Millisecond
+	// sufficientReports is the number of other entries after whose reports on a server this one needs
+	// none: they suffice also where most servers are lost.
+	sufficientReports = 2
 	// maxGap is the longest time between two calls of a Table, which Sweep bounds to a second, unless
 	// the process was stopped.
 	maxGap = 2500 * time.Millisecond
--- a/lostservers/record.go
+++ b/lostservers/record.go
@@ -1,6 +1,7 @@
 package lostservers
 
 import (
+	"slices"
 	"time"
 
 	"github.com/briarturn/briarturn/internal/boottime"
@@ -42,6 +43,18 @@
 	delete(r.byEntry, oldest)
 }
 
+// othersReported reports whether enough other entries have just reported what this entry has seen.
+func (r *record) othersReported(self uint64, own Evidence) bool {
+	n := 0
+	for entry, e := range r.byEntry {
+		same := e.Kind.conclusive() && e.Server.StartedUnixMs == own.Server.StartedUnixMs
+		if entry != self && same && own.SeenAt.Sub(e.SeenAt) < reportInterval {
+			n++
+		}
+	}
+	return n >= sufficientReports
+}
+
 // expire drops the evidence that is older than retention, and reports whether none is left.
 func (r *record) expire(now boottime.Instant) bool {
 	for entry, e := range r.byEntry {
@@ -58,34 +71,44 @@
 	confirmed bool             // this entry, or more than one other, says so
 	newest    boottime.Instant // of the evidence
 	kind      Kind             // of the newest evidence
-	sources   int              // entries that say so
 }
 
 // judge weighs the evidence on one start of a server, from which something was received last at life.
 func (r *record) judge(self uint64, startedUnixMs int64, life, now boottime.Instant) verdict {
 	var v verdict
-	conclusive, own, independent := false, false, 0
-	links := map[string]bool{}
+	conclusive, own := false, false
+	independent, links := 0, make([]string, 0, maxSources)
 	for entry, e := range r.byEntry {
-		if !e.appliesTo(startedUnixMs) || life >= e.SeenAt.Add(transitTime) || now.Sub(e.SeenAt) >= retention {
+		if !e.stands(startedUnixMs, life, now) {
 			continue
 		}
-		v.sources++
 		if v.newest < e.SeenAt {
 			v.newest, v.kind = e.SeenAt, e.Kind
 		}
 		own = own || entry == self
 		conclusive = conclusive || e.Kind.conclusive()
-		if e.link == "" || !links[e.link] {
+		if e.link == "" || !slices.Contains(links, e.link) {
 			independent++
 		}
-		links[e.link] = true
+		links = append(links, e.link)
 	}
 	v.confirmed = own || independent > 1
 	v.lost = v.confirmed || conclusive
 	return v
 }
 
+// sources returns the entries whose evidence on one start of a server stands, in ascending order.
+func (r *record) sources(startedUnixMs int64, life, now boottime.Instant) []uint64 {
+	var out []uint64
+	for entry, e := range r.byEntry {
+		if e.stands(startedUnixMs, life, now) {
+			out = append(out, entry)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // holds reports whether a server gets no requests from this entry now.
 func (v verdict) holds(r *record, hold time.Duration, now boottime.Instant) bool {
 	return v.lost && (now.Sub(v.newest) < hold || now < r.trialUntil)
--- a/lostservers/table.go
+++ b/lostservers/table.go
@@ -39,7 +39,8 @@
 	}
 	r.put(Source{Entry: t.self}, e)
 	r.trialUntil = 0
-	if r.reportedAt != 0 && e.SeenAt.Sub(r.reportedAt) < reportInterval || !t.maySendLocked(e, e.SeenAt) {
+	reported := r.reportedAt != 0 && e.SeenAt.Sub(r.reportedAt) < reportInterval
+	if reported || e.Kind.conclusive() && r.othersReported(t.self, e) || !t.maySendLocked(e, e.SeenAt) {
 		return false
 	}
 	r.reportedAt = e.SeenAt
@@ -83,6 +84,13 @@
 	}
 }
 
+// HasEvidence reports whether there is evidence against any server. Without it Exclude returns nil.
+func (t *Table) HasEvidence() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.servers) > 0
+}
+
 // Exclude returns the keys of the servers, among those of one service, that get no request now. It
 // never returns all of them. If hasFailed is set, the request has met a failed attempt to connect, and
 // isn't used to try whether a server is back.
@@ -136,15 +144,16 @@
 	return set
 }
 
-// OwnEvidence returns the evidence that this entry has seen at most maxAge ago and that still
-// stands, for the others.
+// OwnEvidence returns the evidence that this entry has seen and reported at most maxAge ago and that
+// still stands, for the others.
 func (t *Table) OwnEvidence(maxAge time.Duration, now boottime.Instant) []Evidence {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []Evidence
 	for _, r := range t.servers {
 		e, ok := t.ownLocked(r)
-		if ok && now.Sub(e.SeenAt) <= maxAge && t.maySendLocked(e, now) {
+		reported := r.reportedAt != 0 && now.Sub(r.reportedAt) <= maxAge
+		if ok && reported && t.maySendLocked(e, now) {
 			out = append(out, e)
 		}
 	}
@@ -155,8 +164,7 @@
 type Status struct {
 	Server  servernotice.Server
 	Kind    Kind          // of the newest evidence
-	Sources int           // entries that say so
-	Own     bool          // this entry is one of them
+	Sources []uint64      // incarnations of the entries that say so, in ascending order
 	Age     time.Duration // of the newest evidence
 }
 
@@ -174,8 +182,8 @@
 		if !v.lost {
 			continue
 		}
-		_, own := t.ownLocked(r)
-		out = append(out, Status{Server: s, Kind: v.kind, Sources: v.sources, Own: own, Age: now.Sub(v.newest)})
+		sources := r.sources(s.StartedUnixMs, t.life[s.Key], now)
+		out = append(out, Status{Server: s, Kind: v.kind, Sources: sources, Age: now.Sub(v.newest)})
 	}
 	return out
 }
--- a/lostservers/table_test.go
+++ b/lostservers/table_test.go
@@ -147,7 +147,7 @@
 	}
 	table.Merge(near(3), seen(lost, Silent, t0.Add(3)), t0.Add(3))
 	got := table.Lost([]servernotice.Server{lost}, t0.Add(3))
-	if len(got) != 1 || got[0].Sources != 2 || len(table.servers) != 1 {
+	if len(got) != 1 || len(got[0].Sources) != 2 || len(table.servers) != 1 {
 		t.Errorf("status %+v of %d records", got, len(table.servers))
 	}
 }
@@ -320,6 +320,26 @@
 	}
 }
 
+// Guards against as many messages for each server as there are entries, which all meet it at once.
+func TestLossThatOthersHaveReportedIsNotReportedAgain(t *testing.T) {
+	table := NewTable(self)
+	table.Merge(near(2), seen(lost, Refused, t0), t0)
+	table.Merge(near(3), seen(servernotice.Server{Key: lost.Key}, Refused, t0), t0)
+	table.Merge(near(4), seen(lost, Silent, t0), t0)
+	if !table.Observe(seen(lost, Refused, t0)) {
+		t.Fatal("not reported, though only one other entry says the same of the same start")
+	}
+	table = NewTable(self)
+	table.Merge(near(2), seen(lost, Refused, t0), t0)
+	table.Merge(near(3), seen(lost, Refused, t0), t0)
+	if table.Observe(seen(lost, Refused, t0.Add(reportInterval-1))) || len(table.OwnEvidence(time.Second, t0.Add(reportInterval-1))) != 0 {
+		t.Error("reported, though two entries have done so")
+	}
+	if !table.Observe(seen(lost, Refused, t0.Add(reportInterval))) {
+		t.Error("later evidence isn't reported")
+	}
+}
+
 // Guards against exclusion by old messages, which waited while this entry or another was suspended.
 func TestOldMessagesCountForNothing(t *testing.T) {
 	table := NewTable(self)
--- a/peering/lostservers.go
+++ b/peering/lostservers.go
@@ -78,6 +78,18 @@
 	return unknownLink
 }
 
+// PeerName returns the name of the peer with an incarnation. ok is false if it isn't known.
+func (x *Exchange) PeerName(incarnation uint64) (name string, ok bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, p := range x.peers {
+		if p.Incarnation == incarnation {
+			return p.Name, true
+		}
+	}
+	return "", false
+}
+
 // lossKinds maps the kinds of evidence to those of messages.
 var lossKinds = map[lostservers.Kind]wirepb.LossKind{
 	lostservers.Refused: wirepb.LossKind_LOSS_REFUSED,
--- a/peering/lostservers_test.go
+++ b/peering/lostservers_test.go
@@ -87,7 +87,7 @@
 		t.Error("a third entry of the zone makes the server count as lost in the other one")
 	}
 	there.lost.Observe(lostservers.Evidence{Server: downServer, Kind: lostservers.Silent, SeenAt: now})
-	if got := there.lost.Lost([]servernotice.Server{downServer}, now); len(got) != 1 || got[0].Sources != 4 {
+	if got := there.lost.Lost([]servernotice.Server{downServer}, now); len(got) != 1 || len(got[0].Sources) != 4 {
 		t.Errorf("with its own evidence the other zone has %+v", got)
 	}
 }
