--- a/gateway/lostservers_test.go
+++ b/gateway/lostservers_test.go
@@ -1,17 +1,23 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/briarturn/briarturn/internal/boottime"
+	"github.com/briarturn/briarturn/internal/quiet"
 	"github.com/briarturn/briarturn/lostservers"
 	"github.com/briarturn/briarturn/placement"
+	"github.com/briarturn/briarturn/reservation"
 	"github.com/briarturn/briarturn/routetable"
 	"github.com/briarturn/briarturn/servernotice"
 	"github.com/briarturn/briarturn/upstream"
@@ -254,3 +260,97 @@
 		t.Errorf("%d attempts, want 1", got)
 	}
 }
+
+// Guards against a request that meets one server after another that is still down, because the
+// evidence on all of them is about to expire.
+func TestRequestTriesOneServerAtMost(t *testing.T) {
+	gw := newTestGateway(t, respondingServers(6)...).sharingLosses()
+	gw.merge(lostservers.Source{Entry: 2}, lostservers.Refused, gw.addLostServers(DefaultConnectTries))
+	gw.lostNow.Add(int64(time.Second))
+	r, _, err := gw.send(http.MethodPost, "/once/", "body")
+	wantStatus(t, r, err, http.StatusOK)
+	if got := gw.failedDials(); got != 1 {
+		t.Errorf("%d failed attempts to connect, want 1", got)
+	}
+}
+
+// Guards against sending several requests to a server of which it isn't known whether it is back, and
+// against excluding one that has responded.
+func TestOtherRequestsStayAwayDuringTrial(t *testing.T) {
+	arrived, proceed := make(chan struct{}), make(chan struct{})
+	first := func(w http.ResponseWriter, _ *http.Request) {
+		close(arrived)
+		<-proceed
+		_, _ = io.WriteString(w, "ok")
+	}
+	gw := newTestGateway(t, append([]http.HandlerFunc{first}, respondingServers(2)...)...).sharingLosses()
+	gw.merge(lostservers.Source{Entry: 2}, lostservers.Refused, []servernotice.Server{servernotice.ServerOf("s1", 0)})
+	gw.lostNow.Add(int64(time.Second))
+	var trial sync.WaitGroup
+	trial.Go(func() {
+		r, _, err := gw.send(http.MethodPost, "/once/", "body", hID, "trial")
+		if err != nil || r.StatusCode != http.StatusOK {
+			t.Errorf("response %v, error %v", r, err)
+		}
+	})
+	<-arrived
+	r, _, err := gw.send(http.MethodPost, "/once/", "body", hID, "other")
+	wantStatus(t, r, err, http.StatusOK)
+	close(proceed)
+	trial.Wait()
+	gw.wantArrivals("s1 trial, s2 other")
+	if got := gw.lostServers(); len(got) != 0 {
+		t.Errorf("lost %+v after its response", got)
+	}
+}
+
+// Guards against entries that learn of a crash only from those that connect to the server afterwards.
+func TestCrashUnderRequestIsReported(t *testing.T) {
+	gw := newTestGateway(t, respondingServers(2)...).sharingLosses()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	crash := http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = listener.Close()
+		closeConnection(w)
+	})}
+	go func() { _ = crash.Serve(listener) }()
+	gw.directory.Put(upstream.Server{Instance: "crashing", Service: "s", Address: listener.Addr().String(), Capacity: 4})
+	r, _, err := gw.send(http.MethodPost, "/safe/", "body")
+	wantStatus(t, r, err, http.StatusOK)
+	if got := gw.losses.list; len(got) != 1 || got[0].Kind != lostservers.Refused || got[0].Server != servernotice.ServerOf("crashing", 0) {
+		t.Errorf("reported %+v", got)
+	}
+}
+
+// refusingEngines can't connect to any engine.
+type refusingEngines struct{ reservation.EngineClient }
+
+func (refusingEngines) Reserve(context.Context, reservation.Engine, string, int, time.Duration) error {
+	return &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+}
+
+func (refusingEngines) Release(context.Context, reservation.Engine, string) error { return nil }
+
+// holdingPlacer places as firstPlacer does, with the server as the holder of the prompt.
+type holdingPlacer struct{ Placer }
+
+func (p holdingPlacer) Place(q placement.Query, candidates []placement.Candidate) (placement.Placement, placement.Decision) {
+	placed, decision := p.Placer.Place(q, candidates)
+	placed.Holders = []placement.Candidate{placed.Server}
+	return placed, decision
+}
+
+// Guards against long prompts that fail one after the other at a holder that is down.
+func TestHolderThatRefusesConnectionsIsReported(t *testing.T) {
+	gw := newTestGateway(t, respondingServers(3)...).sharingLosses()
+	gw.gateway.cfg.Placer = holdingPlacer{gw.gateway.cfg.Placer}
+	gw.gateway.cfg.Reserver = reservation.New(refusingEngines{}, 1, quiet.Logger(), metrics.NewRegistry())
+	r, _, err := gw.send(http.MethodPost, "/once/", "body")
+	wantStatus(t, r, err, http.StatusServiceUnavailable)
+	if got := gw.losses.list; len(got) == 0 || got[0].Server != servernotice.ServerOf("s1", 0) || got[0].Kind != lostservers.Refused {
+		t.Errorf("reported %+v", got)
+	}
+	gw.gateway.cfg.Reserver.Wait()
+}
--- a/peering/relay_test.go
+++ b/peering/relay_test.go
@@ -108,6 +108,7 @@
 		{84, &wirepb.WorkNews{Evidence: []*wirepb.Evidence{{}}}, true},
 		{84, &wirepb.WorkNews{Rates: []*wirepb.ServerRate{{}}}, true},
 		{84, &wirepb.WorkNews{Drains: []*wirepb.ServerDrain{{}}}, true},
+		{84, &wirepb.WorkNews{LostServers: []*wirepb.LostServer{{}}}, true},
 		{84, &wirepb.WorkNews{PartDeaths: []*wirepb.PartDeath{{}}}, true},
 		{3, &wirepb.WorkNews{Beat: true}, false},
 	} {
