End evidence of lost servers by first tokens of other entries; try silent servers less often

Holding longer would keep servers unused that are back, as each entry finds that by itself.

Change: silence and resets hold for 1.5 to 3 s. A first token that another entry reports ends evidence, but not this entry's own of silence. placement.Ledger names the server of an attempt.

--- a/lostservers/evidence.go
+++ b/lostservers/evidence.go
@@ -41,12 +41,6 @@
 	return e.Server.StartedUnixMs == 0 || startedUnixMs <= e.Server.StartedUnixMs
 }
 
-// stands reports whether evidence counts now against a start of its server, from which something was
-// received last at life.
-func (e Evidence) stands(startedUnixMs int64, life, now boottime.Instant) bool {
-	return e.appliesTo(startedUnixMs) && life < e.SeenAt.Add(transitTime) && now.Sub(e.SeenAt) < retention
-}
-
 // Source is the entry that has seen something.
 type Source struct {
 	Entry uint64 // incarnation
@@ -56,12 +50,16 @@
 }
 
 const (
-	// holdTime is how long evidence excludes a server at least. A server that crashed is back within
+	// holdTime is how long a refusal excludes a server at least. A server that crashed is back within
 	// seconds; until it is tried again its capacity is missing, and a trial costs a request a
-	// connection attempt.
+	// millisecond.
 	holdTime = 500 * time.Millisecond
-	// holdSpread is added to holdTime in part, so that entries try a server one after the other.
-	holdSpread = 500 * time.Millisecond
+	// silentHoldTime is the same for other evidence. A trial costs a request the time limit of
+	// a connection attempt, which is longer than many first-token objectives.
+	silentHoldTime = 1500 * time.Millisecond
+	// maxHoldFactor is how many times as long the hold is at most, so that entries try a server one
+	// after the other.
+	maxHoldFactor = 2
 	// trialTime is how long an entry that tries a server sends no other request there, unless it
 	// learns how the trial ended. An attempt to connect ends before.
 	trialTime = 500 * time.Millisecond
--- a/lostservers/record.go
+++ b/lostservers/record.go
@@ -12,6 +12,7 @@
 	byEntry    map[uint64]testimony // newest of each source, by its incarnation
 	reportedAt boottime.Instant     // when the own evidence was last reported
 	trialUntil boottime.Instant     // this entry sends no other request until then
+	peerLifeAt boottime.Instant     // when another entry last received something from the server
 }
 
 // testimony is the evidence of one source.
@@ -65,6 +66,17 @@
 	return len(r.byEntry) == 0
 }
 
+// stands reports whether the evidence of an entry counts now against a start of its server, from
+// which this entry received something last at life. What another entry received ends all evidence but this
+// entry's own of silence, which may be due to a link that the other doesn't use.
+func (r *record) stands(entry, self uint64, startedUnixMs int64, life, now boottime.Instant) bool {
+	e := r.byEntry[entry]
+	if entry != self || e.Kind.conclusive() {
+		life = max(life, r.peerLifeAt)
+	}
+	return e.appliesTo(startedUnixMs) && life < e.SeenAt.Add(transitTime) && now.Sub(e.SeenAt) < retention
+}
+
 // verdict is what the evidence on one start of a server amounts to.
 type verdict struct {
 	lost      bool             // the evidence suffices for this entry
@@ -79,7 +91,7 @@
 	conclusive, own := false, false
 	independent, links := 0, make([]string, 0, maxSources)
 	for entry, e := range r.byEntry {
-		if !e.stands(startedUnixMs, life, now) {
+		if !r.stands(entry, self, startedUnixMs, life, now) {
 			continue
 		}
 		if v.newest < e.SeenAt {
@@ -98,10 +110,10 @@
 }
 
 // sources returns the entries whose evidence on one start of a server stands, in ascending order.
-func (r *record) sources(startedUnixMs int64, life, now boottime.Instant) []uint64 {
+func (r *record) sources(self uint64, startedUnixMs int64, life, now boottime.Instant) []uint64 {
 	var out []uint64
-	for entry, e := range r.byEntry {
-		if e.stands(startedUnixMs, life, now) {
+	for entry := range r.byEntry {
+		if r.stands(entry, self, startedUnixMs, life, now) {
 			out = append(out, entry)
 		}
 	}
--- a/lostservers/table.go
+++ b/lostservers/table.go
@@ -74,6 +74,17 @@
 	}
 }
 
+// PeerAlive records that another entry received something from a server. It is only needed while
+// HasEvidence.
+func (t *Table) PeerAlive(server uint64, now boottime.Instant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.noteCallLocked(now)
+	if r := t.servers[server]; r != nil && now >= t.ignoreUntil {
+		r.peerLifeAt = now
+	}
+}
+
 // StartTrial records that this entry is about to send a request to a server. If there is
 // evidence against it, other requests stay away until the outcome is known.
 func (t *Table) StartTrial(s servernotice.Server, now boottime.Instant) {
@@ -102,16 +113,22 @@
 		return nil
 	}
 	if hasFailed {
-		if out := t.excludeLocked(servers, func(uint64) time.Duration { return retention }, now); out != nil {
+		if out := t.excludeLocked(servers, holdAll, now); out != nil {
 			return out
 		}
 	}
 	return t.excludeLocked(servers, t.hold, now)
 }
 
+// holdTimes returns how long evidence of a kind excludes a server.
+type holdTimes func(key uint64, kind Kind) time.Duration
+
+// holdAll excludes servers as long as evidence against them is kept.
+func holdAll(uint64, Kind) time.Duration { return retention }
+
 // excludeLocked returns the servers that are lost, where evidence excludes a server for the time that
 // hold returns. If most servers are lost, what only one other entry says is set aside.
-func (t *Table) excludeLocked(servers []servernotice.Server, hold func(key uint64) time.Duration, now boottime.Instant) map[uint64]bool {
+func (t *Table) excludeLocked(servers []servernotice.Server, hold holdTimes, now boottime.Instant) map[uint64]bool {
 	var lost, confirmed map[uint64]bool
 	for _, s := range servers {
 		r := t.servers[s.Key]
@@ -119,7 +136,7 @@
 			continue
 		}
 		v := t.judgeLocked(r, s, now)
-		if !v.holds(r, hold(s.Key), now) {
+		if !v.holds(r, hold(s.Key, v.kind), now) {
 			continue
 		}
 		lost = add(lost, s.Key)
@@ -151,7 +168,7 @@
 	defer t.mu.Unlock()
 	var out []Evidence
 	for _, r := range t.servers {
-		e, ok := t.ownLocked(r)
+		e, ok := t.ownLocked(r, now)
 		reported := r.reportedAt != 0 && now.Sub(r.reportedAt) <= maxAge
 		if ok && reported && t.maySendLocked(e, now) {
 			out = append(out, e)
@@ -182,7 +199,7 @@
 		if !v.lost {
 			continue
 		}
-		sources := r.sources(s.StartedUnixMs, t.life[s.Key], now)
+		sources := r.sources(t.self, s.StartedUnixMs, t.life[s.Key], now)
 		out = append(out, Status{Server: s, Kind: v.kind, Sources: sources, Age: now.Sub(v.newest)})
 	}
 	return out
@@ -228,9 +245,9 @@
 }
 
 // ownLocked returns the evidence of this entry, unless something was received from the server since.
-func (t *Table) ownLocked(r *record) (Evidence, bool) {
+func (t *Table) ownLocked(r *record, now boottime.Instant) (Evidence, bool) {
 	e, ok := r.byEntry[t.self]
-	return e.Evidence, ok && t.life[e.Server.Key] < e.SeenAt.Add(transitTime)
+	return e.Evidence, ok && r.stands(t.self, t.self, e.Server.StartedUnixMs, t.life[e.Server.Key], now)
 }
 
 // maySendLocked reports whether own evidence says something to other entries. Silence doesn't if no
@@ -241,14 +258,14 @@
 	}
 	silent, responding := 0, 0
 	for _, r := range t.servers {
-		own, ok := t.ownLocked(r)
-		if ok && !own.Kind.conclusive() && now.Sub(own.SeenAt) < retention {
+		own, ok := t.ownLocked(r, now)
+		if ok && !own.Kind.conclusive() {
 			silent++
 		}
 	}
 	for key, at := range t.life {
 		if r := t.servers[key]; r != nil {
-			if _, lost := t.ownLocked(r); lost {
+			if _, lost := t.ownLocked(r, now); lost {
 				continue
 			}
 		}
@@ -260,10 +277,14 @@
 }
 
 // hold returns how long evidence excludes a server at this entry.
-func (t *Table) hold(key uint64) time.Duration {
+func (t *Table) hold(key uint64, kind Kind) time.Duration {
+	least := silentHoldTime
+	if kind.conclusive() {
+		least = holdTime
+	}
 	var b [16]byte
 	binary.LittleEndian.PutUint64(b[:8], key)
 	binary.LittleEndian.PutUint64(b[8:], t.self)
 	share := float64(xxhash.Sum64(b[:])>>11) / (1 << 53)
-	return holdTime + time.Duration(share*float64(holdSpread))
+	return least + time.Duration(share*(maxHoldFactor-1)*float64(least))
 }
--- a/peering/exchange.go
+++ b/peering/exchange.go
@@ -360,6 +360,7 @@
 			x.reportPeerAttempt(attempt, now)
 		}
 	}
+	x.noteLife(owner, m.GetFirstToken(), boottime.Now())
 	for _, seq := range m.GetFirstToken() {
 		x.cfg.Ledger.FirstToken(placement.AttemptID{Owner: owner, Seq: seq}, now)
 	}
--- a/peering/lostservers.go
+++ b/peering/lostservers.go
@@ -5,6 +5,7 @@
 
 	"github.com/briarturn/briarturn/internal/boottime"
 	"github.com/briarturn/briarturn/lostservers"
+	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/servernotice"
 	"github.com/briarturn/briarturn/wire/wirepb"
 )
@@ -59,6 +60,18 @@
 	}
 }
 
+// noteLife records that the servers of attempts of a peer have sent it first tokens.
+func (x *Exchange) noteLife(owner uint64, firstTokens []uint64, now boottime.Instant) {
+	if len(firstTokens) == 0 || !x.cfg.Lost.HasEvidence() {
+		return
+	}
+	for _, seq := range firstTokens {
+		if server, known := x.cfg.Ledger.ServerOf(placement.AttemptID{Owner: owner, Seq: seq}); known {
+			x.cfg.Lost.PeerAlive(server, now)
+		}
+	}
+}
+
 // linkOf returns what the links of a peer have in common with those of others, as in
 // lostservers.Source.
 func (x *Exchange) linkOf(owner uint64) string {
--- a/peering/lostservers_test.go
+++ b/peering/lostservers_test.go
@@ -61,6 +61,26 @@
 	})
 }
 
+// Guards against entries that go on leaving out a server which has responded to another one since.
+func TestFirstTokenOfPeerEndsEvidence(t *testing.T) {
+	store := memory.NewMemory(memory.Config{})
+	a, b := startEntry(t, store, "a", 1), startEntry(t, store, "b", 2)
+	waitFor(t, "a found b", func() bool { return <-a.entryCounts == 2 })
+	attempt := a.startAttempt(1, 1)
+	waitFor(t, "b receives the start", func() bool { return b.attemptsOf(1) == 1 })
+	server := servernotice.Server{Key: attempt.Server}
+	now := boottime.Now()
+	b.lost.Observe(lostservers.Evidence{Server: server, Kind: lostservers.Refused, SeenAt: now.Add(-time.Second)})
+	lost := func() bool { return len(b.lost.Lost([]servernotice.Server{server}, now)) > 0 }
+	if !lost() {
+		t.Fatal("the evidence doesn't count")
+	}
+	waitFor(t, "b has no evidence left", func() bool {
+		a.exchange.AttemptPublisher().FirstToken(attempt.ID) // again, since b ignores messages after a gap on a slow machine
+		return !lost()
+	})
+}
+
 // Guards against reports that wait for a batch while other entries send requests to the server.
 func TestLossReportIsUrgent(t *testing.T) {
 	o := newOutbox(1)
--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -273,6 +273,17 @@
 	return out
 }
 
+// ServerOf returns the server of an attempt. known is false if the attempt isn't active.
+func (l *Ledger) ServerOf(id AttemptID) (server uint64, known bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.attempts[id]
+	if a == nil {
+		return 0, false
+	}
+	return a.Server, true
+}
+
 func (l *Ledger) serverLocked(key uint64) *serverState {
 	s := l.servers[key]
 	if s == nil {
