--- a/gateway/lostservers.go
+++ b/gateway/lostservers.go
@@ -39,7 +39,7 @@
 	if len(excluded) == 0 {
 		return servers
 	}
-	e.gateway.counters.placedWithoutLost.Inc(1)
+	e.gateway.counters.losses.placedWithoutLost.Inc(1)
 	left, _ := eligible.Filter(servers, eligible.NotLost{Excluded: excluded})
 	return left
 }
@@ -84,10 +84,10 @@
 		return
 	}
 	g := e.gateway
-	g.counters.losses[kind].Inc(1)
+	g.counters.losses.seen[kind].Inc(1)
 	evidence := lostservers.Evidence{Server: noticeServer(server), Kind: kind, SeenAt: g.lostClock()}
 	if g.cfg.Lost.Observe(evidence) {
-		g.counters.lossReports.Inc(1)
+		g.counters.losses.reported.Inc(1)
 		g.cfg.LossReporter.ReportLoss(evidence)
 	}
 }
--- a/gateway/lostservers_test.go
+++ b/gateway/lostservers_test.go
@@ -81,7 +81,7 @@
 }
 
 func (gw *testGateway) failedDials() int64 {
-	return gw.gateway.counters.losses[lostservers.Refused].Count()
+	return gw.gateway.counters.losses.seen[lostservers.Refused].Count()
 }
 
 // Guards against requests that are refused after failed attempts to connect to servers that
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -17,20 +17,25 @@
 	resumedStreams    metrics.Counter
 	brokenResponses   metrics.Counter // responses that ended early
 	retriesOverBudget metrics.Counter
-	callersGone       metrics.Counter                      // callers that disconnected first
-	serverDeaths      metrics.Counter                      // servers that died while running a request
-	limitChanges      metrics.Counter                      // changes of the request rates that servers name
-	drainNotices      metrics.Counter                      // servers that announced in a response that they drain
-	backOffNotices    metrics.Counter                      // times that servers named in which they want no requests
-	losses            map[lostservers.Kind]metrics.Counter // times that a server was seen not to serve; not changed after newCounters
-	lossReports       metrics.Counter                      // of these, reported to other entries
-	placedWithoutLost metrics.Counter                      // placements that left out lost servers
+	callersGone       metrics.Counter // callers that disconnected first
+	serverDeaths      metrics.Counter // servers that died while running a request
+	limitChanges      metrics.Counter // changes of the request rates that servers name
+	drainNotices      metrics.Counter // servers that announced in a response that they drain
+	backOffNotices    metrics.Counter // times that servers named in which they want no requests
 	// brokenAttempts counts attempts that broke, by what their server's address did then.
 	// Not changed after newCounters.
 	brokenAttempts   map[upstream.ProbeResult]metrics.Counter
+	losses           lossCounters
 	firstByteLatency metrics.Histogram
 }
 
+// lossCounters holds the metrics of lost servers.
+type lossCounters struct {
+	seen              map[lostservers.Kind]metrics.Counter // times that a server was seen not to serve; not changed after newCounters
+	reported          metrics.Counter                      // of these, reported to other entries
+	placedWithoutLost metrics.Counter                      // placements that left out lost servers
+}
+
 // sampleSize and sampleAlpha are the values that go-metrics recommends for latencies.
 const (
 	sampleSize  = 1028
@@ -56,15 +61,17 @@
 		limitChanges:      counter("servers.limit_changes"),
 		drainNotices:      counter("servers.drain_notices"),
 		backOffNotices:    counter("servers.back_off_notices"),
-		losses:            map[lostservers.Kind]metrics.Counter{},
-		lossReports:       counter("servers.lost.reported"),
-		placedWithoutLost: counter("placed.without_lost"),
 		brokenAttempts:    map[upstream.ProbeResult]metrics.Counter{},
 		firstByteLatency: metrics.GetOrRegisterHistogram("gateway.first_byte_ms", r,
 			metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
 	}
+	t.losses = lossCounters{
+		seen:              map[lostservers.Kind]metrics.Counter{},
+		reported:          counter("servers.lost.reported"),
+		placedWithoutLost: counter("placed.without_lost"),
+	}
 	for _, kind := range lostservers.Kinds() {
-		t.losses[kind] = counter("servers.lost." + kind.String())
+		t.losses.seen[kind] = counter("servers.lost." + kind.String())
 	}
 	for _, found := range []upstream.ProbeResult{upstream.ProbeSilent, upstream.ProbeRefused, upstream.ProbeAccepted} {
 		t.brokenAttempts[found] = counter("attempts.broken." + found.String())
--- a/internal/gatewaynode/lostservers.go
+++ b/internal/gatewaynode/lostservers.go
@@ -13,6 +13,9 @@
 
 // lostServers returns the evidence on the registered servers that count as lost, by instance.
 func (n *Node) lostServers(now boottime.Instant) map[string]admin.LostServer {
+	if !n.lost.HasEvidence() {
+		return nil
+	}
 	out := map[string]admin.LostServer{}
 	for _, s := range n.directory.All() {
 		for _, lost := range n.lost.Lost([]servernotice.Server{servernotice.ServerOf(s.Instance, s.StartedUnixMs)}, now) {
--- a/lostservers/table.go
+++ b/lostservers/table.go
@@ -20,7 +20,7 @@
 	servers     map[uint64]*record          // servers with evidence, by servernotice.Server.Key
 	life        map[uint64]boottime.Instant // when something was last received from a server
 	lastCall    boottime.Instant
-	ignoreUntil boottime.Instant // messages of other entries may be older than they say until then
+	ignoreUntil boottime.Instant // until then messages may be older than they say, and time limits have passed early
 }
 
 // NewTable returns an empty Table of the entry with an incarnation.
@@ -29,10 +29,14 @@
 }
 
 // Observe records evidence that this entry has seen, and reports whether to report it to the others.
+// Silence right after this process was stopped is no evidence: time limits passed meanwhile.
 func (t *Table) Observe(e Evidence) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.noteCallLocked(e.SeenAt)
+	if e.SeenAt < t.ignoreUntil && !e.Kind.conclusive() {
+		return false
+	}
 	r := t.recordLocked(e.Server.Key)
 	if r == nil {
 		return false
--- a/lostservers/table_test.go
+++ b/lostservers/table_test.go
@@ -415,6 +415,24 @@
 	}
 }
 
+// Guards against an entry that was suspended and takes the servers it was connecting to for lost.
+func TestTimeLimitsThatPassedInSuspensionAreNoEvidence(t *testing.T) {
+	table := NewTable(self)
+	table.Alive(servers[1], t0)
+	woken := t0.Add(maxGap + 1)
+	if table.Observe(seen(lost, Silent, woken)) || excludes(table, lost, woken) {
+		t.Error("silence counts right after a suspension")
+	}
+	table.Observe(seen(servers[2], Refused, woken))
+	if !excludes(table, servers[2], woken) {
+		t.Error("a refusal doesn't count")
+	}
+	table.Observe(seen(lost, Silent, woken.Add(settleTime)))
+	if !excludes(table, lost, woken.Add(settleTime)) {
+		t.Error("later silence doesn't count")
+	}
+}
+
 // Guards against a late or repeated message that makes evidence look newer than it is.
 func TestLateAndRepeatedMessagesChangeNothing(t *testing.T) {
 	table := NewTable(self)
