--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/briarturn/briarturn/lostservers"
 	"github.com/briarturn/briarturn/upstream"
 )
 
@@ -24,9 +25,17 @@
 	// brokenAttempts counts attempts that broke, by what their server's address did then.
 	// Not changed after newCounters.
 	brokenAttempts   map[upstream.ProbeResult]metrics.Counter
+	losses           lossCounters
 	firstByteLatency metrics.Histogram
 }
 
+// lossCounters holds the metrics of lost servers.
+type lossCounters struct {
+	seen              map[lostservers.Kind]metrics.Counter // times that a server was seen not to serve; not changed after newCounters
+	reported          metrics.Counter                      // of these, reported to other entries
+	placedWithoutLost metrics.Counter                      // placements that left out lost servers
+}
+
 // sampleSize and sampleAlpha are the values that go-metrics recommends for latencies.
 const (
 	sampleSize  = 1028
@@ -56,6 +65,14 @@
 		firstByteLatency: metrics.GetOrRegisterHistogram("gateway.first_byte_ms", r,
 			metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
 	}
+	t.losses = lossCounters{
+		seen:              map[lostservers.Kind]metrics.Counter{},
+		reported:          counter("servers.lost.reported"),
+		placedWithoutLost: counter("placed.without_lost"),
+	}
+	for _, kind := range lostservers.Kinds() {
+		t.losses.seen[kind] = counter("servers.lost." + kind.String())
+	}
 	for _, found := range []upstream.ProbeResult{upstream.ProbeSilent, upstream.ProbeRefused, upstream.ProbeAccepted} {
 		t.brokenAttempts[found] = counter("attempts.broken." + found.String())
 	}
