--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -25,6 +25,7 @@
 	lastOverdueCheck time.Time                    // when prefilling was last checked for overdue attempts
 	slow             map[*serverState]struct{}    // servers currently treated as slow
 	peerChoices      choiceRate                   // placements by other entries
+	ownChoices       choiceRate                   // placements by this entry
 }
 
 type activeAttempt struct {
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -64,6 +64,7 @@
 	NoCapacity                  // no candidate, or too little free memory on all of them together
 	Deferred                    // the cost for other requests exceeds the gain for now; retry soon
 	DeadlineUnmeetable          // the answer would come after the deadline; Forecast is the time to the first token
+	NoRoom                      // the query may wait, and the servers have no room for it now; retry when a slot is free
 )
 
 // Place chooses the servers of a query and, if the decision is Placed, records the attempt
@@ -94,6 +95,9 @@
 	case best.shouldDefer(q, congestionCost(q, options, now)):
 		return Placement{}, Deferred
 	}
+	if decision := p.decideRoom(q, best, options, now); decision != Placed {
+		return Placement{Forecast: best.firstToken}, decision
+	}
 	return p.commit(q, best, now), Placed
 }
 
@@ -163,6 +167,7 @@
 			out.Holders = append(out.Holders, h.candidate)
 		}
 	}
+	p.ledger.ownChoices.add(now)
 	p.ledger.beginLocked(attempt, q.Engine, now)
 	if p.publisher != nil {
 		p.publisher.Began(attempt)
--- a/placement/play_test.go
+++ b/placement/play_test.go
@@ -52,6 +52,8 @@
 	dispatchDelay, announceDelay time.Duration
 	// hideDeadline hides the callers' deadlines from the entries.
 	hideDeadline bool
+	// queued makes requests without room wait in the queue of their entry.
+	queued bool
 }
 
 // simEntry is a simulated entry. It implements AttemptPublisher and announces attempts to
@@ -60,6 +62,9 @@
 	fleet   *simFleet
 	ledger  *Ledger
 	planner *Planner
+	queues  [2]simQueue // of short streams and of longer ones
+	polling bool        // pollLater has scheduled turns
+	turnDue bool        // roomFreedSoon has scheduled a turn
 }
 
 // simCaller is a simulated request.
@@ -77,6 +82,7 @@
 	abandoned    bool
 	// admitted means that it occupies one of its server's slots.
 	admitted bool
+	placedAt, admittedAt time.Time
 }
 
 // simPart is a part on a simulated server.
@@ -155,13 +161,26 @@
 // Ended implements AttemptPublisher.
 func (e *simEntry) Ended(id AttemptID) {
 	e.announce(func(l *Ledger, _ time.Time) { l.End(id) })
+	e.roomFreed(1)
+	e.fleet.schedule(e.fleet.announceDelay, func() {
+		for _, other := range e.fleet.entries {
+			if other != e {
+				other.roomFreedSoon()
+			}
+		}
+	})
 }
 
 // arrive adds a caller at a random entry.
 func (f *simFleet) arrive(q Query, events int) {
 	c := &simCaller{query: q, arrivedAt: f.now, events: events, eventsLeft: events}
 	f.callers = append(f.callers, c)
-	f.place(f.entries[f.random.IntN(len(f.entries))], c)
+	e := f.entries[f.random.IntN(len(f.entries))]
+	if f.queued {
+		e.await(c)
+		return
+	}
+	f.place(e, c)
 }
 
 // placeRetryInterval is the interval at which a waiting prompt is retried, as in the
@@ -169,14 +188,23 @@
 const placeRetryInterval = 60 * time.Millisecond
 
 func (f *simFleet) place(e *simEntry, c *simCaller) {
+	if !f.tryPlace(e, c) {
+		f.schedule(placeRetryInterval, func() { f.place(e, c) })
+	}
+}
+
+// tryPlace places a caller's prompt, or reports that it waits. A prompt that can't be served
+// before its deadline is abandoned.
+func (f *simFleet) tryPlace(e *simEntry, c *simCaller) bool {
 	q := c.query
 	q.Engine = f.engine
+	q.MayWait = f.queued
 	q.Waited = f.now.Sub(c.arrivedAt)
 	q.FirstTokenObjective -= q.Waited
 	left := q.TimeLeft - q.Waited
 	if left <= 0 {
 		c.abandoned = true
-		return
+		return true
 	}
 	q.TimeLeft = left
 	if f.hideDeadline {
@@ -185,13 +213,18 @@
 	placed, answer := e.planner.Place(q, slices.Clone(f.options))
 	if answer == DeadlineUnmeetable {
 		c.abandoned = true
-		return
+		return true
 	}
 	if answer != Placed {
-		f.schedule(placeRetryInterval, func() { f.place(e, c) })
-		return
+		return false
 	}
-	c.placed = placed
+	f.dispatch(c, placed, left)
+	return true
+}
+
+// dispatch sends a placed prompt to its servers.
+func (f *simFleet) dispatch(c *simCaller, placed Placement, left time.Duration) {
+	c.placed, c.placedAt = placed, f.now
 	f.schedule(left, func() { f.abandon(c) })
 	n := 1 + len(placed.Helpers)
 	c.pendingParts = n
@@ -232,6 +265,7 @@
 	}
 	s.slots++
 	p.caller.admitted = true
+	p.caller.admittedAt = s.fleet.now
 	s.enqueue(p)
 }
 
@@ -301,7 +335,7 @@
 
 // deliverEvent gives a caller the next event of its stream.
 func (s *simServer) deliverEvent(c *simCaller) {
-	if c.abandoned {
+	if c.abandoned || c.done {
 		return
 	}
 	now := s.fleet.now
--- a/placement/query.go
+++ b/placement/query.go
@@ -27,6 +27,7 @@
 	Priority            int           // priority of its workspace or route; 0 is the highest
 	Stream              bool
 	Workspace           uint32 // WorkspaceKey of its workspace
+	MayWait             bool   // it waits at its entry while the servers have no room
 }
 
 // meanOutputShare is the mean length of an answer as a fraction of its upper bound.
--- /dev/null
+++ b/placement/room.go
@@ -0,0 +1,120 @@
+package placement
+
+import (
+	"time"
+)
+
+// The constants below handle minutes in which more requests arrive than the servers have
+// slots for, for example 1.8 times the usual traffic on three fifths of the servers. If all
+// requests wait in the queues of the servers, each one is late by the same few tenths of a
+// second. Instead, requests without room wait at their entries. Room that comes free is given
+// to those that can still be on time; the others get what is spare.
+//
+// The ledger knows the attempts of all entries, so that they act alike without a message: a
+// server takes no more than its slots and a short queue, which bridges the time until the
+// entries know that a slot is free.
+const (
+	// maxServerQueue is the number of requests that may wait for a slot of one server. With
+	// two of them, a server stays busy while news of a free slot travels.
+	maxServerQueue = 0
+	// onTimeForecastShare is the forecast, as a fraction of the remaining objective, up to
+	// which a request counts as on time. The rest is for errors of the forecast.
+	onTimeForecastShare = 0.8
+	// reserveTime is the time whose placements find a free slot each. Late requests leave that
+	// many slots free: 50 ms are twice what a short prompt waits for a pass to end, and long
+	// enough for the news of placements by other entries.
+	reserveTime = 150 * time.Millisecond
+)
+
+// room is the decision whether a query that may wait at its entry is placed now.
+type room struct {
+	query   Query
+	options []serverOption
+	rate    float64 // placements per second by all entries
+	now     time.Time
+}
+
+// decideRoom returns whether a query is placed on the servers of its best choice. Queries that
+// don't wait always are. It holds the ledger's lock.
+func (p *Planner) decideRoom(q Query, best choice, options []serverOption, now time.Time) Decision {
+	if !q.MayWait {
+		return Placed
+	}
+	if q.cannotFinish(best.firstToken) {
+		return DeadlineUnmeetable
+	}
+	rate := p.ledger.peerChoices.perSecond(now) + p.ledger.ownChoices.perSecond(now)
+	return room{query: q, options: options, rate: rate, now: now}.decide(best)
+}
+
+// decide returns Placed if the query has room on the servers of the choice, and NoRoom if it
+// waits. A query that is on time there has room. One that would be on time if a slot were
+// free waits for the slot. Any other one is late in any case and gets spare room only.
+func (r room) decide(c choice) Decision {
+	objective := scale(r.query.FirstTokenObjective, onTimeForecastShare)
+	switch {
+	case !c.primary.hasSlotFor(r.query):
+		return NoRoom
+	case c.firstToken <= objective:
+		return Placed
+	case r.earliestFirstToken(c) <= objective:
+		return NoRoom
+	case c.primary.queued() >= 0 || float64(r.freeSlots()) <= r.reserve():
+		return NoRoom
+	}
+	return Placed
+}
+
+// earliestFirstToken returns the time until the first token if a slot were free on every server.
+func (r room) earliestFirstToken(c choice) time.Duration {
+	earliest := c.firstToken
+	q := r.query
+	whole := q.Engine.PrefillTime(q.InputTokens, q.InputTokens)
+	for i := range r.options {
+		earliest = min(earliest, r.options[i].state.forecast(q.Engine, whole, q.InputTokens, false, r.now).ready)
+	}
+	return earliest
+}
+
+// hasSlotFor reports whether the server may get another request. A query that may wait at its
+// entry doesn't wait in the server's queue beyond its bound.
+func (o *serverOption) hasSlotFor(q Query) bool {
+	return !q.MayWait || o.queued() < maxServerQueue
+}
+
+// queued returns how many requests wait for a slot of the server. It is negative if slots are
+// free.
+func (o *serverOption) queued() int {
+	return len(o.state.attempts) - max(1, o.candidate.Capacity)
+}
+
+// freeSlots returns the number of free slots of all servers.
+func (r room) freeSlots() int {
+	sum := 0
+	for i := range r.options {
+		sum += max(-r.options[i].queued(), 0)
+	}
+	return sum
+}
+
+// reserve returns the number of free slots that a late query leaves to queries that can be on
+// time. It falls to zero while the query's time runs out.
+func (r room) reserve() float64 {
+	return r.rate * reserveTime.Seconds() * r.query.timeLeftShare()
+}
+
+// timeLeftShare returns the fraction of the time for a complete answer that is left; 1 if the
+// query has no deadline.
+func (q Query) timeLeftShare() float64 {
+	if q.TimeLeft == 0 {
+		return 1
+	}
+	left := max(q.timeBudget().cutoff, 0)
+	return float64(left) / float64(left+max(q.Waited, 1))
+}
+
+// cannotFinish reports whether the answer to a waiting query can't be complete by the caller's
+// deadline if its first token comes after the given time.
+func (q Query) cannotFinish(after time.Duration) bool {
+	return q.TimeLeft > 0 && after > q.timeBudget().cutoff
+}
--- a/placement/spread.go
+++ b/placement/spread.go
@@ -86,6 +86,9 @@
 		o.evaluate(q, part, tokens, false, now)
 		o.forecast.ready += o.slotWait()
 		o.cost = o.interference + o.answeringCost(q, weight, now) + q.timeBudget().loss(o.forecast.ready, weight)/float64(n)
+		if !o.hasSlotFor(q) {
+			o.cost = math.Inf(1)
+		}
 	}
 	least := math.Inf(1)
 	for i := range options {
