Queue requests by turns in workspace.Scheduler: first working version

Change: Scheduler implements Turns (AwaitTurn, Started, Wait, Leave, RoomFreed, RecordPeerStart, Waiting, EstimatedWait) on the same flows, start tags, heaps, limits and refusals as Submit. The interface has grown: RetryAfter gives a refused caller its delay, Item.FirstAsked keeps the position of a caller that returns, Options.Rand spreads the delays. Turn.Wait: one other request may look for room before the queue stops, so that one that can use no free server doesn't block the rest. Turn.Leave may be deferred.

--- a/workspace/item.go
+++ b/workspace/item.go
@@ -26,6 +26,9 @@
 	// Subject identifies what the request is about, for example the last shared part of its
 	// prompt. Subjects of a workspace share its room equally; 0: none.
 	Subject uint64
+	// FirstAsked is when the caller first asked, if it was refused then and has returned; zero:
+	// now. The request takes the position that it would have had.
+	FirstAsked time.Time
 }
 
 // agingFactor limits how long after its arrival other requests may still overtake a
@@ -47,29 +50,53 @@
 	refused
 )
 
-// waiter is an Item in a queue. Scheduler.mu guards all fields but done, which is
-// closed when state changes from waiting.
+// tier ranks the waiters of a queue before all else.
+type tier uint8
+
+const (
+	onTime tier = iota // can still be on time, or has no objective
+	late
+	tierCount
+)
+
+// waiter is an Item in a queue. Scheduler.mu guards all fields. done is closed when state
+// changes from waiting.
 type waiter struct {
 	Item
-	orderTime   time.Time // position in the flow; earlier times start first
+	arrivedAt   time.Time
+	orderTime   time.Time // position in the subject; earlier times start first
 	arrival     uint64    // sequence number; breaks ties of orderTime
 	expectedEnd time.Time // set when dispatched
-	index       int       // in the heap of its flow
+	tier        tier      // late only once this was noticed; see isLate
+	inOrder     bool      // its last turn was given to the first one of the order
+	index       int       // in the heap of its subject and tier
 	state       state
 	failure     *request.Failure
 	done        chan struct{}
 	flow        *flow
+	subject     *subject
 }
 
 func newWaiter(it Item, arrival uint64, now time.Time) *waiter {
-	w := &waiter{Item: it, arrival: arrival, done: make(chan struct{})}
-	w.orderTime = now.Add(agingFactor*it.ExpectedDuration + time.Duration(it.Priority)*priorityStep)
-	if start := w.latestStart(); !start.IsZero() && start.Before(w.orderTime) {
-		w.orderTime = start
+	w := &waiter{Item: it, arrivedAt: now, arrival: arrival, done: make(chan struct{})}
+	asked := now
+	if !it.FirstAsked.IsZero() && it.FirstAsked.Before(now) {
+		asked = it.FirstAsked
+	}
+	w.orderTime = asked.Add(agingFactor*it.ExpectedDuration + time.Duration(it.Priority)*priorityStep)
+	for _, limit := range []time.Time{w.latestStart(), it.OnTimeUntil} {
+		if !limit.IsZero() && limit.Before(w.orderTime) {
+			w.orderTime = limit
+		}
 	}
 	return w
 }
 
+// isLate reports whether the request can't be on time any more.
+func (w *waiter) isLate(now time.Time) bool {
+	return !w.OnTimeUntil.IsZero() && now.After(w.OnTimeUntil)
+}
+
 // latestStart returns the latest dispatch time at which the item is expected to meet
 // its deadline; zero if it has no deadline.
 func (w *waiter) latestStart() time.Time {
@@ -79,7 +106,13 @@
 	return w.Deadline.Add(-w.ExpectedDuration)
 }
 
-// startsBefore reports whether w starts before v if both wait in the same flow.
+// expired reports whether the item can't meet its deadline any more.
+func (w *waiter) expired(now time.Time) bool {
+	start := w.latestStart()
+	return !start.IsZero() && now.After(start)
+}
+
+// startsBefore reports whether w starts before v if both wait in the same tier of a subject.
 func (w *waiter) startsBefore(v *waiter) bool {
 	if !w.orderTime.Equal(v.orderTime) {
 		return w.orderTime.Before(v.orderTime)
--- a/workspace/queue.go
+++ b/workspace/queue.go
@@ -21,6 +21,7 @@
 // queue holds the waiting and running requests of one length class of one pool.
 type queue struct {
 	capacity      Capacity
+	turns         *turnState // nil: requests start while the window has room
 	running       int
 	tokens        int64
 	prefillTokens int64 // of running requests without a first output token
@@ -28,26 +29,39 @@
 	virtualTime   float64 // start tag of the last dispatch, in tokens divided by weight
 	maxStartTag   float64 // maximum over all flows
 	flows         map[string]*flow
+	onTimeStarts  int // since the last start of a late request
 	// expectedEnds is the sum of the durations from epoch to the expected end of each
 	// running request. It gives the mean remaining time of the running requests.
 	epoch        time.Time
 	expectedEnds time.Duration
 }
 
+// lateStartInterval is the number of starts of which one is given to a late request while some
+// wait. An eighth of the room keeps late requests moving, and costs those that can still be on
+// time no more than that however many are late.
+const lateStartInterval = 8
+
 // flow holds the requests of one workspace in a queue.
 type flow struct {
-	ws       *workspace
-	queue    *queue
-	waiting  waiters
-	startTag float64 // start tag of the next dispatch
+	ws          *workspace
+	queue       *queue
+	waiting     int                 // queued, or with the turn or put aside in a queue by turns
+	queued      [tierCount]int      // in the heaps of the subjects
+	subjects    map[uint64]*subject // by Item.Subject
+	subjectTime float64             // virtual time of the subjects: start tag of the last one that started
+	startTag    float64             // start tag of the next dispatch
+	lastTurn    uint64              // number of its last turn in a queue by turns
 }
 
 func newQueue(c Capacity, now time.Time) *queue {
 	return &queue{capacity: c, flows: map[string]*flow{}, epoch: now}
 }
 
-// hasRoom reports whether another request may start.
+// hasRoom reports whether another request may be granted.
 func (q *queue) hasRoom() bool {
+	if q.turns != nil {
+		return q.turns.free()
+	}
 	return q.running < q.capacity.Slots && underLimit(q.tokens, q.capacity.Tokens) && underLimit(q.prefillTokens, q.capacity.PrefillTokens)
 }
 
@@ -59,41 +73,71 @@
 func (q *queue) flow(ws *workspace) *flow {
 	f := q.flows[ws.name]
 	if f == nil {
-		f = &flow{ws: ws, queue: q, startTag: q.virtualTime}
+		f = &flow{ws: ws, queue: q, startTag: q.virtualTime, subjects: map[uint64]*subject{}}
 		q.flows[ws.name] = f
+		if q.turns != nil {
+			f.startTag = max(f.startTag, q.turns.debts.take(ws.key))
+			q.turns.flows[ws.key] = f
+		}
 	}
 	return f
 }
 
+// drop deletes a flow.
+func (f *flow) drop() {
+	delete(f.queue.flows, f.ws.name)
+	if f.queue.turns != nil {
+		delete(f.queue.turns.flows, f.ws.key)
+	}
+}
+
 // push adds a waiter to the queue.
 func (f *flow) push(w *waiter) {
-	if len(f.waiting) == 0 {
+	if f.waiting == 0 {
 		f.startTag = max(f.startTag, f.queue.virtualTime)
 	}
 	w.flow = f
-	heap.Push(&f.waiting, w)
+	f.insert(w)
+	f.waiting++
 	f.ws.waiting++
 	f.queue.waiting++
 }
 
+// insert adds a waiter to the heap of its subject and tier.
+func (f *flow) insert(w *waiter) {
+	w.subject = f.subject(w.Subject)
+	w.subject.activate(f.subjectTime)
+	heap.Push(&w.subject.queued[w.tier], w)
+	f.queued[w.tier]++
+}
+
+// take removes a waiter from the heap of its subject and tier.
+func (f *flow) take(w *waiter) {
+	heap.Remove(&w.subject.queued[w.tier], w.index)
+	f.queued[w.tier]--
+}
+
 // remove removes a waiter from the queue.
 func (f *flow) remove(w *waiter) {
-	heap.Remove(&f.waiting, w.index)
+	if f.queue.turns == nil || !f.queue.turns.forget(w) {
+		f.take(w)
+	}
+	f.waiting--
 	f.ws.waiting--
 	f.queue.waiting--
+	f.dropIdleSubjects()
 }
 
-// nextFlow returns the flow with the lowest start tag among those that may start a
-// request, or nil. Ties are broken by name, so that the order is deterministic. It
-// drops idle flows whose start tag the virtual time has reached.
+// nextFlow returns the flow that starts a request next, or nil. It drops idle flows whose
+// start tag the virtual time has reached.
 func (q *queue) nextFlow() *flow {
 	var best *flow
 	for _, f := range q.flows {
-		if len(f.waiting) == 0 {
+		if f.waiting == 0 {
 			f.dropIfIdle()
 			continue
 		}
-		if f.ws.running >= f.ws.concurrency {
+		if f.queued[onTime]+f.queued[late] == 0 || f.ws.running >= f.ws.concurrency {
 			continue
 		}
 		if best == nil || f.startsBefore(best) {
@@ -103,28 +147,97 @@
 	return best
 }
 
-// startsBefore reports whether f is served before g.
+// nextFlowAt returns nextFlow after those requests that have become late, and would start
+// next, have joined the late ones.
+func (q *queue) nextFlowAt(now time.Time) *flow {
+	for {
+		f := q.nextFlow()
+		if f == nil || !f.demote(f.first(), now) {
+			return f
+		}
+	}
+}
+
+// demote moves a request that has become late to the late ones. It reports whether it did.
+func (f *flow) demote(w *waiter, now time.Time) bool {
+	if w.tier == late || !w.isLate(now) {
+		return false
+	}
+	f.take(w)
+	w.tier = late
+	f.insert(w)
+	return true
+}
+
+// startsBefore reports whether f is served before g: by tier, then by start tag, then by name,
+// so that the order is deterministic.
 func (f *flow) startsBefore(g *flow) bool {
+	if f.queue.turns != nil && len(f.queue.turns.aside) > 0 {
+		return f.lastTurn < g.lastTurn
+	}
+	if a, b := f.nextTier(), g.nextTier(); a != b {
+		return (a == late) == f.queue.lateDue()
+	}
 	if f.startTag != g.startTag {
 		return f.startTag < g.startTag
 	}
 	return f.ws.name < g.ws.name
 }
 
+// lateDue reports whether the next start is a late request's.
+func (q *queue) lateDue() bool { return q.onTimeStarts >= lateStartInterval-1 }
+
+// nextTier returns the tier of the flow's next request.
+func (f *flow) nextTier() tier {
+	if f.queued[onTime] == 0 || f.queued[late] > 0 && f.queue.lateDue() {
+		return late
+	}
+	return onTime
+}
+
+// first returns the flow's next request: the first one of the subject with the lowest start tag.
+func (f *flow) first() *waiter {
+	t := f.nextTier()
+	var best *subject
+	for _, s := range f.subjects {
+		if len(s.queued[t]) > 0 && (best == nil || s.startsBefore(best)) {
+			best = s
+		}
+	}
+	return best.queued[t][0]
+}
+
 // start dispatches the first waiter of the flow.
 func (f *flow) start(now time.Time) *waiter {
-	w := f.waiting[0]
+	w := f.first()
 	f.remove(w)
+	f.queue.virtualTime = max(f.queue.virtualTime, f.startTag)
+	f.begin(w, now)
+	return w
+}
+
+// begin counts a request that has left the queue as running.
+func (f *flow) begin(w *waiter, now time.Time) {
 	q := f.queue
-	q.virtualTime = max(q.virtualTime, f.startTag)
+	q.countTier(w.tier)
 	f.charge(w.Cost)
+	f.subjectTime = max(f.subjectTime, w.subject.startTag)
+	w.subject.startTag += float64(w.Cost)
 	q.running++
 	q.tokens += w.Cost
 	q.prefillTokens += w.PrefillTokens
 	w.expectedEnd = now.Add(w.ExpectedDuration)
 	q.expectedEnds += w.expectedEnd.Sub(q.epoch)
 	f.ws.running++
-	return w
+}
+
+// countTier counts a start of the tier towards the next start of a late request.
+func (q *queue) countTier(t tier) {
+	if t == late {
+		q.onTimeStarts = 0
+		return
+	}
+	q.onTimeStarts = min(q.onTimeStarts+1, lateStartInterval)
 }
 
 // charge advances the flow's start tag by the tokens used. A negative value refunds
@@ -144,6 +257,7 @@
 	q.expectedEnds -= w.expectedEnd.Sub(q.epoch)
 	f.ws.running--
 	f.charge(used - w.Cost)
+	w.subject.startTag += float64(used - w.Cost)
 	q.resetIfIdle()
 	f.dropIfIdle()
 }
@@ -159,31 +273,44 @@
 // time to the highest start tag and drops all flows, so that no flow carries its
 // charges into the next busy period.
 func (q *queue) resetIfIdle() {
-	if q.running == 0 && q.waiting == 0 {
+	if q.turns == nil && q.running == 0 && q.waiting == 0 {
 		q.virtualTime = q.maxStartTag
 		clear(q.flows)
 	}
 }
 
 // dropIfIdle deletes an idle flow whose start tag the virtual time has reached, so
-// that the number of flows is bounded by the number of active workspaces.
+// that the number of flows is bounded by the number of active workspaces. A queue by turns
+// remembers start tags that the virtual time has not reached.
 func (f *flow) dropIfIdle() {
-	if len(f.waiting) == 0 && f.ws.running == 0 && f.startTag <= f.queue.virtualTime {
-		delete(f.queue.flows, f.ws.name)
+	if f.waiting > 0 || f.ws.running > 0 {
+		return
+	}
+	if f.startTag > f.queue.virtualTime {
+		if f.queue.turns == nil {
+			return
+		}
+		f.queue.turns.debts.put(f.ws.key, f.startTag)
 	}
+	f.drop()
 }
 
 // estimatedWait estimates how long a new item would wait: until one running request
 // ends, and then for the items before it in its own workspace, all divided by the
 // workspace's share of the slots.
 func (q *queue) estimatedWait(f *flow, w *waiter, now time.Time) time.Duration {
-	if q.hasRoom() && len(f.waiting) == 0 {
+	if q.turns != nil {
+		return q.estimatedTurn(f, w, now)
+	}
+	if q.hasRoom() && f.waiting == 0 {
 		return 0
 	}
 	ahead := q.meanRemaining(now)
-	for _, other := range f.waiting {
-		if other.startsBefore(w) {
-			ahead += other.ExpectedDuration
+	for _, s := range f.subjects {
+		for _, other := range s.queued[onTime] {
+			if other.startsBefore(w) {
+				ahead += other.ExpectedDuration
+			}
 		}
 	}
 	slots := float64(max(1, q.effectiveSlots())) * q.weightShare(f)
@@ -213,7 +340,7 @@
 func (q *queue) weightShare(f *flow) float64 {
 	sum := f.ws.policy.Weight
 	for _, other := range q.flows {
-		if other != f && len(other.waiting) > 0 {
+		if other != f && other.waiting > 0 {
 			sum += other.ws.policy.Weight
 		}
 	}
--- a/workspace/scheduler.go
+++ b/workspace/scheduler.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/briarturn/briarturn/invariant"
+	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/request"
 )
 
@@ -38,6 +40,9 @@
 	Metrics metrics.Registry // nil: counters are discarded
 	// Policy applies to workspaces without a policy of their own.
 	Policy Policy
+	// Rand returns a random number from 0 to 1, with which the delays of refused callers are
+	// spread; nil: math/rand.
+	Rand func() float64
 }
 
 // Scheduler decides which requests may start and when. It is safe for concurrent use.
@@ -45,6 +50,7 @@
 	now           func() time.Time
 	metrics       metrics.Registry
 	defaultPolicy Policy
+	rand          func() float64
 
 	mu         sync.Mutex // guards the fields below and every queue, flow and waiter
 	entries    int
@@ -52,11 +58,13 @@
 	arrivals   uint64
 	queues     map[queueKey]*queue
 	workspaces map[string]*workspace
+	weights    map[uint32]float64 // of declared policies, by placement.WorkspaceKey
 }
 
 // workspace is the state of one workspace at this entry.
 type workspace struct {
 	name         string
+	key          uint32 // placement.WorkspaceKey
 	policy       Policy
 	declared     bool
 	concurrency  int // this entry's share of the limit
@@ -74,13 +82,18 @@
 	if opts.Metrics == nil {
 		opts.Metrics = metrics.NewRegistry()
 	}
+	if opts.Rand == nil {
+		opts.Rand = rand.Float64
+	}
 	return &Scheduler{
 		now:           opts.Now,
+		rand:          opts.Rand,
 		metrics:       opts.Metrics,
 		defaultPolicy: opts.Policy.withDefaults(),
 		entries:       1,
 		queues:        map[queueKey]*queue{},
 		workspaces:    map[string]*workspace{},
+		weights:       map[uint32]float64{},
 	}
 }
 
@@ -89,8 +102,9 @@
 // prompts hold a large part of it for many seconds and block the short requests
 // behind them, whose first tokens are then seconds late while engines are idle.
 type queueKey struct {
-	pool  string
-	class request.Class
+	pool    string
+	class   request.Class
+	byTurns bool // requests wait for turns, not for a window
 }
 
 // SetCapacity sets the dispatch window of one length class of a pool. Running
@@ -98,7 +112,7 @@
 func (s *Scheduler) SetCapacity(pool string, class request.Class, c Capacity) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	q := s.queue(queueKey{pool, class})
+	q := s.queue(queueKey{pool: pool, class: class})
 	q.capacity = c
 	s.dispatch(q)
 }
@@ -110,6 +124,7 @@
 	ws := s.workspace(name)
 	ws.policy = p.withDefaults()
 	ws.declared = true
+	s.weights[ws.key] = ws.policy.Weight
 	ws.concurrency = entryConcurrency(ws.policy.Concurrency, s.entries)
 	s.dispatchAll()
 }
@@ -121,6 +136,7 @@
 	ws := s.workspace(name)
 	ws.policy = s.defaultPolicy
 	ws.declared = false
+	delete(s.weights, ws.key)
 	ws.concurrency = entryConcurrency(ws.policy.Concurrency, s.entries)
 	s.dispatchAll()
 }
@@ -131,6 +147,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.entries = max(1, n)
+	for _, q := range s.queues {
+		if q.turns != nil {
+			q.turns.entries = s.entries
+		}
+	}
 	for _, ws := range s.workspaces {
 		ws.concurrency = entryConcurrency(ws.policy.Concurrency, s.entries)
 	}
@@ -144,15 +165,20 @@
 	if f != nil {
 		return Ticket{}, s.countRefusal(f)
 	}
-	s.await(ctx, w)
+	s.await(ctx, w, nil)
 	if w.failure != nil {
 		return Ticket{}, s.countRefusal(w.failure)
 	}
 	return Ticket{&grant{scheduler: s, waiter: w}}, nil
 }
 
-// enqueue checks the limits and queues the item, or starts it immediately.
+// enqueue checks the limits and queues the item for a window, or starts it immediately.
 func (s *Scheduler) enqueue(it Item) (*waiter, *request.Failure) {
+	return s.enqueueIn(queueKey{pool: it.Pool, class: it.Class}, it)
+}
+
+// enqueueIn checks the limits and queues the item, or grants it immediately.
+func (s *Scheduler) enqueueIn(key queueKey, it Item) (*waiter, *request.Failure) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
@@ -161,7 +187,8 @@
 	}
 	it.Cost = max(1, it.Cost)
 	ws := s.workspace(it.Workspace)
-	q := s.queue(queueKey{it.Pool, it.Class})
+	q := s.queue(key)
+	q.tick(now)
 	s.arrivals++
 	w := newWaiter(it, s.arrivals, now)
 	flow := q.flow(ws)
@@ -179,12 +206,12 @@
 // The rate limit is checked last, so that a request refused for another reason isn't
 // charged.
 func (s *Scheduler) checkAdmission(ws *workspace, q *queue, f *flow, w *waiter, now time.Time) *request.Failure {
-	if ws.waiting >= ws.policy.MaxQueue {
-		return newRefusal(request.StatusTooManyRequests, ReasonQueueFull, q.estimatedWait(f, w, now)+time.Second)
+	if ws.waiting >= ws.policy.MaxQueue || q.turns != nil && f.exceedsDepth() {
+		return newRefusal(request.StatusTooManyRequests, ReasonQueueFull, s.returnDelay(q, f, w, now))
 	}
 	wait := q.estimatedWait(f, w, now)
 	if start := w.latestStart(); !start.IsZero() && now.Add(wait).After(start) {
-		return newRefusal(request.StatusServiceUnavailable, ReasonDeadline, wait+time.Second)
+		return newRefusal(request.StatusServiceUnavailable, ReasonDeadline, s.returnDelay(q, f, w, now))
 	}
 	if rate := entryShare(ws.policy.TokensPerSecond, s.entries); rate > 0 {
 		burst := entryShare(ws.policy.BurstTokens, s.entries)
@@ -195,35 +222,69 @@
 	return nil
 }
 
+// returnDelay returns the delay after which a caller that is refused now may retry.
+func (s *Scheduler) returnDelay(q *queue, f *flow, w *waiter, now time.Time) time.Duration {
+	wait := q.estimatedWait(f, w, now)
+	if q.turns == nil {
+		return wait + time.Second
+	}
+	return q.turns.returns.delay(wait, q.turns.rate.perSecond(s.entries), now, s.rand())
+}
+
 // await waits until the item is granted or refused. It refuses the item when the
-// context ends or its deadline can no longer be met.
-func (s *Scheduler) await(ctx context.Context, w *waiter) {
+// context ends or its deadline can no longer be met. When lookAgain fires, it may have the
+// turn again.
+func (s *Scheduler) await(ctx context.Context, w *waiter, lookAgain <-chan time.Time) {
 	var latestStart <-chan time.Time
 	if start := w.latestStart(); !start.IsZero() {
 		timer := time.NewTimer(start.Sub(s.now()))
 		defer timer.Stop()
 		latestStart = timer.C
 	}
-	select {
-	case <-w.done:
-	case <-ctx.Done():
-		s.refuseIfWaiting(w, newRefusal(request.StatusServiceUnavailable, ReasonCancelled, 0))
-	case <-latestStart:
-		s.refuseIfWaiting(w, newRefusal(request.StatusServiceUnavailable, ReasonDeadline, time.Second))
+	for {
+		select {
+		case <-w.done:
+			return
+		case <-ctx.Done():
+			s.refuseIfWaiting(w, ReasonCancelled)
+			return
+		case <-latestStart:
+			s.refuseIfWaiting(w, ReasonDeadline)
+			return
+		case <-lookAgain:
+			lookAgain = nil
+			s.lookAgain(w)
+		}
 	}
 }
 
 // refuseIfWaiting refuses an item that still waits. An item that was granted in the
 // meantime stays granted: Submit returns its ticket, and the caller releases it.
-func (s *Scheduler) refuseIfWaiting(w *waiter, f *request.Failure) {
+func (s *Scheduler) refuseIfWaiting(w *waiter, reason string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if w.state != waiting {
 		return
 	}
-	w.flow.remove(w)
-	w.resolve(refused, f)
-	w.flow.dropIfIdle()
+	s.refuse(w, reason, s.now())
+	s.dispatch(w.flow.queue)
+}
+
+// refuse removes a waiting item from its queue and refuses it.
+func (s *Scheduler) refuse(w *waiter, reason string, now time.Time) {
+	f, q := w.flow, w.flow.queue
+	delay := time.Duration(0)
+	switch {
+	case reason != ReasonDeadline:
+	case q.turns == nil:
+		delay = time.Second // it has waited for as long as it could
+	default:
+		delay = s.returnDelay(q, f, w, now)
+	}
+	q.tick(now)
+	f.remove(w)
+	w.resolve(refused, newRefusal(request.StatusServiceUnavailable, reason, delay))
+	f.dropIfIdle()
 }
 
 // Close refuses all waiting and future items. Running requests are not affected.
@@ -239,8 +300,11 @@
 }
 
 func (s *Scheduler) refuseAll(f *flow) {
-	for len(f.waiting) > 0 {
-		w := f.waiting[0]
+	if f.queue.turns != nil {
+		f.queue.open()
+	}
+	for f.queued[onTime]+f.queued[late] > 0 {
+		w := f.first()
 		f.remove(w)
 		w.resolve(refused, newRefusal(request.StatusServiceUnavailable, ReasonClosed, 0))
 	}
@@ -271,14 +335,22 @@
 	return waiting, running
 }
 
-// dispatch starts all requests of a queue that may start. The caller holds mu.
+// dispatch grants all requests of a queue that may start, or the next turn. The caller
+// holds mu.
 func (s *Scheduler) dispatch(q *queue) {
 	for q.hasRoom() {
-		f := q.nextFlow()
-		if f == nil {
+		now := s.now()
+		f := q.nextFlowAt(now)
+		switch {
+		case f == nil:
 			return
+		case q.turns == nil:
+			f.start(now).resolve(granted, nil)
+		case f.first().expired(now):
+			s.refuse(f.first(), ReasonDeadline, now)
+		default:
+			f.giveTurn().resolve(granted, nil)
 		}
-		f.start(s.now()).resolve(granted, nil)
 	}
 }
 
@@ -292,6 +364,9 @@
 	q := s.queues[l]
 	if q == nil {
 		q = newQueue(DefaultCapacity, s.now())
+		if l.byTurns {
+			q.turns = newTurnState(s.entries, s.now())
+		}
 		s.queues[l] = q
 	}
 	return q
@@ -303,7 +378,7 @@
 		if len(s.workspaces) >= maxWorkspaces {
 			s.dropIdleWorkspaces()
 		}
-		ws = &workspace{name: name, policy: s.defaultPolicy, retryBalance: retryBurst}
+		ws = &workspace{name: name, key: placement.WorkspaceKey(name), policy: s.defaultPolicy, retryBalance: retryBurst}
 		ws.concurrency = entryConcurrency(ws.policy.Concurrency, s.entries)
 		s.workspaces[name] = ws
 	}
@@ -318,7 +393,9 @@
 			continue
 		}
 		for _, q := range s.queues {
-			delete(q.flows, name)
+			if f := q.flows[name]; f != nil {
+				f.drop()
+			}
 		}
 		delete(s.workspaces, name)
 	}
--- a/workspace/turn.go
+++ b/workspace/turn.go
@@ -24,17 +24,25 @@
 	RecordPeerStart(pool string, class request.Class, workspace uint32, tokens int64)
 	// Waiting returns who waits now, in no particular order.
 	Waiting() []Waiting
-	// EstimatedWait returns how long a request that arrives now would wait for its turn.
+	// EstimatedWait returns how long a request that arrives now would wait for its turn; 0 if
+	// nothing waits or the rate of starts isn't known yet.
 	EstimatedWait(it Item) time.Duration
+	// RetryAfter returns the delay after which a caller that is refused now for lack of room
+	// may return. Each call assumes a caller: the delays are spread over the time that the
+	// queue needs to serve them.
+	RetryAfter(it Item) time.Duration
 }
 
-// Turn is the right of one request to look for room.
+// Turn is the right of one request to look for room. After Started, Leave, or a failure of
+// Wait, its methods do nothing, so that Leave can be deferred. Its methods are called by one
+// goroutine.
 type Turn interface {
 	// Started ends the turn: the request has room. Release the ticket when it has ended.
 	Started() Ticket
-	// Wait ends the turn without room and waits for the next one. The request keeps its
-	// position. The pool's queue of its class gives no turn before RoomFreed is called or the
-	// given time has passed.
+	// Wait ends the turn without room and waits for the next one, or for a failure, which is
+	// always not_run. The request keeps its position, but has no turn before RoomFreed is
+	// called or the given time has passed. Before that, one other request may look for room;
+	// if it finds none either, the pool's queue of its class gives no turn.
 	Wait(ctx context.Context, atMost time.Duration) *request.Failure
 	// Leave ends the turn and removes the request from the queue.
 	Leave()
