Order workspaces by what all entries started of late; yield room to other entries

Cause: with virtual times each entry forgot what a workspace had had elsewhere, and late requests of one entry took room that requests at others needed to be on time.

Change: in a queue by turns the start tag is the decayed usage over all entries. A late request, or one of a workspace over its share while room is short, looks 20 ms after room was freed. Late requests without a chance before their deadline are refused.

--- a/workspace/estimate.go
+++ b/workspace/estimate.go
@@ -8,6 +8,9 @@
 	// DefaultMaxWaiting is the number of requests that may wait in a queue by turns.
 	DefaultMaxWaiting = 4_096
 
+	// hopelessInterval is the least time between two checks of whether late requests can still be
+	// served; callers wait for seconds.
+	hopelessInterval = 250 * time.Millisecond
 	// minReturnDelay is the least delay after which a refused caller may return: sooner, the same
 	// servers are still full.
 	minReturnDelay = 200 * time.Millisecond
@@ -32,41 +35,88 @@
 	return q.waiting >= DefaultMaxWaiting/2 && f.waiting*len(q.flows) >= DefaultMaxWaiting/2
 }
 
-// estimatedTurn estimates how long a new item would wait for its turn: for one start more than
-// those before it, at the observed rate; 0 if nothing waits or the rate isn't known.
+// estimatedTurn estimates how long an item, queued or new, waits for its turn: for one start more
+// than those before it, at the observed rate; 0 if nothing waits or the rate isn't known.
 func (q *queue) estimatedTurn(f *flow, w *waiter, now time.Time) time.Duration {
 	perSecond := q.turns.rate.perSecond(q.turns.entries)
 	if q.waiting == 0 || perSecond == 0 {
 		return 0
 	}
-	return seconds(float64(q.startsBefore(f, w, now)+1) / perSecond)
+	if w.isLate(now) {
+		return q.estimatedLateTurn(q.ahead(f, w, late), perSecond, now)
+	}
+	return seconds(float64(q.ahead(f, w, onTime)+1) / perSecond)
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// startsBefore estimates how many of the waiting requests start before w, a request of flow f
-// that may be queued or new.
-func (q *queue) startsBefore(f *flow, w *waiter, now time.Time) int {
-	t := onTime
-	if w.isLate(now) {
-		t = late
+// estimatedLateTurn is the same for a late item with a number of late ones before it. Late
+// requests are expected to get room at the present rate for as long again as they have waited,
+// and at the rate of all starts afterwards.
+func (q *queue) estimatedLateTurn(ahead int, perSecond float64, now time.Time) time.Duration {
+	starts, latePerSecond := float64(ahead+1), q.turns.rate.latePerSecond(q.turns.entries)
+	shortage := q.turns.lateFor(now).Seconds()
+	if starts <= latePerSecond*shortage {
+		return seconds(starts / latePerSecond)
+	}
+	starts += float64(q.queued[onTime])
+	return seconds(shortage + (starts-latePerSecond*shortage)/perSecond)
+}
+
+// refuseHopeless refuses late items that are expected to have no turn before their latest start
+// after all: the longer a shortage lasts, the longer it is expected to last. It looks at the last
+// ones of the order, which have most before them. The caller holds mu.
+func (s *Scheduler) refuseHopeless(q *queue, now time.Time) {
+	if q.queued[late] == 0 || now.Sub(q.turns.checkedAt) < hopelessInterval {
+		return
+	}
+	q.turns.checkedAt = now
+	for _, f := range q.flows {
+		for f.queued[late] > 0 {
+			w := f.last(late)
+			if !q.missesDeadline(w, now) {
+				break
+			}
+			s.refuse(w, ReasonDeadline, now)
+		}
+	}
+}
+
+// last returns the flow's last request of a tier.
+func (f *flow) last(t tier) *waiter {
+	var last *waiter
+	for _, s := range f.subjects {
+		for _, w := range s.queued[t] {
+			if last == nil || last.startsBefore(w) {
+				last = w
+			}
+		}
 	}
-	own := f.startsBeforeInFlow(w, t)
-	ahead, onTimeAhead := own, 0
+	return last
+}
+
+// missesDeadline reports whether a queued item is expected to have no turn before its latest
+// start.
+func (q *queue) missesDeadline(w *waiter, now time.Time) bool {
+	start := w.latestStart()
+	return !start.IsZero() && now.Add(q.estimatedTurn(w.flow, w, now)).After(start)
+}
+
+// ahead estimates how many of the waiting requests of a tier start before w, a request of
+// flow f.
+func (q *queue) ahead(f *flow, w *waiter, t tier) int {
+	own := f.ahead(w, t)
+	ahead := own + len(q.turns.aside)
 	for _, g := range q.flows {
-		onTimeAhead += g.queued[onTime]
 		if g != f {
 			ahead += min(g.queued[t], int(float64(own+1)*g.ws.policy.Weight/f.ws.policy.Weight))
 		}
 	}
-	if t == late {
-		ahead = min(ahead+onTimeAhead, (ahead+1)*lateStartInterval)
-	}
-	return ahead + len(q.turns.aside)
+	return ahead
 }
 
-// startsBeforeInFlow is the same for the requests of the flow and a tier.
-func (f *flow) startsBeforeInFlow(w *waiter, t tier) int {
+// ahead is the same for the requests of the flow alone.
+func (f *flow) ahead(w *waiter, t tier) int {
 	own := 0
 	if s := f.subjects[w.Subject]; s != nil {
 		for _, other := range s.queued[t] {
--- a/workspace/item.go
+++ b/workspace/item.go
@@ -68,7 +68,6 @@
 	arrival     uint64    // sequence number; breaks ties of orderTime
 	expectedEnd time.Time // set when dispatched
 	tier        tier      // late only once this was noticed; see isLate
-	inOrder     bool      // its last turn was given to the first one of the order
 	index       int       // in the heap of its subject and tier
 	state       state
 	failure     *request.Failure
--- a/workspace/queue.go
+++ b/workspace/queue.go
@@ -26,8 +26,9 @@
 	tokens        int64
 	prefillTokens int64 // of running requests without a first output token
 	waiting       int
-	virtualTime   float64 // start tag of the last dispatch, in tokens divided by weight
-	maxStartTag   float64 // maximum over all flows
+	queued        [tierCount]int // in all flows
+	virtualTime   float64        // start tag of the last dispatch, in tokens divided by weight
+	maxStartTag   float64        // maximum over all flows
 	flows         map[string]*flow
 	onTimeStarts  int // since the last start of a late request
 	// expectedEnds is the sum of the durations from epoch to the expected end of each
@@ -49,7 +50,7 @@
 	queued      [tierCount]int      // in the heaps of the subjects
 	subjects    map[uint64]*subject // by Item.Subject
 	subjectTime float64             // virtual time of the subjects: start tag of the last one that started
-	startTag    float64             // start tag of the next dispatch
+	startTag    float64             // start tag of the next dispatch; in a queue by turns the usage
 	lastTurn    uint64              // number of its last turn in a queue by turns
 }
 
@@ -76,7 +77,7 @@
 		f = &flow{ws: ws, queue: q, startTag: q.virtualTime, subjects: map[uint64]*subject{}}
 		q.flows[ws.name] = f
 		if q.turns != nil {
-			f.startTag = max(f.startTag, q.turns.debts.take(ws.key))
+			f.startTag = q.turns.usages.take(ws.key)
 			q.turns.flows[ws.key] = f
 		}
 	}
@@ -109,12 +110,14 @@
 	w.subject.activate(f.subjectTime)
 	heap.Push(&w.subject.queued[w.tier], w)
 	f.queued[w.tier]++
+	f.queue.queued[w.tier]++
 }
 
 // take removes a waiter from the heap of its subject and tier.
 func (f *flow) take(w *waiter) {
 	heap.Remove(&w.subject.queued[w.tier], w.index)
 	f.queued[w.tier]--
+	f.queue.queued[w.tier]--
 }
 
 // remove removes a waiter from the queue.
@@ -147,36 +150,27 @@
 	return best
 }
 
-// nextFlowAt returns nextFlow after those requests that have become late, and would start
-// next, have joined the late ones.
-func (q *queue) nextFlowAt(now time.Time) *flow {
-	for {
-		f := q.nextFlow()
-		if f == nil || !f.demote(f.first(), now) {
-			return f
-		}
-	}
-}
-
 // demote moves a request that has become late to the late ones. It reports whether it did.
 func (f *flow) demote(w *waiter, now time.Time) bool {
-	if w.tier == late || !w.isLate(now) {
+	if f.queue.turns == nil || w.tier == late || !w.isLate(now) {
 		return false
 	}
 	f.take(w)
 	w.tier = late
 	f.insert(w)
+	f.queue.turns.noteLate(now)
 	return true
 }
 
 // startsBefore reports whether f is served before g: by tier, then by start tag, then by name,
-// so that the order is deterministic.
+// so that the order is deterministic. If a late start is due the tier doesn't count: a workspace
+// gets no more than its share for being late.
 func (f *flow) startsBefore(g *flow) bool {
 	if f.queue.turns != nil && len(f.queue.turns.aside) > 0 {
 		return f.lastTurn < g.lastTurn
 	}
-	if a, b := f.nextTier(), g.nextTier(); a != b {
-		return (a == late) == f.queue.lateDue()
+	if a, b := f.nextTier(), g.nextTier(); a != b && !f.queue.lateDue() {
+		return a == onTime
 	}
 	if f.startTag != g.startTag {
 		return f.startTag < g.startTag
@@ -184,7 +178,8 @@
 	return f.ws.name < g.ws.name
 }
 
-// lateDue reports whether the next start is a late request's.
+// lateDue reports whether the next start is a late request's, if the workspace whose turn it is
+// has one.
 func (q *queue) lateDue() bool { return q.onTimeStarts >= lateStartInterval-1 }
 
 // nextTier returns the tier of the flow's next request.
@@ -281,18 +276,16 @@
 
 // dropIfIdle deletes an idle flow whose start tag the virtual time has reached, so
 // that the number of flows is bounded by the number of active workspaces. A queue by turns
-// remembers start tags that the virtual time has not reached.
+// keeps the usage of the workspace.
 func (f *flow) dropIfIdle() {
-	if f.waiting > 0 || f.ws.running > 0 {
-		return
-	}
-	if f.startTag > f.queue.virtualTime {
-		if f.queue.turns == nil {
-			return
-		}
-		f.queue.turns.debts.put(f.ws.key, f.startTag)
+	switch {
+	case f.waiting > 0 || f.ws.running > 0:
+	case f.queue.turns != nil:
+		f.queue.turns.usages.put(f.ws.key, f.startTag)
+		f.drop()
+	case f.startTag <= f.queue.virtualTime:
+		f.drop()
 	}
-	f.drop()
 }
 
 // estimatedWait estimates how long a new item would wait: until one running request
--- a/workspace/scheduler.go
+++ b/workspace/scheduler.go
@@ -51,6 +51,7 @@
 	metrics       metrics.Registry
 	defaultPolicy Policy
 	rand          func() float64
+	afterFunc     func(time.Duration, func()) // time.AfterFunc but in tests
 
 	mu         sync.Mutex // guards the fields below and every queue, flow and waiter
 	entries    int
@@ -88,6 +89,7 @@
 	return &Scheduler{
 		now:           opts.Now,
 		rand:          opts.Rand,
+		afterFunc:     func(d time.Duration, f func()) { time.AfterFunc(d, f) },
 		metrics:       opts.Metrics,
 		defaultPolicy: opts.Policy.withDefaults(),
 		entries:       1,
@@ -224,11 +226,11 @@
 
 // returnDelay returns the delay after which a caller that is refused now may retry.
 func (s *Scheduler) returnDelay(q *queue, f *flow, w *waiter, now time.Time) time.Duration {
-	wait := q.estimatedWait(f, w, now)
 	if q.turns == nil {
-		return wait + time.Second
+		return q.estimatedWait(f, w, now) + time.Second
 	}
-	return q.turns.returns.delay(wait, q.turns.rate.perSecond(s.entries), now, s.rand())
+	fresh := newWaiter(Item{ExpectedDuration: w.ExpectedDuration, Subject: w.Subject}, w.arrival, now)
+	return q.turns.returns.delay(q.estimatedTurn(f, fresh, now), q.turns.rate.perSecond(s.entries), now, s.rand())
 }
 
 // await waits until the item is granted or refused. It refuses the item when the
@@ -338,17 +340,27 @@
 // dispatch grants all requests of a queue that may start, or the next turn. The caller
 // holds mu.
 func (s *Scheduler) dispatch(q *queue) {
+	if q.turns != nil {
+		s.refuseHopeless(q, s.now())
+	}
 	for q.hasRoom() {
+		f := q.nextFlow()
+		if f == nil {
+			return
+		}
 		now := s.now()
-		f := q.nextFlowAt(now)
+		if q.turns == nil {
+			f.start(now).resolve(granted, nil)
+			continue
+		}
+		w := f.first()
+		became := f.demote(w, now)
 		switch {
-		case f == nil:
+		case w.expired(now) || became && q.missesDeadline(w, now):
+			s.refuse(w, ReasonDeadline, now)
+		case !became && s.yieldsRoom(q, w):
 			return
-		case q.turns == nil:
-			f.start(now).resolve(granted, nil)
-		case f.first().expired(now):
-			s.refuse(f.first(), ReasonDeadline, now)
-		default:
+		case !became:
 			f.giveTurn().resolve(granted, nil)
 		}
 	}
--- a/workspace/startrate.go
+++ b/workspace/startrate.go
@@ -13,12 +13,14 @@
 	minBacklog = 250 * time.Millisecond
 )
 
-// startSource says which entry has started a request.
-type startSource uint8
+// startKind is what a start counts as.
+type startKind uint8
 
 const (
-	ownStart startSource = iota
-	peerStart
+	ownOnTime startKind = iota
+	ownLate
+	byPeer
+	startKinds
 )
 
 // startRate measures how fast a queue gets room while requests wait in it. Otherwise the starts
@@ -26,7 +28,7 @@
 type startRate struct {
 	updated time.Time
 	backlog float64 // seconds in which requests waited, weighted by age
-	starts  [2]float64
+	starts  [startKinds]float64
 	waiting bool
 }
 
@@ -45,9 +47,9 @@
 }
 
 // record counts a start at the time of the last advance.
-func (r *startRate) record(by startSource) {
+func (r *startRate) record(k startKind) {
 	if r.waiting {
-		r.starts[by]++
+		r.starts[k]++
 	}
 }
 
@@ -58,6 +60,17 @@
 	if r.backlog < minBacklog.Seconds() {
 		return 0
 	}
-	all := r.starts[ownStart] + r.starts[peerStart]
-	return (max(r.starts[ownStart], all/float64(max(1, entries))) + 1) / r.backlog
+	own := r.starts[ownOnTime] + r.starts[ownLate]
+	all := own + r.starts[byPeer]
+	return (max(own, all/float64(max(1, entries))) + 1) / r.backlog
+}
+
+// latePerSecond returns the same for late requests: their observed rate, and at least their least
+// part of the room.
+func (r *startRate) latePerSecond(entries int) float64 {
+	least := r.perSecond(entries) / lateStartInterval
+	if least == 0 {
+		return 0
+	}
+	return max(least, r.starts[ownLate]/r.backlog)
 }
--- a/workspace/turns.go
+++ b/workspace/turns.go
@@ -13,6 +13,14 @@
 // those for which there is room.
 const maxLooks = 2
 
+const (
+	// yieldTime is how long requests leave freed room to other entries: several times what news
+	// of it takes to reach them.
+	yieldTime = 20 * time.Millisecond
+	// shortageTime is how long after a turn without room a queue counts as short of room.
+	shortageTime = 200 * time.Millisecond
+)
+
 var (
 	_ Turns = (*Scheduler)(nil)
 	_ Turn  = (*turn)(nil)
@@ -24,16 +32,22 @@
 	roomFreed bool      // during the turn of the holder
 	aside     []*waiter // found no room since it was last freed; maxLooks at most
 	given     uint64    // turns so far
+	yielding  bool      // the next request yields room to other entries
+	yielded   bool      // it has yielded
+	fullAt    time.Time // last turn without room
+	lateSince time.Time // late requests have waited since then without a break; zero: none wait
 	flows     map[uint32]*flow
-	debts     debts
+	usages    usages
+	meanUsage float64 // of the workspaces with any, at fadedAt
 	fadedAt   time.Time
-	entries   int // live ones
+	checkedAt time.Time // whether late requests can still be served
+	entries   int       // live ones
 	rate      startRate
 	returns   returns
 }
 
 func newTurnState(entries int, now time.Time) *turnState {
-	return &turnState{entries: entries, flows: map[uint32]*flow{}, debts: debts{}, fadedAt: now, rate: startRate{updated: now}}
+	return &turnState{entries: entries, flows: map[uint32]*flow{}, usages: usages{}, fadedAt: now, rate: startRate{updated: now}}
 }
 
 // free reports whether a request may have the turn.
@@ -53,13 +67,28 @@
 	return true
 }
 
+// noteLate records that a request has become late.
+func (t *turnState) noteLate(now time.Time) {
+	if t.lateSince.IsZero() {
+		t.lateSince = now
+	}
+}
+
+// lateFor returns for how long late requests have waited without a break.
+func (t *turnState) lateFor(now time.Time) time.Duration {
+	if t.lateSince.IsZero() {
+		return 0
+	}
+	return now.Sub(t.lateSince)
+}
+
 // giveTurn gives the turn to the flow's next request.
 func (f *flow) giveTurn() *waiter {
 	t := f.queue.turns
 	w := f.first()
-	w.inOrder = len(t.aside) == 0 && !(w.tier == late && f.queue.lateDue())
 	f.take(w)
 	t.holder, t.roomFreed = w, false
+	t.yielded = false
 	t.given++
 	f.lastTurn = t.given
 	return w
@@ -82,6 +111,9 @@
 		return
 	}
 	q.turns.rate.advance(now, q.waiting > 0)
+	if q.queued[late] == 0 {
+		q.turns.lateSince = time.Time{}
+	}
 	q.fade(now)
 }
 
@@ -110,6 +142,38 @@
 	}
 }
 
+// yieldsRoom reports whether the next request of a queue leaves room to other entries at first,
+// where requests may wait that go before it. After yieldTime such requests look for the room that
+// is left, until there is none.
+func (s *Scheduler) yieldsRoom(q *queue, next *waiter) bool {
+	t := q.turns
+	if s.entries == 1 || t.yielded || !q.yields(next, s.now()) {
+		return false
+	}
+	if !t.yielding {
+		t.yielding = true
+		s.afterFunc(yieldTime, func() { s.endYield(q) })
+	}
+	return true
+}
+
+// yields reports whether requests that go before the next one may wait at other entries: it is
+// late and not due, or room is short and its workspace is over its share.
+func (q *queue) yields(next *waiter, now time.Time) bool {
+	if next.tier == late {
+		return !q.lateDue()
+	}
+	return now.Sub(q.turns.fullAt) < shortageTime && next.flow.overShare()
+}
+
+func (s *Scheduler) endYield(q *queue) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q.turns.yielding, q.turns.yielded = false, true
+	q.open()
+	s.dispatch(q)
+}
+
 // lookAgain lets an item that found no room look again.
 func (s *Scheduler) lookAgain(w *waiter) {
 	s.mu.Lock()
@@ -140,11 +204,12 @@
 	now := s.now()
 	f, q := w.flow, w.flow.queue
 	q.tick(now)
-	q.turns.rate.record(ownStart)
-	f.remove(w)
-	if w.inOrder {
-		q.virtualTime = max(q.virtualTime, f.startTag)
+	if w.tier == late {
+		q.turns.rate.record(ownLate)
+	} else {
+		q.turns.rate.record(ownOnTime)
 	}
+	f.remove(w)
 	f.begin(w, now)
 	s.dispatch(q)
 	return Ticket{&grant{scheduler: s, waiter: w}}
@@ -183,6 +248,7 @@
 	w.state = waiting
 	w.done = make(chan struct{})
 	q.turns.holder = nil
+	q.turns.fullAt = s.now()
 	q.turns.aside = append(q.turns.aside, w)
 	if q.turns.roomFreed {
 		q.open()
