Test the queue by turns under load and under failure

Cause: the order and the shares need tests that name the load they answer.

The mean usage counts starts since the last update, so that the first starts of a lone workspace aren't over its share.

--- a/workspace/estimate.go
+++ b/workspace/estimate.go
@@ -1,6 +1,8 @@
 package workspace
 
 import (
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -71,7 +73,8 @@
 		return
 	}
 	q.turns.checkedAt = now
-	for _, f := range q.flows {
+	for _, name := range slices.Sorted(maps.Keys(q.flows)) {
+		f := q.flows[name]
 		for f.queued[late] > 0 {
 			w := f.last(late)
 			if !q.missesDeadline(w, now) {
--- a/workspace/fleet_test.go
+++ b/workspace/fleet_test.go
@@ -26,11 +26,14 @@
 	now     time.Time
 	rnd     *rand.Rand
 	entries []*fleetEntry
+	order   []*fleetEntry // the same, shuffled
 	free    int
 	running []runningCall
 	news    []peerNews
 	timers  []timer
 	results map[string]*tally // by workspace
+	// subjects holds the same by subject.
+	subjects map[uint64]*tally
 	// deliver returns how often and how late an entry hears of a start.
 	deliver func() []time.Duration
 	// fifo makes the queues serve in order of arrival.
@@ -78,34 +81,34 @@
 func newFleet(entries int) *fleet {
 	f := &fleet{
 		now: time.Unix(1_000, 0), rnd: rand.New(rand.NewPCG(4, uint64(entries))), free: fleetSlots,
-		results: map[string]*tally{},
+		results: map[string]*tally{}, subjects: map[uint64]*tally{},
 		deliver: func() []time.Duration { return []time.Duration{newsDelay} },
 	}
 	for range entries {
-		s := NewScheduler(Options{Now: func() time.Time { return f.now }, Rand: f.rnd.Float64})
+		s := NewScheduler(Options{Now: func() time.Time { return f.now }, Rand: func() float64 { return 0.5 }})
 		s.SetEntries(entries)
 		s.afterFunc = func(d time.Duration, call func()) { f.timers = append(f.timers, timer{f.now.Add(d), call}) }
 		f.entries = append(f.entries, &fleetEntry{s: s})
 	}
+	f.order = slices.Clone(f.entries)
 	return f
 }
 
-func (f *fleet) tally(workspace string) *tally {
-	t := f.results[workspace]
-	if t == nil {
-		t = &tally{}
-		f.results[workspace] = t
+// count applies a change to the counts of a request.
+func (f *fleet) count(workspace string, subject uint64, change func(*tally)) {
+	if f.results[workspace] == nil {
+		f.results[workspace] = &tally{}
 	}
-	return t
+	if f.subjects[subject] == nil {
+		f.subjects[subject] = &tally{}
+	}
+	change(f.results[workspace])
+	change(f.subjects[subject])
 }
 
 // ask sends a request to an entry.
 func (f *fleet) ask(e *fleetEntry, workspace string, subject uint64) {
-	t := f.tally(workspace)
-	t.asked++
-	if e.dead {
-		return
-	}
+	f.count(workspace, subject, func(t *tally) { t.asked++ })
 	it := Item{
 		Workspace: workspace, Pool: "p", Cost: 1_000, ExpectedDuration: callTime, Subject: subject,
 		Deadline: f.now.Add(callTimeout), OnTimeUntil: f.now.Add(callObjective - callTime),
@@ -115,10 +118,10 @@
 	}
 	w, failure := e.s.enqueueIn(queueKey{pool: "p", byTurns: true}, it)
 	if failure != nil {
-		t.refused++
+		f.count(workspace, subject, func(t *tally) { t.refused++ })
 		return
 	}
-	w.Workspace = workspace
+	w.Workspace, w.Subject = workspace, subject
 	e.calls = append(e.calls, &fleetCall{w: w, turn: &turn{scheduler: e.s, waiter: w}})
 }
 
@@ -128,8 +131,8 @@
 	f.endCalls()
 	f.deliverNews()
 	f.runTimers()
-	f.rnd.Shuffle(len(f.entries), func(i, j int) { f.entries[i], f.entries[j] = f.entries[j], f.entries[i] })
-	for _, e := range f.entries {
+	f.rnd.Shuffle(len(f.order), func(i, j int) { f.order[i], f.order[j] = f.order[j], f.order[i] })
+	for _, e := range f.order {
 		if !e.dead {
 			f.look(e)
 		}
@@ -192,14 +195,19 @@
 // lookCall does what the goroutine of a request does. It reports whether the request has ended or
 // started.
 func (f *fleet) lookCall(e *fleetEntry, c *fleetCall) bool {
-	t := f.tally(c.w.Workspace)
+	waited := f.now.Sub(c.w.arrivedAt)
 	if c.w.state == waiting && c.w.expired(f.now) {
 		e.s.refuseIfWaiting(c.w, ReasonDeadline)
 	}
 	switch {
+	case c.w.state == granted && c.w.expired(f.now):
+		c.turn.Leave()
+		fallthrough
 	case c.w.state == refused:
-		t.refused++
-		t.held += f.now.Sub(c.w.arrivedAt)
+		f.count(c.w.Workspace, c.w.Subject, func(t *tally) {
+			t.refused++
+			t.held += waited
+		})
 		return true
 	case c.w.state == waiting:
 		if !c.again.IsZero() && f.now.After(c.again) {
@@ -215,13 +223,14 @@
 	f.free--
 	f.running = append(f.running, runningCall{end: f.now.Add(callTime), ticket: c.turn.Started()})
 	f.announce(e, c.w)
-	waited := f.now.Sub(c.w.arrivedAt)
-	t.longest = max(t.longest, waited)
-	if waited <= callObjective-callTime {
-		t.onTime++
-	} else {
-		t.late++
-	}
+	f.count(c.w.Workspace, c.w.Subject, func(t *tally) {
+		t.longest = max(t.longest, waited)
+		if waited <= callObjective-callTime {
+			t.onTime++
+		} else {
+			t.late++
+		}
+	})
 	return true
 }
 
@@ -240,23 +249,37 @@
 type arrivals struct {
 	workspace string
 	perSecond float64
-	subjects  int
+	subjects  int           // drawn from, if over 1
+	subject   uint64        // of all requests otherwise
 	entries   []*fleetEntry // those that see it
 }
 
-// play plays a time with streams of requests.
+// play plays a time with streams of requests. Each stream has random numbers of its own, so that
+// a change of one leaves the others as they are.
 func (f *fleet) play(d time.Duration, streams []arrivals) {
+	random := make([]*rand.Rand, len(streams))
+	for i := range random {
+		random[i] = rand.New(rand.NewPCG(uint64(f.now.UnixMilli()), uint64(i)))
+	}
 	for end := f.now.Add(d); f.now.Before(end); {
 		f.step()
-		for _, a := range streams {
-			if f.rnd.Float64() < a.perSecond/1_000 {
-				subject := uint64(f.rnd.IntN(max(1, a.subjects)))
-				f.ask(a.entries[f.rnd.IntN(len(a.entries))], a.workspace, subject)
+		for i, a := range streams {
+			if random[i].Float64() < a.perSecond/1_000 {
+				a.ask(f, random[i])
 			}
 		}
 	}
 }
 
+// ask sends a request of the stream.
+func (a arrivals) ask(f *fleet, random *rand.Rand) {
+	subject := a.subject
+	if a.subjects > 1 {
+		subject = random.Uint64N(uint64(a.subjects))
+	}
+	f.ask(a.entries[random.IntN(len(a.entries))], a.workspace, subject)
+}
+
 // sum returns the sum over the workspaces that match.
 func (f *fleet) sum(match func(workspace string) bool) tally {
 	var all tally
--- a/workspace/overload_test.go
+++ b/workspace/overload_test.go
@@ -10,7 +10,7 @@
 func evenStreams(f *fleet, workspaces int, perSecond float64) []arrivals {
 	streams := make([]arrivals, workspaces)
 	for i := range streams {
-		streams[i] = arrivals{fmt.Sprintf("w%d", i), perSecond / float64(workspaces), 4, f.entries}
+		streams[i] = arrivals{workspace: fmt.Sprintf("w%d", i), perSecond: perSecond / float64(workspaces), subjects: 4, entries: f.entries}
 	}
 	return streams
 }
--- a/workspace/queue.go
+++ b/workspace/queue.go
@@ -52,6 +52,7 @@
 	subjectTime float64             // virtual time of the subjects: start tag of the last one that started
 	startTag    float64             // start tag of the next dispatch; in a queue by turns the usage
 	lastTurn    uint64              // number of its last turn in a queue by turns
+	lastLate    uint64              // number of the last one of a late request that started
 }
 
 func newQueue(c Capacity, now time.Time) *queue {
@@ -162,14 +163,18 @@
 	return true
 }
 
-// startsBefore reports whether f is served before g: by tier, then by start tag, then by name,
-// so that the order is deterministic. If a late start is due the tier doesn't count: a workspace
-// gets no more than its share for being late.
+// startsBefore reports whether f is served before g. The name breaks ties, so that the order is
+// deterministic.
 func (f *flow) startsBefore(g *flow) bool {
-	if f.queue.turns != nil && len(f.queue.turns.aside) > 0 {
+	if f.queue.turns != nil && len(f.queue.turns.aside) > 0 && f.lastTurn != g.lastTurn {
 		return f.lastTurn < g.lastTurn
 	}
-	if a, b := f.nextTier(), g.nextTier(); a != b && !f.queue.lateDue() {
+	if a, b := f.lateDue(), g.lateDue(); a != b {
+		return a
+	} else if a && f.lastLate != g.lastLate {
+		return f.lastLate < g.lastLate
+	}
+	if a, b := f.nextTier(), g.nextTier(); a != b {
 		return a == onTime
 	}
 	if f.startTag != g.startTag {
@@ -178,13 +183,15 @@
 	return f.ws.name < g.ws.name
 }
 
-// lateDue reports whether the next start is a late request's, if the workspace whose turn it is
-// has one.
-func (q *queue) lateDue() bool { return q.onTimeStarts >= lateStartInterval-1 }
+// lateDue reports whether the next start of the queue is due to a late request and the flow may
+// have it: a workspace gets no more than its share for being late.
+func (f *flow) lateDue() bool {
+	return f.queued[late] > 0 && f.queue.onTimeStarts >= lateStartInterval-1 && !f.overShare()
+}
 
 // nextTier returns the tier of the flow's next request.
 func (f *flow) nextTier() tier {
-	if f.queued[onTime] == 0 || f.queued[late] > 0 && f.queue.lateDue() {
+	if f.queued[onTime] == 0 || f.lateDue() {
 		return late
 	}
 	return onTime
@@ -214,7 +221,7 @@
 // begin counts a request that has left the queue as running.
 func (f *flow) begin(w *waiter, now time.Time) {
 	q := f.queue
-	q.countTier(w.tier)
+	f.countTier(w.tier)
 	f.charge(w.Cost)
 	f.subjectTime = max(f.subjectTime, w.subject.startTag)
 	w.subject.startTag += float64(w.Cost)
@@ -227,9 +234,11 @@
 }
 
 // countTier counts a start of the tier towards the next start of a late request.
-func (q *queue) countTier(t tier) {
+func (f *flow) countTier(t tier) {
+	q := f.queue
 	if t == late {
 		q.onTimeStarts = 0
+		f.lastLate = q.turns.given
 		return
 	}
 	q.onTimeStarts = min(q.onTimeStarts+1, lateStartInterval)
@@ -238,8 +247,12 @@
 // charge advances the flow's start tag by the tokens used. A negative value refunds
 // tokens that were charged and not used.
 func (f *flow) charge(tokens int64) {
-	f.startTag += float64(tokens) / f.ws.policy.Weight
+	usage := float64(tokens) / f.ws.policy.Weight
+	f.startTag += usage
 	f.queue.maxStartTag = max(f.queue.maxStartTag, f.startTag)
+	if f.queue.turns != nil {
+		f.queue.turns.usageSum += usage
+	}
 }
 
 // finish releases the capacity of a dispatched request and corrects its charge to the
--- a/workspace/turns.go
+++ b/workspace/turns.go
@@ -38,7 +38,8 @@
 	lateSince time.Time // late requests have waited since then without a break; zero: none wait
 	flows     map[uint32]*flow
 	usages    usages
-	meanUsage float64 // of the workspaces with any, at fadedAt
+	usageSum  float64 // of all workspaces
+	known     int     // workspaces that it is the sum of
 	fadedAt   time.Time
 	checkedAt time.Time // whether late requests can still be served
 	entries   int       // live ones
@@ -161,7 +162,7 @@
 // late and not due, or room is short and its workspace is over its share.
 func (q *queue) yields(next *waiter, now time.Time) bool {
 	if next.tier == late {
-		return !q.lateDue()
+		return !next.flow.lateDue()
 	}
 	return now.Sub(q.turns.fullAt) < shortageTime && next.flow.overShare()
 }
--- a/workspace/usage.go
+++ b/workspace/usage.go
@@ -69,19 +69,23 @@
 	sum := 0.0
 	for _, f := range q.flows {
 		f.startTag *= remaining
-		sum += f.startTag
+		sum += math.Round(f.startTag) // whole, so that the order of addition has no effect
 	}
 	for key, usage := range t.usages {
 		usage *= remaining
-		sum += usage
+		sum += math.Round(usage)
 		delete(t.usages, key)
 		t.usages.put(key, usage)
 	}
-	t.meanUsage = sum / float64(max(1, len(q.flows)+len(t.usages)))
+	t.usageSum = sum
+	t.known = len(q.flows) + len(t.usages)
 }
 
 // overShare reports whether the workspace has had much more than the others of late.
-func (f *flow) overShare() bool { return f.startTag > overShare*f.queue.turns.meanUsage }
+func (f *flow) overShare() bool {
+	t := f.queue.turns
+	return f.startTag > overShare*t.usageSum/float64(max(1, t.known))
+}
 
 // RecordPeerStart implements Turns.
 func (s *Scheduler) RecordPeerStart(pool string, class request.Class, workspace uint32, tokens int64) {
@@ -99,5 +103,7 @@
 	if weight == 0 {
 		weight = s.defaultPolicy.Weight
 	}
-	q.turns.usages.put(workspace, q.turns.usages[workspace]+float64(tokens)/weight)
+	usage := float64(tokens) / weight
+	q.turns.usageSum += usage
+	q.turns.usages.put(workspace, q.turns.usages[workspace]+usage)
 }
