--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -17,6 +17,7 @@
 // and is a leaf lock.
 type Ledger struct {
 	profileOf func(server uint64) *EngineProfile
+	onEnded   func(Attempt) // set before use; called without mu
 
 	mu               sync.Mutex
 	servers          map[uint64]*serverState
@@ -26,6 +27,7 @@
 	slow             map[*serverState]struct{}    // servers currently treated as slow
 	peerChoices      choiceRate                   // placements by other entries
 	ownChoices       choiceRate                   // placements by this entry
+	recentChoices    recentChoices                // placements by this entry that others may not know of
 }
 
 type activeAttempt struct {
@@ -64,6 +66,20 @@
 	return &Ledger{profileOf: profileOf, servers: map[uint64]*serverState{}, attempts: map[AttemptID]*activeAttempt{}, prefilling: map[AttemptID]*activeAttempt{}, slow: map[*serverState]struct{}{}}
 }
 
+// OnEnded sets a function that is called after each attempt that has ended, of this entry and of
+// others. It must not block. Set it before the ledger is used.
+func (l *Ledger) OnEnded(f func(Attempt)) { l.onEnded = f }
+
+// reportEnded calls the function set by OnEnded. The caller doesn't hold mu.
+func (l *Ledger) reportEnded(ended []*activeAttempt) {
+	if l.onEnded == nil {
+		return
+	}
+	for _, a := range ended {
+		l.onEnded(a.Attempt)
+	}
+}
+
 // Begin records an attempt of another entry. If the attempt is already known, it only
 // counts toward the rate of choices of other entries.
 func (l *Ledger) Begin(attempt Attempt, now time.Time) (isNew bool) {
@@ -167,15 +183,20 @@
 
 // End records the end of an attempt.
 func (l *Ledger) End(id AttemptID) {
+	l.reportEnded(l.end(id))
+}
+
+func (l *Ledger) end(id AttemptID) []*activeAttempt {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.endLocked(id)
+	return l.endLocked(id)
 }
 
-func (l *Ledger) endLocked(id AttemptID) {
+// endLocked ends an attempt. It returns the attempt, or none if it isn't known.
+func (l *Ledger) endLocked(id AttemptID) []*activeAttempt {
 	a := l.attempts[id]
 	if a == nil {
-		return
+		return nil
 	}
 	delete(l.attempts, id)
 	l.endPrefillLocked(a)
@@ -187,6 +208,7 @@
 			s.release(id)
 		}
 	}
+	return []*activeAttempt{a}
 }
 
 // Reconcile ends the attempts of an entry that active doesn't list. It keeps those that
@@ -194,29 +216,31 @@
 // highest one when the list was made (0: unknown). Such attempts began while the list was
 // in transit, however long that took.
 func (l *Ledger) Reconcile(owner uint64, active []uint64, newest uint64, changedBefore time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	listed := make(map[uint64]bool, len(active))
 	for _, seq := range active {
 		listed[seq] = true
 	}
-	for id, a := range l.attempts {
-		newer := newest > 0 && id.Seq > newest
-		if id.Owner == owner && !newer && !listed[id.Seq] && a.changedAt.Before(changedBefore) {
-			l.endLocked(id)
-		}
-	}
+	l.reportEnded(l.endMatching(func(a *activeAttempt) bool {
+		newer := newest > 0 && a.ID.Seq > newest
+		return a.ID.Owner == owner && !newer && !listed[a.ID.Seq] && a.changedAt.Before(changedBefore)
+	}))
 }
 
 // EndOwner ends all attempts of an entry that is gone.
 func (l *Ledger) EndOwner(owner uint64) {
+	l.reportEnded(l.endMatching(func(a *activeAttempt) bool { return a.ID.Owner == owner }))
+}
+
+// endMatching ends the attempts that match and returns them.
+func (l *Ledger) endMatching(match func(*activeAttempt) bool) (ended []*activeAttempt) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for id := range l.attempts {
-		if id.Owner == owner {
-			l.endLocked(id)
+	for id, a := range l.attempts {
+		if match(a) {
+			ended = append(ended, l.endLocked(id)...)
 		}
 	}
+	return ended
 }
 
 // Refused records that a server refused an attempt.
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -168,6 +168,7 @@
 		}
 	}
 	p.ledger.ownChoices.add(now)
+	p.ledger.recentChoices.add(now)
 	p.ledger.beginLocked(attempt, q.Engine, now)
 	if p.publisher != nil {
 		p.publisher.Began(attempt)
--- a/placement/room.go
+++ b/placement/room.go
@@ -43,8 +43,12 @@
 	if q.cannotFinish(best.firstToken) {
 		return DeadlineUnmeetable
 	}
-	rate := p.ledger.peerChoices.perSecond(now) + p.ledger.ownChoices.perSecond(now)
-	return room{query: q, options: options, rate: rate, now: now}.decide(best)
+	own, peers := p.ledger.ownChoices.perSecond(now), p.ledger.peerChoices.perSecond(now)
+	r := room{query: q, options: options, rate: own + peers, now: now}
+	if r.exceedsShare(p.ledger.recentChoices.count(now), own/max(own+peers, 1)) {
+		return NoRoom
+	}
+	return r.decide(best)
 }
 
 // decide returns Placed if the query has room on the servers of the choice, and NoRoom if it
@@ -65,6 +69,13 @@
 	return Placed
 }
 
+// exceedsShare reports whether this entry has placed as many requests within propagationDelay as
+// its share of the free slots allows, given as a fraction. The others don't know of them yet and
+// may take the same slots. One request is always allowed.
+func (r room) exceedsShare(recent int, share float64) bool {
+	return recent > 0 && float64(recent) >= share*float64(r.freeSlots())
+}
+
 // earliestFirstToken returns the time until the first token if a slot were free on every server.
 func (r room) earliestFirstToken(c choice) time.Duration {
 	earliest := c.firstToken
@@ -118,3 +129,31 @@
 func (q Query) cannotFinish(after time.Duration) bool {
 	return q.TimeLeft > 0 && after > q.timeBudget().cutoff
 }
+
+// recentChoices counts the placements of this entry that began within propagationDelay. The lock
+// of its owner guards it.
+type recentChoices struct {
+	since time.Time // when the first one began
+	n     int
+}
+
+// add counts a placement.
+func (c *recentChoices) add(now time.Time) {
+	c.expire(now)
+	if c.n == 0 {
+		c.since = now
+	}
+	c.n++
+}
+
+// count returns the number of placements.
+func (c *recentChoices) count(now time.Time) int {
+	c.expire(now)
+	return c.n
+}
+
+func (c *recentChoices) expire(now time.Time) {
+	if now.Sub(c.since) > propagationDelay {
+		c.n = 0
+	}
+}
