Test the room decision and the wait for room under load and under failure

Cause: the trials' play was no test yet. Late requests leave free slots for 300 ms of placements; other entries look for freed room within 100 ms.

--- a/gateway/roomqueue.go
+++ b/gateway/roomqueue.go
@@ -16,7 +16,7 @@
 // looked for. That entry takes it first if requests wait there; the others look at random times,
 // so that few of them take the same slot: they learn of each other's placements within
 // milliseconds.
-const maxPeerRoomDelay = 60 * time.Millisecond
+const maxPeerRoomDelay = 100 * time.Millisecond
 
 // TurnQueue is a queue by turns. Close refuses the requests that wait and all later ones.
 type TurnQueue interface {
--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -167,7 +167,6 @@
 	if !n.evacuationEnabled() {
 		n.zones.Replace(nil, boottime.Now())
 	}
-	n.incarnation = rand.Uint64()
 	n.turns = newTurns(cfg.Options.Features, cfg.Metrics)
 	n.room = newRoomQueue(n.turns)
 	n.ledger = placement.NewLedger(n.engineProfile)
@@ -182,6 +181,7 @@
 		stop()
 		return nil, err
 	}
+	n.incarnation = rand.Uint64()
 	suspects := quarantine.NewTracker(gateway.QuarantineOptions())
 	partOptions := quarantine.DefaultPartOptions
 	partOptions.TrialDelay = rand.Float64()
--- a/placement/play_test.go
+++ b/placement/play_test.go
@@ -81,8 +81,7 @@
 	done         bool
 	abandoned    bool
 	// admitted means that it occupies one of its server's slots.
-	admitted             bool
-	placedAt, admittedAt time.Time
+	admitted bool
 }
 
 // simPart is a part on a simulated server.
@@ -161,7 +160,7 @@
 // Ended implements AttemptPublisher.
 func (e *simEntry) Ended(id AttemptID) {
 	e.announce(func(l *Ledger, _ time.Time) { l.End(id) })
-	e.roomFreed(99)
+	e.roomFreed()
 	e.fleet.schedule(e.fleet.announceDelay, func() {
 		for _, other := range e.fleet.entries {
 			if other != e {
@@ -201,6 +200,9 @@
 	q.MayWait = f.queued
 	q.Waited = f.now.Sub(c.arrivedAt)
 	q.FirstTokenObjective -= q.Waited
+	if q.FirstTokenLimit > 0 {
+		q.FirstTokenLimit -= q.Waited
+	}
 	left := q.TimeLeft - q.Waited
 	if left <= 0 {
 		c.abandoned = true
@@ -224,8 +226,11 @@
 
 // dispatch sends a placed prompt to its servers.
 func (f *simFleet) dispatch(c *simCaller, placed Placement, left time.Duration) {
-	c.placed, c.placedAt = placed, f.now
+	c.placed = placed
 	f.schedule(left, func() { f.abandon(c) })
+	if limit := c.query.FirstTokenLimit; limit > 0 {
+		f.schedule(limit-f.now.Sub(c.arrivedAt), func() { f.abandonWithoutFirstToken(c) })
+	}
 	n := 1 + len(placed.Helpers)
 	c.pendingParts = n
 	part := func(helper bool) *simPart {
@@ -242,7 +247,7 @@
 // abandon removes a caller at its deadline if its answer isn't complete. Its parts are
 // dropped, except for what the passes in progress prefill.
 func (f *simFleet) abandon(c *simCaller) {
-	if c.done {
+	if c.done || c.abandoned {
 		return
 	}
 	c.abandoned = true
@@ -257,6 +262,13 @@
 	}
 }
 
+// abandonWithoutFirstToken removes a caller that has no first token yet.
+func (f *simFleet) abandonWithoutFirstToken(c *simCaller) {
+	if c.firstTokenAt.IsZero() {
+		f.abandon(c)
+	}
+}
+
 // admit gives a request a slot, or queues it until one is free.
 func (s *simServer) admit(c *simCaller, p *simPart) {
 	if s.slots >= s.fleet.engine.Capacity {
@@ -265,7 +277,6 @@
 	}
 	s.slots++
 	p.caller.admitted = true
-	p.caller.admittedAt = s.fleet.now
 	s.enqueue(p)
 }
 
@@ -446,6 +457,7 @@
 	events               float64 // mean number
 	objective, pause     time.Duration
 	timeout              time.Duration
+	patience             time.Duration // time without a first token after which callers leave; 0: timeout
 }
 
 // addTraffic schedules the arrivals of a workload for a period.
@@ -454,7 +466,7 @@
 		tokens := int(math.Exp(math.Log(k.median) + k.sigma*f.random.NormFloat64()))
 		q := Query{
 			InputTokens: min(max(tokens, k.minTokens), k.maxTokens), MaxOutputTokens: int(k.events) * f.engine.Stride,
-			FirstTokenObjective: k.objective, PauseObjective: k.pause, TimeLeft: k.timeout, Stream: true,
+			FirstTokenObjective: k.objective, PauseObjective: k.pause, TimeLeft: k.timeout, FirstTokenLimit: k.patience, Stream: true,
 		}
 		events := max(1, int(k.events*(0.4+1.2*f.random.Float64())))
 		f.schedule(begins+at, func() { f.arrive(q, events) })
--- a/placement/room.go
+++ b/placement/room.go
@@ -5,26 +5,21 @@
 	"time"
 )
 
-// The constants below handle minutes in which more requests arrive than the servers have
-// slots for, for example 1.8 times the usual traffic on three fifths of the servers. If all
-// requests wait in the queues of the servers, each one is late by the same few tenths of a
-// second. Instead, requests without room wait at their entries. Room that comes free is given
-// to those that can still be on time; the others get what is spare.
+// The constants below handle times in which more requests arrive than the servers have slots
+// for, for example 1.8 times the usual traffic on three fifths of the servers. If all requests
+// wait in the queues of the servers, each one is late by the same few tenths of a second.
+// Instead, requests without room wait at their entries, and room that comes free is given to
+// those that can still be on time; the others get what is spare.
 //
-// The ledger knows the attempts of all entries, so that they act alike without a message: a
-// server takes no more than its slots and a short queue, which bridges the time until the
-// entries know that a slot is free.
+// The ledger knows the attempts of all entries, so that they act alike without a message.
 const (
-	// maxServerQueue is the number of requests that may wait for a slot of one server. With
-	// two of them, a server stays busy while news of a free slot travels.
-	maxServerQueue = 0
 	// onTimeForecastShare is the forecast, as a fraction of the remaining objective, up to
 	// which a request counts as on time. The rest is for errors of the forecast.
 	onTimeForecastShare = 0.8
-	// reserveTime is the time whose placements find a free slot each. Late requests leave that
-	// many slots free: 50 ms are twice what a short prompt waits for a pass to end, and long
-	// enough for the news of placements by other entries.
-	reserveTime = 150 * time.Millisecond
+	// reserveTime is the time for whose placements by all entries late requests leave free
+	// slots: the shortest objectives are as long, and requests that arrive within it find a
+	// slot even if none comes free meanwhile.
+	reserveTime = 300 * time.Millisecond
 )
 
 // room is the decision whether a query that may wait at its entry is placed now.
@@ -64,7 +59,7 @@
 		return Placed
 	case r.earliestFirstToken(c) <= objective:
 		return NoRoom
-	case c.primary.queued() >= 0 || float64(r.freeSlots()) <= r.reserve():
+	case float64(r.freeSlots()) <= r.reserve():
 		return NoRoom
 	}
 	return Placed
@@ -93,11 +88,9 @@
 	return slices.ContainsFunc(options, func(o serverOption) bool { return o.hasSlotFor(q) })
 }
 
-// hasSlotFor reports whether the server may get another request. A query that may wait at its
-// entry doesn't wait in the server's queue beyond its bound.
-func (o *serverOption) hasSlotFor(q Query) bool {
-	return !q.MayWait || o.queued() < maxServerQueue
-}
+// hasSlotFor reports whether the server may get the query. One that may wait at its entry doesn't
+// wait in the server's queue.
+func (o *serverOption) hasSlotFor(q Query) bool { return !q.MayWait || o.freeSlots() > 0 }
 
 // IsShortStream reports whether a stream whose pauses may have the given length counts as short:
 // its first token is owed soon, and the pass of a long prompt stops it for too long.
@@ -105,17 +98,16 @@
 	return pauseObjective > 0 && pauseObjective <= shortStreamPause
 }
 
-// queued returns how many requests wait for a slot of the server. It is negative if slots are
-// free.
-func (o *serverOption) queued() int {
-	return len(o.state.attempts) - max(1, o.candidate.Capacity)
+// freeSlots returns the number of free slots of the server; it is negative if requests wait there.
+func (o *serverOption) freeSlots() int {
+	return max(1, o.candidate.Capacity) - len(o.state.attempts)
 }
 
 // freeSlots returns the number of free slots of all servers.
 func (r room) freeSlots() int {
 	sum := 0
 	for i := range r.options {
-		sum += max(-r.options[i].queued(), 0)
+		sum += max(r.options[i].freeSlots(), 0)
 	}
 	return sum
 }
--- a/placement/room_test.go
+++ b/placement/room_test.go
@@ -1,10 +1,13 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/google/go-cmp/cmp"
 )
 
 // simQueue is the queue of one entry for requests of one length class.
@@ -55,7 +58,7 @@
 	e.polling = true
 	e.fleet.schedule(placeRetryInterval, func() {
 		e.polling = false
-		e.roomFreed(99)
+		e.roomFreed()
 		if len(e.queues[0].waiting)+len(e.queues[1].waiting) > 0 {
 			e.pollLater()
 		}
@@ -64,7 +67,7 @@
 
 // maxTurnDelay is the longest time from the news of a free slot until an entry gives it to a
 // caller.
-const maxTurnDelay = 60 * time.Millisecond
+const maxTurnDelay = 100 * time.Millisecond
 
 // roomFreedSoon gives turns after a random delay, so that not all entries take the same slot.
 func (e *simEntry) roomFreedSoon() {
@@ -74,22 +77,22 @@
 	e.turnDue = true
 	e.fleet.schedule(time.Duration(e.fleet.random.Int64N(int64(maxTurnDelay))), func() {
 		e.turnDue = false
-		if e.roomFreed(99) {
+		if e.roomFreed() {
 			e.roomFreedSoon()
 		}
 	})
 }
 
-// roomFreed gives turns until a caller of each queue finds no room, at most the given number. It
-// reports whether a caller found room.
-func (e *simEntry) roomFreed(most int) bool {
+// roomFreed gives turns until a caller of each queue finds no room. It reports whether a caller
+// found room.
+func (e *simEntry) roomFreed() bool {
 	if !e.fleet.queued {
 		return false
 	}
 	found := false
 	for i := range e.queues {
 		q := &e.queues[i]
-		for n := 0; n < most && len(q.waiting) > 0; n++ {
+		for len(q.waiting) > 0 {
 			at := q.first(e.fleet.now)
 			if !e.fleet.tryPlace(e, q.waiting[at]) {
 				break
@@ -109,15 +112,18 @@
 	PrefillRate: 177_000, PairsTime: 184 * time.Microsecond, HopTime: 50 * time.Microsecond,
 }
 
-// The workloads of such a fleet of 45 engines.
+// scarceServers is the number of engines of such a fleet.
+const scarceServers = 45
+
+// The workloads of such a fleet.
 var (
 	scarceQueries = workload{
 		perSecond: 64, median: 3_300, sigma: 0.9, minTokens: 300, maxTokens: 23_800, events: 32,
-		objective: 300 * time.Millisecond, pause: 250 * time.Millisecond, timeout: 10 * time.Second,
+		objective: 300 * time.Millisecond, pause: 250 * time.Millisecond, timeout: 10 * time.Second, patience: 2 * time.Second,
 	}
 	scarceSummaries = workload{
 		perSecond: 4, median: 40_000, sigma: 0.5, minTokens: 5_000, maxTokens: 110_000, events: 19,
-		objective: 1500 * time.Millisecond, pause: 600 * time.Millisecond, timeout: 10 * time.Second,
+		objective: 1500 * time.Millisecond, pause: 600 * time.Millisecond, timeout: 10 * time.Second, patience: 6 * time.Second,
 	}
 	scarceReviews = workload{
 		perSecond: 1.7, median: 189_000, sigma: 0.55, minTokens: 20_000, maxTokens: 700_000, events: 16,
@@ -125,184 +131,176 @@
 	}
 )
 
-// simulateScarceRoom simulates usual traffic, then 1.8 times the traffic of a busy hour on three fifths of
-// the engines.
+// simulateScarceRoom simulates 1.8 times the traffic of a busy hour on three fifths of the engines.
 func simulateScarceRoom(seed uint64, queued bool) []*simCaller {
-	const lasts, peak = 6 * time.Second, 1.5
-	f := newSimFleet(scarceEngine, seed, 12, 27)
+	const lasts = 6 * time.Second
+	const more, busyHour, busyHourReviews = 1.8, 1.5, 0.5 // factors of the usual traffic
+	f := newSimFleet(scarceEngine, seed, 12, scarceServers*3/5)
 	f.queued = queued
-	f.addTraffic(scarceQueries.scaleRate(1.8*peak), 0, lasts)
-	f.addTraffic(scarceSummaries.scaleRate(1.8*peak), 0, lasts)
-	f.addTraffic(scarceReviews.scaleRate(0.6*peak), 0, lasts)
+	f.addTraffic(scarceQueries.scaleRate(more*busyHour), 0, lasts)
+	f.addTraffic(scarceSummaries.scaleRate(more*busyHour), 0, lasts)
+	f.addTraffic(scarceReviews.scaleRate(more*busyHourReviews), 0, lasts)
 	f.run(lasts + 20*time.Second)
 	return f.callers
 }
 
-func TestScarceTrial(t *testing.T) {
-	for _, queued := range []bool{false, true} {
-		results := make([][]*simCaller, 6)
-		var wg sync.WaitGroup
-		for seed := range results {
-			wg.Go(func() { results[seed] = simulateScarceRoom(uint64(seed), queued) })
-		}
-		wg.Wait()
-		t.Logf("queued %v: earned %.3f", queued, logResults(t, slices.Concat(results...)))
+// simulateScarceRooms returns the callers of several seeds.
+func simulateScarceRooms(queued bool) []*simCaller {
+	results := make([][]*simCaller, 6)
+	var plays sync.WaitGroup
+	for seed := range results {
+		plays.Go(func() { results[seed] = simulateScarceRoom(uint64(seed), queued) })
 	}
+	plays.Wait()
+	return slices.Concat(results...)
 }
 
-func TestDiag(t *testing.T) {
-	for _, queued := range []bool{false, true} {
-		all := simulateScarceRoom(0, queued)
-		var a [7]int
-		var slotw []time.Duration
-		for _, c := range all {
-			if c.query.InputTokens > 24000 || c.firstTokenAt.IsZero() {
-				continue
-			}
-			a[0]++
-			w := c.placedAt.Sub(c.arrivedAt)
-			late := !c.onTime()
-			fl := w+c.placed.Forecast > c.query.FirstTokenObjective
-			lf := c.firstTokenAt.Sub(c.arrivedAt) > c.query.FirstTokenObjective
-			switch {
-			case !late:
-				a[1]++
-			case !lf:
-				a[2]++ // pause
-			case fl:
-				a[3]++
-			default:
-				a[4]++
-				slotw = append(slotw, c.admittedAt.Sub(c.placedAt))
-			}
-			if lf && w > 150*time.Millisecond {
-				a[5]++
-			}
-		}
-		slices.Sort(slotw)
-		t.Logf("queued %v all %d ontime %d pause %d forecastlate %d forecastok-late %d, waitedlong %d", queued, a[0], a[1], a[2], a[3], a[4], a[5])
-		if n := len(slotw); n > 0 {
-			t.Logf("slot wait of forecast ok late p25 %v p50 %v p75 %v", slotw[n/4], slotw[n/2], slotw[3*n/4])
-		}
-		// by second
-		for s := 0; s < 7; s++ {
-			n, ok, tot := 0, 0, time.Duration(0)
-			for _, c := range all {
-				if c.query.InputTokens <= 24000 && int(c.arrivedAt.Sub(start)/time.Second) == s {
-					n++
-					if c.onTime() {
-						ok++
-					}
-					if !c.firstTokenAt.IsZero() {
-						tot += c.lastEventAt.Sub(c.admittedAt) / 1
-					}
-				}
-			}
-			if n > 0 {
-				t.Logf("second %d: %d, on time %d, mean slot time %v", s, n, ok, tot/time.Duration(n))
-			}
+// onTimeShare returns the fraction of the callers that were on time.
+func (r simResult) onTimeShare() float64 { return float64(r.onTime) / float64(r.callers) }
+
+// Guards against everybody being a little late when room is short: requests for which there is none
+// wait in the servers' queues, and nobody chooses who is served in time.
+func TestScarceRoomGoesToThoseOnTime(t *testing.T) {
+	if testing.Short() {
+		t.Skip("plays twelve fleets")
+	}
+	off, on := simulateScarceRooms(false), simulateScarceRooms(true)
+	t.Logf("without the queue callers got %.3f of the weight, with it %.3f", logResults(t, off), logResults(t, on))
+	short, shortOff := summarize(on, 0, 32_000), summarize(off, 0, 32_000)
+	if got, want := short.onTimeShare(), 2*shortOff.onTimeShare(); got < want {
+		t.Errorf("%.3f of the short prompts on time, want twice %.3f", got, shortOff.onTimeShare())
+	}
+	for _, class := range []struct{ from, to int }{{32_000, 100_000}, {100_000, math.MaxInt}} {
+		long, longOff := summarize(on, class.from, class.to), summarize(off, class.from, class.to)
+		if long.earned < longOff.earned {
+			t.Errorf("prompts of %d tokens and more got %.1f, less than the %.1f without the queue", class.from, long.earned, longOff.earned)
 		}
 	}
 }
 
-func TestDiag2(t *testing.T) {
-	all := simulateScarceRoom(0, true)
-	for s := 0; s < 9; s++ {
-		var hop, hopWait, late, mid, long, hopok int
-		for _, c := range all {
-			if c.placedAt.IsZero() || int(c.placedAt.Sub(start)/time.Second) != s {
-				continue
-			}
-			w := c.placedAt.Sub(c.arrivedAt)
-			switch {
-			case c.query.PauseObjective > time.Second/2 && c.query.PauseObjective < time.Second:
-				mid++
-			case c.query.PauseObjective >= time.Second:
-				long++
-			case w+leastFirstToken > c.query.FirstTokenObjective:
-				late++
-			default:
-				hop++
-				if w > 0 {
-					hopWait++
-				}
-				if c.onTime() {
-					hopok++
-				}
-			}
+// roomFleet is a fleet of servers with some free slots, and a planner whose queries may wait.
+type roomFleet struct {
+	*fleet
+	query Query
+}
+
+// newRoomFleet returns a fleet whose servers have the given numbers of free slots.
+func newRoomFleet(free ...int) *roomFleet {
+	f := &roomFleet{fleet: newFleet(len(free))}
+	seq := uint64(0)
+	for i, n := range free {
+		f.candidates[i].Capacity = engine.Capacity
+		for range engine.Capacity - n {
+			seq++
+			f.ledger.Begin(Attempt{ID: AttemptID{Owner: 2, Seq: seq}, Server: ServerKey(f.candidates[i].Instance), PauseObjective: 250 * time.Millisecond, Decoding: true}, f.now)
 		}
-		t.Logf("second %d: placed hopeful %d (waited %d, ok %d), late %d, middle %d, long %d", s, hop, hopWait, hopok, late, mid, long)
 	}
+	f.query = Query{
+		Engine: engine, InputTokens: 3_000, MaxOutputTokens: 500, FirstTokenObjective: time.Second,
+		PauseObjective: 250 * time.Millisecond, TimeLeft: 10 * time.Second, FirstTokenLimit: 2 * time.Second, MayWait: true, Stream: true,
+	}
+	return f
 }
 
-func TestDiag3(t *testing.T) {
-	f := newSimFleet(scarceEngine, 0, 12, 27)
-	f.queued = true
-	const lasts, peak = 6 * time.Second, 1.5
-	f.addTraffic(scarceQueries.scaleRate(1.8*peak), 0, lasts)
-	f.addTraffic(scarceSummaries.scaleRate(1.8*peak), 0, lasts)
-	f.addTraffic(scarceReviews.scaleRate(0.6*peak), 0, lasts)
-	for i := 1; i < 16; i++ {
-		f.run(time.Duration(i) * time.Second / 2)
-		var real, ledger []int
-		q, decoding := 0, 0
-		for _, o := range f.options {
-			s := f.servers[o.Instance]
-			real = append(real, s.slots+len(s.queued))
-			ledger = append(ledger, len(f.entries[0].ledger.serverLocked(ServerKey(o.Instance)).attempts))
-			q += len(s.queued)
-			decoding += len(s.decoding)
-		}
-		w := 0
-		for _, e := range f.entries {
-			w += len(e.queues[0].waiting)
-		}
-		t.Logf("%d: real %v queued %d decoding %d", i, real, q, decoding)
-		if i == 12 {
-			byID := map[AttemptID]*simCaller{}
-			for _, c := range f.callers {
-				if !c.placedAt.IsZero() {
-					byID[c.placed.attemptID] = c
-				}
-			}
-			for _, o := range f.options {
-				for _, a := range f.entries[0].ledger.serverLocked(ServerKey(o.Instance)).attempts {
-					c := byID[a.ID]
-					if c == nil {
-						t.Logf("unknown %v", a.ID)
-						continue
-					}
-					srv := f.servers[o.Instance]
-					if !c.admitted && !slices.Contains(srv.queued, c) {
-						t.Logf("not admitted %v since placed %v", a.ID, f.now.Sub(c.placedAt))
-					}
-					if c.admitted && !slices.Contains(srv.decoding, c) && f.now.Sub(c.admittedAt) > time.Second {
-						t.Logf("admitted, not decoding %v admitted %v pending %d tokens %d helpers %d", a.ID, f.now.Sub(c.admittedAt), c.pendingParts, c.query.InputTokens, len(c.placed.Helpers))
-					}
-					if c.done || c.abandoned || c.placed.Server.Instance != o.Instance {
-						t.Logf("%v done %v abandoned %v server %v/%v placed %v last %v tokens %d", a.ID, c.done, c.abandoned, c.placed.Server.Instance, o.Instance, f.now.Sub(c.placedAt), f.now.Sub(c.lastEventAt), c.query.InputTokens)
-					}
-				}
-			}
-		}
-		t.Logf("%d: ledg %v waiting %d", i, ledger, w)
+// placeElsewhere records placements by other entries on other servers.
+func (f *roomFleet) placeElsewhere(n int) {
+	for range n {
+		f.ledger.peerChoices.add(f.now)
 	}
 }
 
-func TestDiag4(t *testing.T) {
-	all := simulateScarceRoom(0, true)
-	n := 0
-	for _, c := range all {
-		if c.query.InputTokens > 24000 || c.placedAt.IsZero() || c.firstTokenAt.IsZero() {
-			continue
-		}
-		w := c.placedAt.Sub(c.arrivedAt)
-		at := c.arrivedAt.Sub(start)
-		if w+c.placed.Forecast > c.query.FirstTokenObjective || at < 2*time.Second || at > 5*time.Second {
-			continue
-		}
-		if n++; n%5 == 0 {
-			t.Logf("at %v waited %v forecast %v slot %v first after slot %v  total %v pause %v %s", at.Round(time.Millisecond), w.Round(time.Millisecond), c.placed.Forecast.Round(time.Millisecond), c.admittedAt.Sub(c.placedAt).Round(time.Millisecond), c.firstTokenAt.Sub(c.admittedAt).Round(time.Millisecond), c.firstTokenAt.Sub(c.arrivedAt).Round(time.Millisecond), c.longestPause.Round(time.Millisecond), c.placed.Server.Instance)
+func (f *roomFleet) wantDecision(t *testing.T, what string, q Query, want Decision) {
+	t.Helper()
+	if _, got := f.planner.Place(q, slices.Clone(f.candidates)); got != want {
+		t.Errorf("%s: decision %d, want %d", what, got, want)
+	}
+}
+
+// Guards against requests that wait in the queues of the servers, where nobody chooses among them
+// any more.
+func TestQueryWaitsWhileServersAreFull(t *testing.T) {
+	f := newRoomFleet(0, 0)
+	f.wantDecision(t, "all servers full", f.query, NoRoom)
+	f.query.MayWait = false
+	f.wantDecision(t, "all servers full, may not wait", f.query, Placed)
+	f = newRoomFleet(0, 1)
+	f.wantDecision(t, "a free slot", f.query, Placed)
+	f.wantDecision(t, "the same slot again", f.query, NoRoom)
+}
+
+// Guards against late requests that take the last free slots, so that those who come next are late
+// too, and against late requests that starve.
+func TestLateQueryGetsSpareRoomOnly(t *testing.T) {
+	f := newRoomFleet(2, 2)
+	f.placeElsewhere(100) // within a moment: their reserve exceeds the free slots
+	late := f.query
+	late.FirstTokenObjective = -time.Millisecond
+	late.Waited = time.Second + time.Millisecond
+	late.FirstTokenLimit = time.Second
+	f.wantDecision(t, "late", late, NoRoom)
+	f.wantDecision(t, "on time", f.query, Placed)
+	f.now = f.now.Add(time.Minute) // the others have placed nothing since
+	f.wantDecision(t, "late, with spare room", late, Placed)
+
+	f = newRoomFleet(2, 2)
+	f.placeElsewhere(100)
+	late.Waited, late.FirstTokenLimit = 20*time.Second, time.Second
+	f.wantDecision(t, "late, its time nearly over", late, Placed)
+}
+
+// Guards against a caller that is held although its answer can't come before it leaves.
+func TestHopelessQueryIsRefused(t *testing.T) {
+	f := newRoomFleet(4)
+	f.query.FirstTokenLimit = time.Millisecond
+	f.wantDecision(t, "caller about to leave", f.query, DeadlineUnmeetable)
+	f = newRoomFleet(4)
+	f.query.TimeLeft = time.Millisecond
+	f.wantDecision(t, "deadline about to pass", f.query, DeadlineUnmeetable)
+}
+
+// Guards against all entries placing as many requests as there are free slots before they know of
+// each other's placements.
+func TestEntryTakesItsShareOfFreeSlotsAtOnce(t *testing.T) {
+	f := newRoomFleet(6)
+	f.placeElsewhere(100)
+	for range 100 {
+		f.ledger.ownChoices.add(f.now)
+	}
+	placed := 0
+	for range 6 {
+		if _, decision := f.planner.Place(f.query, slices.Clone(f.candidates)); decision == Placed {
+			placed++
 		}
 	}
+	if placed == 0 || placed > 3 {
+		t.Errorf("%d of 6 free slots taken at once, want 3 at most", placed)
+	}
+	f.now = f.now.Add(2 * propagationDelay)
+	f.wantDecision(t, "after the news", f.query, Placed)
+}
+
+// Guards against room that comes free without anybody who waits for it being told.
+func TestEndedAttemptsAreReported(t *testing.T) {
+	f := newFleet(1)
+	server := ServerKey(f.candidates[0].Instance)
+	begin := func(owner, seq uint64) AttemptID {
+		id := AttemptID{Owner: owner, Seq: seq}
+		f.ledger.Begin(Attempt{ID: id, Server: server}, f.now)
+		return id
+	}
+	var ended []AttemptID
+	f.ledger.OnEnded(func(a Attempt) {
+		f.ledger.AttemptsOf(a.ID.Owner) // the lock is free
+		ended = append(ended, a.ID)
+	})
+	f.ledger.End(begin(2, 1))
+	f.ledger.End(AttemptID{Owner: 2, Seq: 1}) // known as ended
+	begin(2, 2)
+	f.ledger.Reconcile(2, nil, 0, f.now.Add(time.Second))
+	begin(3, 1)
+	f.ledger.EndOwner(3)
+	want := []AttemptID{{Owner: 2, Seq: 1}, {Owner: 2, Seq: 2}, {Owner: 3, Seq: 1}}
+	if diff := cmp.Diff(want, ended); diff != "" {
+		t.Error(diff)
+	}
 }
