Explain why a request waited and who overtook it; summary by workspace

Cause: operators couldn't see who waited for room and who went first. Change: briarturnctl explain names the wait and the workspaces whose later requests had room before it, summary has a table by workspace; refusals by the queue are explained.

--- a/internal/ctl/args.go
+++ b/internal/ctl/args.go
@@ -15,7 +15,7 @@
 	Load       *loadCommand       `arg:"subcommand:load" help:"send load and report what came of it"`
 	Experiment *experimentCommand `arg:"subcommand:experiment" help:"compare policies under the same load"`
 	Explain    *explainCommand    `arg:"subcommand:explain" help:"tell from log files why a request ended as it did"`
-	Summary    *summaryCommand    `arg:"subcommand:summary" help:"tell from log files how requests ended, by length, time and server"`
+	Summary    *summaryCommand    `arg:"subcommand:summary" help:"tell from log files how requests ended, by length, time, workspace and server"`
 	Soak       *soakCommand       `arg:"subcommand:soak" help:"run entries as processes under faults, and check what is promised"`
 	Capacity   *capacityCommand   `arg:"subcommand:capacity" help:"work out what each role needs, from measured slopes"`
 
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -66,6 +66,7 @@
 		{"its lines", r.Own},
 		{"what its process logged of itself meanwhile, and shortly before", r.State},
 		{"requests with the most reading on its server meanwhile", r.Company},
+		{"requests that came later and had room before it", r.Overtakers},
 	} {
 		if err := writeLines(w, part.title, part.lines); err != nil {
 			return errors.Trace(err)
--- a/internal/ctl/summary.go
+++ b/internal/ctl/summary.go
@@ -32,6 +32,7 @@
 	}{
 		{"prompts", s.Classes},
 		{"came at", s.Windows},
+		{"workspaces", s.Workspaces},
 		{"answered by", s.Servers},
 	} {
 		if err := writeRows(w, part.title, part.rows, s.Lost); err != nil {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -39,6 +39,8 @@
 	State []Line `json:"state"`
 	// Company are the requests with the most reading on the same server meanwhile.
 	Company []Line `json:"company"`
+	// Overtakers are the first requests of its process that came later and had room before it.
+	Overtakers []Line `json:"overtakers,omitempty"`
 }
 
 // Request explains the request with an id. Lines may be in any order.
@@ -60,7 +62,9 @@
 	}
 	r.State = stateAround(lines, end)
 	r.Company = companyOf(lines, end)
-	r.Cause = causeOf(end, r)
+	overtakers := overtakersOf(lines, end)
+	r.Overtakers = overtakers[:min(len(overtakers), maxOvertaking)]
+	r.Cause = causeOf(end, r) + waitText(end, overtakers)
 	return r, nil
 }
 
@@ -144,7 +148,13 @@
 	"servers_refused": func(_ Line, r *Report) string {
 		return "every server tried refused; " + r.attempts()
 	},
+	"queue_full": func(end Line, _ *Report) string {
+		return fmt.Sprintf("as many requests as may waited for room on the servers already; its caller was asked to return after %d ms", end.RetryAfterMS)
+	},
 	"no_time": func(end Line, _ *Report) string {
+		if end.ForecastMS == 0 {
+			return fmt.Sprintf("no room on the servers was expected for it before its caller would leave; its caller was asked to return after %d ms", end.RetryAfterMS)
+		}
 		return fmt.Sprintf("by the forecast, %d ms, its answer would have come long after its caller's time", end.ForecastMS)
 	},
 	"outcome_unknown": func(_ Line, r *Report) string {
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -56,6 +56,12 @@
 	PauseMS    int64  `json:"pause_ms,omitempty"`
 	Events     int64  `json:"events,omitempty"`
 
+	PlacedMS     int64  `json:"placed_ms,omitempty"`
+	WaitedMS     int64  `json:"waited_ms,omitempty"`
+	Turns        int    `json:"turns,omitempty"`
+	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+	Workspace    string `json:"workspace,omitempty"`
+
 	Tokens       int64 `json:"tokens,omitempty"`
 	ObjectiveMS  int64 `json:"objective_ms,omitempty"`
 	PauseLimitMS int64 `json:"pause_limit_ms,omitempty"`
--- a/internal/explain/summary.go
+++ b/internal/explain/summary.go
@@ -47,6 +47,8 @@
 	Classes []Row   `json:"classes"` // by length of the prompt
 	Windows []Row   `json:"windows"` // by when they came
 	Servers []Row   `json:"servers"` // by the server that answered, of those that had one
+	// Workspaces are rows by workspace.
+	Workspaces []Row `json:"workspaces"`
 	// Calls are those of the object API, most first; empty unless processes log at debug.
 	Calls []CallRow `json:"calls,omitempty"`
 }
@@ -54,7 +56,7 @@
 // Summarize counts the requests of a log. Those with keys that nobody holds are left
 // out: they are owed nothing.
 func Summarize(lines []Line, window time.Duration) *Summary {
-	classes, windows, servers := table{}, table{}, table{}
+	classes, windows, servers, workspaces := table{}, table{}, table{}, table{}
 	s := &Summary{}
 	for _, l := range lines {
 		if l.Message != messageRequest || l.Tokens == 0 || l.Outcome == outcomeNoKey {
@@ -63,6 +65,7 @@
 		s.Lost += lossOf(l)
 		classes.add(request.ClassOf(l.Tokens).Name(), l)
 		windows.add(l.begun().Truncate(window).Format(time.TimeOnly), l)
+		workspaces.add(workspaceOf(l), l)
 		if l.Server != "" {
 			servers.add(l.Server, l)
 		}
@@ -71,6 +74,7 @@
 	s.Classes = classes.rows(byLoss)
 	s.Windows = windows.rows(func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
 	s.Servers = servers.rows(byLoss)
+	s.Workspaces = workspaces.rows(byLoss)
 	s.Calls = countCalls(lines)
 	return s
 }
