--- a/workspace/overload_test.go
+++ b/workspace/overload_test.go
@@ -65,3 +65,17 @@
 		}
 	}
 }
+
+// Guards against holding requests until their time is over during a long shortage, although it
+// could be known that they would not be served.
+func TestHopelessRequestsAreNotHeld(t *testing.T) {
+	for _, entries := range []int{1, 12} {
+		f := newFleet(entries)
+		f.play(20*time.Second, evenStreams(f, 12, 2*fleetRate))
+		all := f.sum(anyWorkspace)
+		t.Logf("%d entries: %+v", entries, all)
+		if share(all.held, all.refused) > 0.1 {
+			t.Errorf("%d entries: %d of %d refused ones had waited for half of their time", entries, all.held, all.refused)
+		}
+	}
+}
--- a/workspace/turns_test.go
+++ b/workspace/turns_test.go
@@ -332,7 +332,12 @@
 	f.play(time.Second, evenStreams(f, 4, 100))
 	f.now = f.now.Add(callTimeout)
 	f.free = fleetSlots
+	turns := f.entries[0].s.queues[queueKey{pool: "p", byTurns: true}].turns
+	before := turns.given
 	f.step()
+	if turns.given > before {
+		t.Errorf("%d turns given", turns.given-before)
+	}
 	all := f.sum(anyWorkspace)
 	if all.onTime+all.late > 0 || all.refused < all.asked-1 {
 		t.Errorf("%+v", all)
