--- a/workspace/usage.go
+++ b/workspace/usage.go
@@ -73,9 +73,12 @@
 	}
 	for key, usage := range t.usages {
 		usage *= remaining
+		if usage < minUsage {
+			delete(t.usages, key)
+			continue
+		}
 		sum += math.Round(usage)
-		delete(t.usages, key)
-		t.usages.put(key, usage)
+		t.usages[key] = usage
 	}
 	t.usageSum = sum
 	t.known = len(q.flows) + len(t.usages)
