Refuse hopeless late requests by their place, and export what waits as gauges

Cause: the check of late requests looked at the last one only, so that those in the middle were held to the end; the rate of late starts lagged after a shortage. Operators need depth and age of a queue.

Change: each late request is checked by its place in the order; a shortage counts as over as long after the last request became late as it had lasted. Gauges workspace.waiting.requests, .late and .oldest_ms by pool and class. A request that is late when it arrives joins the late ones at once.

--- a/workspace/estimate.go
+++ b/workspace/estimate.go
@@ -10,6 +10,9 @@
 	// DefaultMaxWaiting is the number of requests that may wait in a queue by turns.
 	DefaultMaxWaiting = 4_096
 
+	// estimateError is the part of the time left by which an estimated wait may be too short. Late
+	// requests that are refused for it leave their start to others that wait.
+	estimateError = 0.1
 	// hopelessInterval is the least time between two checks of whether late requests can still be
 	// served; callers wait for seconds.
 	hopelessInterval = 250 * time.Millisecond
@@ -40,24 +43,35 @@
 // estimatedTurn estimates how long an item, queued or new, waits for its turn: for one start more
 // than those before it, at the observed rate; 0 if nothing waits or the rate isn't known.
 func (q *queue) estimatedTurn(f *flow, w *waiter, now time.Time) time.Duration {
+	t := onTime
+	if w.isLate(now) {
+		t = late
+	}
+	return q.estimatedTurnAfter(f, t, f.ahead(w, t), now)
+}
+
+// estimatedTurnAfter is the same for an item of a tier before which a number of items of its own
+// flow start.
+func (q *queue) estimatedTurnAfter(f *flow, t tier, own int, now time.Time) time.Duration {
 	perSecond := q.turns.rate.perSecond(q.turns.entries)
 	if q.waiting == 0 || perSecond == 0 {
 		return 0
 	}
-	if w.isLate(now) {
-		return q.estimatedLateTurn(q.ahead(f, w, late), perSecond, now)
+	ahead := q.ahead(f, own, t)
+	if t == late {
+		return q.estimatedLateTurn(ahead, perSecond, now)
 	}
-	return seconds(float64(q.ahead(f, w, onTime)+1) / perSecond)
+	return seconds(float64(ahead+1) / perSecond)
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // estimatedLateTurn is the same for a late item with a number of late ones before it. Late
-// requests are expected to get room at the present rate for as long again as they have waited,
-// and at the rate of all starts afterwards.
+// requests are expected to get room at the present rate as long as the shortage lasts, and at the
+// rate of all starts afterwards.
 func (q *queue) estimatedLateTurn(ahead int, perSecond float64, now time.Time) time.Duration {
 	starts, latePerSecond := float64(ahead+1), q.turns.rate.latePerSecond(q.turns.entries)
-	shortage := q.turns.lateFor(now).Seconds()
+	shortage := q.turns.expectedShortage(now).Seconds()
 	if starts <= latePerSecond*shortage {
 		return seconds(starts / latePerSecond)
 	}
@@ -66,8 +80,7 @@
 }
 
 // refuseHopeless refuses late items that are expected to have no turn before their latest start
-// after all: the longer a shortage lasts, the longer it is expected to last. It looks at the last
-// ones of the order, which have most before them. The caller holds mu.
+// after all, as the shortage lasts longer than expected. The caller holds mu.
 func (s *Scheduler) refuseHopeless(q *queue, now time.Time) {
 	if q.queued[late] == 0 || now.Sub(q.turns.checkedAt) < hopelessInterval {
 		return
@@ -75,40 +88,37 @@
 	q.turns.checkedAt = now
 	for _, name := range slices.Sorted(maps.Keys(q.flows)) {
 		f := q.flows[name]
-		for f.queued[late] > 0 {
-			w := f.last(late)
-			if !q.missesDeadline(w, now) {
-				break
+		hopeful := 0
+		for _, w := range f.sorted(late) {
+			if w.misses(q.estimatedTurnAfter(f, late, hopeful, now), now) {
+				s.refuse(w, ReasonDeadline, now)
+				continue
 			}
-			s.refuse(w, ReasonDeadline, now)
+			hopeful++
 		}
 	}
 }
 
-// last returns the flow's last request of a tier.
-func (f *flow) last(t tier) *waiter {
-	var last *waiter
+// sorted returns the queued items of a tier in their order, but for that of the subjects.
+func (f *flow) sorted(t tier) []*waiter {
+	all := make([]*waiter, 0, f.queued[t])
 	for _, s := range f.subjects {
-		for _, w := range s.queued[t] {
-			if last == nil || last.startsBefore(w) {
-				last = w
-			}
-		}
+		all = append(all, s.queued[t]...)
 	}
-	return last
+	slices.SortFunc(all, (*waiter).compare)
+	return all
 }
 
-// missesDeadline reports whether a queued item is expected to have no turn before its latest
-// start.
-func (q *queue) missesDeadline(w *waiter, now time.Time) bool {
+// misses reports whether an item with the given wait would start after its latest start, less a
+// margin for the error of the estimate.
+func (w *waiter) misses(wait time.Duration, now time.Time) bool {
 	start := w.latestStart()
-	return !start.IsZero() && now.Add(q.estimatedTurn(w.flow, w, now)).After(start)
+	return !start.IsZero() && float64(wait) > (1-estimateError)*float64(start.Sub(now))
 }
 
-// ahead estimates how many of the waiting requests of a tier start before w, a request of
-// flow f.
-func (q *queue) ahead(f *flow, w *waiter, t tier) int {
-	own := f.ahead(w, t)
+// ahead estimates how many of the waiting items of a tier start before one of flow f that comes
+// after a number of items of its own flow.
+func (q *queue) ahead(f *flow, own int, t tier) int {
 	ahead := own + len(q.turns.aside)
 	for _, g := range q.flows {
 		if g != f {
@@ -118,7 +128,7 @@
 	return ahead
 }
 
-// ahead is the same for the requests of the flow alone.
+// ahead estimates how many of the flow's items of a tier start before w, which may be new.
 func (f *flow) ahead(w *waiter, t tier) int {
 	own := 0
 	if s := f.subjects[w.Subject]; s != nil {
--- a/workspace/item.go
+++ b/workspace/item.go
@@ -1,6 +1,7 @@
 package workspace
 
 import (
+	"cmp"
 	"container/heap"
 	"time"
 
@@ -112,11 +113,11 @@
 }
 
 // startsBefore reports whether w starts before v if both wait in the same tier of a subject.
-func (w *waiter) startsBefore(v *waiter) bool {
-	if !w.orderTime.Equal(v.orderTime) {
-		return w.orderTime.Before(v.orderTime)
-	}
-	return w.arrival < v.arrival
+func (w *waiter) startsBefore(v *waiter) bool { return w.compare(v) < 0 }
+
+// compare returns a negative number if w starts before v.
+func (w *waiter) compare(v *waiter) int {
+	return cmp.Or(w.orderTime.Compare(v.orderTime), cmp.Compare(w.arrival, v.arrival))
 }
 
 // resolve sets the final state and wakes the goroutine that waits for it.
--- a/workspace/scheduler.go
+++ b/workspace/scheduler.go
@@ -198,6 +198,10 @@
 		flow.dropIfIdle()
 		return nil, f
 	}
+	if q.turns != nil && w.isLate(now) {
+		w.tier = late
+		q.turns.noteLate(now)
+	}
 	ws.retryBalance = min(retryBurst, ws.retryBalance+max(0, ws.policy.RetryRatio))
 	flow.push(w)
 	s.dispatch(q)
@@ -356,7 +360,7 @@
 		w := f.first()
 		became := f.demote(w, now)
 		switch {
-		case w.expired(now) || became && q.missesDeadline(w, now):
+		case w.expired(now) || became && w.misses(q.estimatedTurn(f, w, now), now):
 			s.refuse(w, ReasonDeadline, now)
 		case !became && s.yieldsRoom(q, w):
 			return
@@ -378,6 +382,7 @@
 		q = newQueue(DefaultCapacity, s.now())
 		if l.byTurns {
 			q.turns = newTurnState(s.entries, s.now())
+			s.exportGauges(l, q)
 		}
 		s.queues[l] = q
 	}
--- a/workspace/turns.go
+++ b/workspace/turns.go
@@ -36,6 +36,7 @@
 	yielded   bool      // it has yielded
 	fullAt    time.Time // last turn without room
 	lateSince time.Time // late requests have waited since then without a break; zero: none wait
+	lastLate  time.Time // when the last of them became late
 	flows     map[uint32]*flow
 	usages    usages
 	usageSum  float64 // of all workspaces
@@ -73,14 +74,13 @@
 	if t.lateSince.IsZero() {
 		t.lateSince = now
 	}
+	t.lastLate = now
 }
 
-// lateFor returns for how long late requests have waited without a break.
-func (t *turnState) lateFor(now time.Time) time.Duration {
-	if t.lateSince.IsZero() {
-		return 0
-	}
-	return now.Sub(t.lateSince)
+// expectedShortage returns for how long requests are expected to become late yet: for as long as
+// they have so far, less the time since the last one did.
+func (t *turnState) expectedShortage(now time.Time) time.Duration {
+	return max(0, t.lastLate.Sub(t.lateSince)-now.Sub(t.lastLate))
 }
 
 // giveTurn gives the turn to the flow's next request.
--- a/workspace/waiting.go
+++ b/workspace/waiting.go
@@ -1,6 +1,11 @@
 package workspace
 
-import "time"
+import (
+	"fmt"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
 
 // Waiting implements Turns. It covers the queues by turns and those for windows.
 func (s *Scheduler) Waiting() []Waiting {
@@ -52,3 +57,36 @@
 		visit(t.holder)
 	}
 }
+
+// exportGauges registers gauges of what waits in a queue by turns.
+func (s *Scheduler) exportGauges(key queueKey, q *queue) {
+	gauges := map[string]func(sum Waiting) int64{
+		"requests":  func(sum Waiting) int64 { return int64(sum.Requests) },
+		"late":      func(sum Waiting) int64 { return int64(sum.Late) },
+		"oldest_ms": func(sum Waiting) int64 { return sum.Oldest.Milliseconds() },
+	}
+	for name, value := range gauges {
+		// An error would mean that the gauge is registered already.
+		_ = s.metrics.Register(fmt.Sprintf("workspace.waiting.%s.%s.%s", name, key.pool, key.class.Name()),
+			metrics.NewFunctionalGauge(func() int64 { return value(s.sum(key, q)) }))
+	}
+}
+
+// sum returns what waits in a queue of all workspaces.
+func (s *Scheduler) sum(key queueKey, q *queue) Waiting {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	sum := Waiting{Pool: key.pool, Class: key.class}
+	for _, f := range q.flows {
+		sum.add(f.summary(key, now))
+	}
+	return sum
+}
+
+// add adds what waits of another workspace.
+func (w *Waiting) add(other Waiting) {
+	w.Requests += other.Requests
+	w.Late += other.Late
+	w.Oldest = max(w.Oldest, other.Oldest)
+}
