Show operators who waits for room, and say how the queue decides

Change: /status has waiting_requests, and briarturnctl status prints them by entry and in sum over all entries asked.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -65,10 +65,23 @@
 	// ZonesAgeMS is the time in milliseconds since EvacuatedZones was last known to be
 	// current. Only gateways set it.
 	ZonesAgeMS int64 `json:"zones_age_ms,omitempty"`
+	// Waiting lists what waits for room on servers, by service, class and workspace. Only gateways
+	// set it.
+	Waiting []WaitingRequests `json:"waiting_requests,omitempty"`
 	// SuspectParts lists the parts of prompts that are held or refused. Only gateways set it.
 	SuspectParts []SuspectPart `json:"suspect_parts,omitempty"`
 }
 
+// WaitingRequests is what waits of one workspace for room on the servers of a service.
+type WaitingRequests struct {
+	Service   string `json:"service"`
+	Class     string `json:"class"` // range of the prompts' lengths
+	Workspace string `json:"workspace"`
+	Requests  int    `json:"requests"`
+	Late      int    `json:"late"`      // of these, requests that can't be on time any more
+	OldestMS  int64  `json:"oldest_ms"` // how long the first of them has waited
+}
+
 // SuspectPart is a part of prompts, or several that only came together, under which servers
 // died.
 type SuspectPart struct {
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -43,7 +43,9 @@
 	InForce   int             `json:"in_force"` // processes and servers at Wanted or later
 	Known     int             `json:"known"`    // processes and servers asked or told of
 	Revisions []revisionShare `json:"revisions"`
-	Processes []processStatus `json:"processes"`
+	// Waiting is the sum of what waits at all processes.
+	Waiting   []admin.WaitingRequests `json:"waiting_requests,omitempty"`
+	Processes []processStatus         `json:"processes"`
 }
 
 func (t *tool) status(ctx context.Context) error {
@@ -109,6 +111,7 @@
 	}
 	asked.Wait()
 	f.count()
+	f.Waiting = f.sumWaiting()
 	return f
 }
 
@@ -195,6 +198,9 @@
 			return errors.Trace(err)
 		}
 	}
+	if err := f.writeWaiting(w); err != nil {
+		return errors.Trace(err)
+	}
 	for _, p := range f.Processes {
 		if len(p.EvacuatedZones) > 0 {
 			fmt.Fprintf(w, "evacuated zones, by %s %d ms ago: %s\n", p.Name, p.ZonesAgeMS, strings.Join(p.EvacuatedZones, ", "))
--- a/workspace/doc.go
+++ b/workspace/doc.go
@@ -1,6 +1,7 @@
 // Package workspace enforces the workspaces' policies at one entry: rate and
 // concurrency limits, weighted fair sharing, and the queue in which admitted
-// requests wait for the dispatch window of their pool.
+// requests wait for the dispatch window of their pool, or for their turn to look
+// for room on servers that all entries share.
 //
 // Rules:
 //   - Workspaces that wait for a pool share its tokens by weight (start-time fair
@@ -17,6 +18,15 @@
 //   - Limits hold across all entries without a central counter: each entry
 //     enforces its share (see Scheduler.SetEntries).
 //
-// Scheduler.mu is the only mutex. No code outside the package is called while it
+// In a queue by turns (Turns):
+//   - Requests that can still be on time come before those that can't. One start of
+//     lateStartInterval is a late request's while some wait.
+//   - The workspace comes first for which all entries together have started the least
+//     tokens lately, divided by its weight; within it the subject.
+//   - Late requests, and those of a workspace far over its share, leave freed room to
+//     other entries for yieldTime.
+//   - While requests wait, one of them has the turn or will look for room again.
+//
+// Scheduler.mu is the only mutex. Of other packages, only metrics and invariants are called while it
 // is held, so it comes last in any lock order.
 package workspace
