Let requests that can be on time look after late ones found no room

Cause: two late requests without room stopped the queue for one that came later and could be on time.

Change: such a request looks too. In looks after a failed one those that can be on time come first, and those of a workspace over its share last, so that its yield keeps nobody else waiting.

--- a/workspace/queue.go
+++ b/workspace/queue.go
@@ -1,6 +1,7 @@
 package workspace
 
 import (
+	"cmp"
 	"container/heap"
 	"time"
 )
@@ -62,7 +63,7 @@
 // hasRoom reports whether another request may be granted.
 func (q *queue) hasRoom() bool {
 	if q.turns != nil {
-		return q.turns.free()
+		return q.isFree()
 	}
 	return q.running < q.capacity.Slots && underLimit(q.tokens, q.capacity.Tokens) && underLimit(q.prefillTokens, q.capacity.PrefillTokens)
 }
@@ -166,21 +167,35 @@
 // startsBefore reports whether f is served before g. The name breaks ties, so that the order is
 // deterministic.
 func (f *flow) startsBefore(g *flow) bool {
-	if f.queue.turns != nil && len(f.queue.turns.aside) > 0 && f.lastTurn != g.lastTurn {
-		return f.lastTurn < g.lastTurn
+	return cmp.Or(f.compareTurns(g), cmp.Compare(f.startTag, g.startTag), cmp.Compare(f.ws.name, g.ws.name)) < 0
+}
+
+// compareTurns compares what comes before the start tags in a queue by turns: a late request that
+// is due, then the tier. After a request has found no room, the workspace looks that has not done
+// so for longest.
+func (f *flow) compareTurns(g *flow) int {
+	t := f.queue.turns
+	if t == nil {
+		return 0
 	}
-	if a, b := f.lateDue(), g.lateDue(); a != b {
-		return a
-	} else if a && f.lastLate != g.lastLate {
-		return f.lastLate < g.lastLate
+	if len(t.aside) > 0 {
+		return cmp.Or(cmp.Compare(f.nextTier(), g.nextTier()), compareBool(f.overShare(), g.overShare()), cmp.Compare(f.lastTurn, g.lastTurn))
 	}
-	if a, b := f.nextTier(), g.nextTier(); a != b {
-		return a == onTime
+	if f.lateDue() && g.lateDue() {
+		return cmp.Compare(f.lastLate, g.lastLate)
 	}
-	if f.startTag != g.startTag {
-		return f.startTag < g.startTag
+	return cmp.Or(compareBool(g.lateDue(), f.lateDue()), cmp.Compare(f.nextTier(), g.nextTier()))
+}
+
+// compareBool returns a negative number if only b is true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
 	}
-	return f.ws.name < g.ws.name
+	return 1
 }
 
 // lateDue reports whether the next start of the queue is due to a late request and the flow may
--- a/workspace/turns.go
+++ b/workspace/turns.go
@@ -30,7 +30,7 @@
 type turnState struct {
 	holder    *waiter   // has the turn, or nil
 	roomFreed bool      // during the turn of the holder
-	aside     []*waiter // found no room since it was last freed; maxLooks at most
+	aside     []*waiter // found no room since it was last freed; maxLooks + 1 at most
 	given     uint64    // turns so far
 	yielding  bool      // the next request yields room to other entries
 	yielded   bool      // it has yielded
@@ -52,8 +52,20 @@
 	return &turnState{entries: entries, flows: map[uint32]*flow{}, usages: usages{}, fadedAt: now, rate: startRate{updated: now}}
 }
 
-// free reports whether a request may have the turn.
-func (t *turnState) free() bool { return t.holder == nil && len(t.aside) < maxLooks }
+// isFree reports whether a request may have the turn. One that can still be on time looks also
+// after late ones have found no room: there may be some for which they are too late.
+func (q *queue) isFree() bool {
+	t := q.turns
+	if t.holder != nil {
+		return false
+	}
+	return len(t.aside) < maxLooks || q.queued[onTime] > 0 && !t.hasAside(onTime)
+}
+
+// hasAside reports whether a request of a tier is put aside.
+func (t *turnState) hasAside(tier tier) bool {
+	return slices.ContainsFunc(t.aside, func(w *waiter) bool { return w.tier == tier })
+}
 
 // forget removes a waiter that has the turn or is put aside. It reports whether there was one.
 func (t *turnState) forget(w *waiter) bool {
--- a/workspace/turns_test.go
+++ b/workspace/turns_test.go
@@ -246,6 +246,30 @@
 	})
 }
 
+// Guards against late requests that found no room keeping one from looking that can still be on
+// time, and for which there may be some.
+func TestLateRequestsWithoutRoomDontBlockThoseOnTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := NewScheduler(Options{})
+		ctx, cancel := context.WithCancel(t.Context())
+		missed := item("late", 1, time.Second)
+		missed.OnTimeUntil = time.Now().Add(-time.Millisecond)
+		var wg sync.WaitGroup
+		for range 3 {
+			wg.Go(func() { _, _ = startWithin(ctx, s, missed, &room{}) })
+		}
+		synctest.Wait()
+		begin := time.Now()
+		turn, f := s.AwaitTurn(ctx, item("onTime", 1, time.Second))
+		if f != nil || time.Since(begin) > 0 {
+			t.Fatalf("turn after %v: %v", time.Since(begin), f)
+		}
+		turn.Started().Release(1)
+		cancel()
+		wg.Wait()
+	})
+}
+
 // Guards against a lost wake-up: room is freed after the request with the turn has looked and
 // before it waits.
 func TestRoomFreedDuringTurnIsNotMissed(t *testing.T) {
