--- a/workspace/fleet_test.go
+++ b/workspace/fleet_test.go
@@ -73,7 +73,7 @@
 // tally counts the requests of a workspace.
 type tally struct {
 	asked, onTime, late, refused int
-	held                         time.Duration // that the refused ones had waited
+	held                         int           // of the refused ones, those that had waited to the end
 	longest                      time.Duration // wait of a served request
 	least                        float64       // part on time of the workspace with the smallest one
 }
@@ -206,7 +206,9 @@
 	case c.w.state == refused:
 		f.count(c.w.Workspace, c.w.Subject, func(t *tally) {
 			t.refused++
-			t.held += waited
+			if waited > (callTimeout-callTime)*9/10 { // to the end, but for the time of a retry
+				t.held++
+			}
 		})
 		return true
 	case c.w.state == waiting:
@@ -307,9 +309,6 @@
 
 func anyWorkspace(string) bool { return true }
 
-// served returns the share of requests that were served.
-func (t tally) served() float64 { return share(t.onTime+t.late, t.asked) }
-
 // inTime returns the share of requests that were served on time.
 func (t tally) inTime() float64 { return share(t.onTime, t.asked) }
 
--- a/workspace/turns.go
+++ b/workspace/turns.go
@@ -30,12 +30,13 @@
 type turnState struct {
 	holder    *waiter   // has the turn, or nil
 	roomFreed bool      // during the turn of the holder
-	aside     []*waiter // found no room since it was last freed; maxLooks at most
+	aside     []*waiter // found no room since it was last freed; maxLooks + 1 at most
 	given     uint64    // turns so far
 	yielding  bool      // the next request yields room to other entries
 	yielded   bool      // it has yielded
 	fullAt    time.Time // last turn without room
 	lateSince time.Time // late requests have waited since then without a break; zero: none wait
+	lastLate  time.Time // when the last of them became late
 	flows     map[uint32]*flow
 	usages    usages
 	usageSum  float64 // of all workspaces
@@ -51,8 +52,20 @@
 	return &turnState{entries: entries, flows: map[uint32]*flow{}, usages: usages{}, fadedAt: now, rate: startRate{updated: now}}
 }
 
-// free reports whether a request may have the turn.
-func (t *turnState) free() bool { return t.holder == nil && len(t.aside) < maxLooks }
+// isFree reports whether a request may have the turn. One that can still be on time looks also
+// after late ones have found no room: there may be some for which they are too late.
+func (q *queue) isFree() bool {
+	t := q.turns
+	if t.holder != nil {
+		return false
+	}
+	return len(t.aside) < maxLooks || q.queued[onTime] > 0 && !t.hasAside(onTime)
+}
+
+// hasAside reports whether a request of a tier is put aside.
+func (t *turnState) hasAside(tier tier) bool {
+	return slices.ContainsFunc(t.aside, func(w *waiter) bool { return w.tier == tier })
+}
 
 // forget removes a waiter that has the turn or is put aside. It reports whether there was one.
 func (t *turnState) forget(w *waiter) bool {
@@ -73,14 +86,13 @@
 	if t.lateSince.IsZero() {
 		t.lateSince = now
 	}
+	t.lastLate = now
 }
 
-// lateFor returns for how long late requests have waited without a break.
-func (t *turnState) lateFor(now time.Time) time.Duration {
-	if t.lateSince.IsZero() {
-		return 0
-	}
-	return now.Sub(t.lateSince)
+// expectedShortage returns for how long requests are expected to become late yet: for as long as
+// they have so far, less the time since the last one did.
+func (t *turnState) expectedShortage(now time.Time) time.Duration {
+	return max(0, t.lastLate.Sub(t.lateSince)-now.Sub(t.lastLate))
 }
 
 // giveTurn gives the turn to the flow's next request.
--- a/workspace/turns_test.go
+++ b/workspace/turns_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/request"
@@ -245,6 +246,30 @@
 	})
 }
 
+// Guards against late requests that found no room keeping one from looking that can still be on
+// time, and for which there may be some.
+func TestLateRequestsWithoutRoomDontBlockThoseOnTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := NewScheduler(Options{})
+		ctx, cancel := context.WithCancel(t.Context())
+		missed := item("late", 1, time.Second)
+		missed.OnTimeUntil = time.Now().Add(-time.Millisecond)
+		var wg sync.WaitGroup
+		for range 3 {
+			wg.Go(func() { _, _ = startWithin(ctx, s, missed, &room{}) })
+		}
+		synctest.Wait()
+		begin := time.Now()
+		turn, f := s.AwaitTurn(ctx, item("onTime", 1, time.Second))
+		if f != nil || time.Since(begin) > 0 {
+			t.Fatalf("turn after %v: %v", time.Since(begin), f)
+		}
+		turn.Started().Release(1)
+		cancel()
+		wg.Wait()
+	})
+}
+
 // Guards against a lost wake-up: room is freed after the request with the turn has looked and
 // before it waits.
 func TestRoomFreedDuringTurnIsNotMissed(t *testing.T) {
@@ -332,7 +357,12 @@
 	f.play(time.Second, evenStreams(f, 4, 100))
 	f.now = f.now.Add(callTimeout)
 	f.free = fleetSlots
+	turns := f.entries[0].s.queues[queueKey{pool: "p", byTurns: true}].turns
+	before := turns.given
 	f.step()
+	if turns.given > before {
+		t.Errorf("%d turns given", turns.given-before)
+	}
 	all := f.sum(anyWorkspace)
 	if all.onTime+all.late > 0 || all.refused < all.asked-1 {
 		t.Errorf("%+v", all)
@@ -440,7 +470,8 @@
 
 func TestWaitingNamesWhoWaits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := NewScheduler(Options{})
+		registry := metrics.NewRegistry()
+		s := NewScheduler(Options{Metrics: registry})
 		ctx, cancel := context.WithCancel(t.Context())
 		missed := item("w", 1, time.Second)
 		missed.OnTimeUntil = time.Now().Add(time.Second)
@@ -454,6 +485,12 @@
 		if diff := cmp.Diff(want, s.Waiting()); diff != "" {
 			t.Error(diff)
 		}
+		for name, value := range map[string]int64{"requests": 4, "late": 4, "oldest_ms": 2_000} {
+			gauge := registry.Get("workspace.waiting." + name + ".p." + request.ClassShort.Name())
+			if got := gauge.(metrics.Gauge).Value(); got != value {
+				t.Errorf("%s is %d, want %d", name, got, value)
+			}
+		}
 		cancel()
 		wg.Wait()
 		checkIdle(t, s)
