--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -43,6 +43,8 @@
 	e.gateway.counters.attempts.Inc(1)
 	attemptCtx, cancel := attempt.context(ctx)
 	defer cancel()
+	attemptCtx, stopWatch := e.watchSilence(attemptCtx, attempt)
+	defer stopWatch()
 	next, reason := e.sendAndRelay(attemptCtx, attempt)
 	if neverStarted(attemptCtx) {
 		e.recordNeverStarted(attempt)
@@ -230,6 +232,9 @@
 		// relayed.
 		return e.decideNext(request.AttemptOutcome{Sent: true, Deadline: requestEnded(ctx)})
 	}
+	if !attempt.watch.end() {
+		return e.decideNext(request.AttemptOutcome{Sent: true, Deadline: requestEnded(ctx)})
+	}
 	return e.relayResponse(ctx, attempt, r)
 }
 
--- a/gateway/candidates.go
+++ b/gateway/candidates.go
@@ -17,26 +17,31 @@
 // place chooses a server among those that had no attempt yet, or among all if every one
 // had.
 func (e *exchange) place() (placement.Placement, placement.Decision) {
-	now := time.Now()
+	candidates, alreadyTried, cause := e.candidates(time.Now())
+	e.exclusionCause = cause
+	if len(candidates) == 0 {
+		candidates = alreadyTried
+	}
+	return e.gateway.cfg.Placer.Place(e.placementQuery(), candidates)
+}
+
+// candidates returns the servers that the request may be sent to now, those that had an attempt
+// apart, or the cause why there are none.
+func (e *exchange) candidates(now time.Time) (untried, tried []placement.Candidate, cause eligible.Cause) {
 	coldLimit := e.coldLimit(now)
-	var servers []upstream.Server
-	servers, e.exclusionCause = e.eligibleServers(coldLimit, now)
-	var candidates, alreadyTried []placement.Candidate
+	servers, cause := e.eligibleServers(coldLimit, now)
 	for _, s := range servers {
 		c := placement.Candidate{
 			Instance: s.Instance, StartedUnixMs: s.StartedUnixMs, Address: s.Address, Zone: s.Zone, Capacity: s.Capacity,
 			Cold: coldLimit.IsCold(s),
 		}
 		if e.triedInstances[s.Instance] {
-			alreadyTried = append(alreadyTried, c)
+			tried = append(tried, c)
 			continue
 		}
-		candidates = append(candidates, c)
+		untried = append(untried, c)
 	}
-	if len(candidates) == 0 {
-		candidates = alreadyTried
-	}
-	return e.gateway.cfg.Placer.Place(e.placementQuery(), candidates)
+	return untried, tried, cause
 }
 
 // eligibleServers returns the servers that the request may be sent to now, or the cause why there
--- a/gateway/deaths.go
+++ b/gateway/deaths.go
@@ -109,11 +109,11 @@
 
 // recordBreak records the death of the server of an attempt that broke with err, if the
 // server is gone. If that isn't known yet, the death is possible, also if the server was
-// silent until the request timed out. An attempt that its caller ended shows nothing of the
+// silent until the request timed out or moved. An attempt that its caller ended shows nothing of the
 // request, but its server may have died under a part of the prompt.
 func (e *exchange) recordBreak(ctx context.Context, attempt *placedAttempt, stage brokenStage, err error) {
 	ended := time.Now()
-	if timedOut := errors.Is(ctx.Err(), context.DeadlineExceeded); timedOut {
+	if timedOut := errors.Is(ctx.Err(), context.DeadlineExceeded); timedOut || movedAway(ctx) {
 		e.addPossibleDeaths(attempt, ended, true)
 		return
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -42,6 +42,8 @@
 	sends           int                     // attempts that sent something
 	connectFailures int                     // attempts that sent nothing
 	retry           *retrybudget.Withdrawal // of the attempt; nil before something was sent
+	moveRetry       *retrybudget.Withdrawal // of the attempt that follows a move; nil: none
+	moved           bool                    // an attempt that showed nothing was ended for another one
 	triedInstances  map[string]bool         // instances that had an attempt
 	mayHaveRun      bool                    // an attempt ended without proof that it did not run
 	lastFailure     *bufferedResponse       // last complete error response of a server, relayed if no attempt succeeds
@@ -242,7 +244,10 @@
 	}
 	e.triedInstances = map[string]bool{}
 	e.gateway.cfg.Budget.RecordRequest(e.service.Name, boottime.Now())
-	defer func() { e.retry.Release() }() // also if an attempt panics to abort the response
+	defer func() { // also if an attempt panics to abort the response
+		e.retry.Release()
+		e.moveRetry.Release()
+	}()
 	for {
 		next, reason := e.attempt(ctx)
 		e.retry.Release()
@@ -299,7 +304,7 @@
 	if e.sends >= max(1, e.route.MaxAttempts) {
 		return e.stopRetrying(limitAttempts)
 	}
-	if e.retry = e.gateway.cfg.Budget.TryWithdraw(e.service.Name, boottime.Now()); e.retry == nil {
+	if e.retry = e.withdrawRetry(); e.retry == nil {
 		e.gateway.counters.retriesOverBudget.Inc(1)
 		return e.stopRetrying(limitBudget)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,6 +9,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"github.com/briarturn/briarturn/allowance"
 	"github.com/briarturn/briarturn/evacuation"
@@ -64,12 +65,13 @@
 	phase             atomic.Int32 // shutdown phase
 	bufferedBodyBytes atomic.Int64 // bytes of request bodies held in memory
 	possibleDeaths    possibleDeathList
+	moves             *rate.Limiter // of attempts that show nothing
 }
 
 // New returns a Gateway. Options that are not set take their defaults.
 func New(cfg Config) *Gateway {
 	cfg.Options = cfg.Options.withDefaults()
-	return &Gateway{cfg: cfg, counters: newCounters(cfg.Metrics)}
+	return &Gateway{cfg: cfg, counters: newCounters(cfg.Metrics), moves: rate.NewLimiter(movesPerSecond, moveBurst)}
 }
 
 // ServeHTTP implements http.Handler.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -11,8 +11,10 @@
 	requests          metrics.Counter
 	refused           map[Reason]metrics.Counter // not changed after newCounters
 	attempts          metrics.Counter
-	retries           metrics.Counter // sends of a request beyond its first
-	neverStarted      metrics.Counter // attempts ended because they had not begun
+	retries           metrics.Counter                // sends of a request beyond its first
+	neverStarted      metrics.Counter                // attempts ended because they had not begun
+	moved             metrics.Counter                // attempts ended for another server because they showed nothing
+	movesDenied       map[moveDenial]metrics.Counter // by cause; not changed after newCounters
 	resumedStreams    metrics.Counter
 	brokenResponses   metrics.Counter // responses that ended early
 	retriesOverBudget metrics.Counter
@@ -44,6 +46,8 @@
 		attempts:          counter("attempts"),
 		retries:           counter("attempts.again"),
 		neverStarted:      counter("attempts.given_up"),
+		moved:             counter("attempts.moved"),
+		movesDenied:       map[moveDenial]metrics.Counter{},
 		resumedStreams:    counter("streams.resumed"),
 		brokenResponses:   counter("answers.broken"),
 		retriesOverBudget: counter("retries.over_budget"),
@@ -59,6 +63,9 @@
 	for _, found := range []upstream.ProbeResult{upstream.ProbeSilent, upstream.ProbeRefused, upstream.ProbeAccepted} {
 		t.brokenAttempts[found] = counter("attempts.broken." + found.String())
 	}
+	for _, cause := range moveDenials {
+		t.movesDenied[cause] = counter("attempts.move_denied." + string(cause))
+	}
 	for _, reason := range allReasons {
 		t.refused[reason] = counter("refused." + string(reason))
 	}
--- a/gateway/placedattempt.go
+++ b/gateway/placedattempt.go
@@ -16,6 +16,7 @@
 	reservation    *reservation.Reservation // nil if no memory is reserved
 	firstEventSeen bool                     // an event of the stream was relayed
 	began          bool                     // the server has begun to respond with content
+	watch          *silenceWatch            // nil if the attempt doesn't move when it shows nothing
 }
 
 // context returns a context that ends with its parent, or when the engines report that
@@ -34,8 +35,10 @@
 }
 
 // requestEnded reports whether the request's deadline has passed or its caller is gone.
-// It returns false if only the attempt was ended because it did not begin.
-func requestEnded(ctx context.Context) bool { return ctx.Err() != nil && !neverStarted(ctx) }
+// It returns false if only the attempt was ended because it did not begin or showed nothing.
+func requestEnded(ctx context.Context) bool {
+	return ctx.Err() != nil && !neverStarted(ctx) && !movedAway(ctx)
+}
 
 // recordEvent records an event of the stream. The first event of each attempt, not only
 // of the stream, shows that the prompt is read and its memory in use. The prompt of a
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -55,6 +55,9 @@
 		n, err := r.Body.Read(s.buffer)
 		if n > 0 {
 			s.pending = append(s.pending, s.buffer[:n]...)
+			if eventEnd(s.pending) >= 0 && !attempt.watch.end() {
+				return e.handleBrokenStream(ctx, attempt, errMoved)
+			}
 			sent, writeErr := s.forwardEvents(r, attempt)
 			if writeErr != nil {
 				e.outcome = outcomeCallerGone
@@ -73,6 +76,9 @@
 		if err != nil {
 			return e.handleBrokenStream(ctx, attempt, err)
 		}
+		if !attempt.watch.end() {
+			return e.handleBrokenStream(ctx, attempt, errMoved)
+		}
 		e.recordBegan(attempt)
 		return s.complete(r)
 	}
--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -25,6 +25,7 @@
 	lastOverdueCheck time.Time                    // when prefilling was last checked for overdue attempts
 	slow             map[*serverState]struct{}    // servers currently treated as slow
 	peerChoices      choiceRate                   // placements by other entries
+	shownAt          time.Time                    // when any server last showed a sign of work
 }
 
 type activeAttempt struct {
@@ -52,6 +53,7 @@
 	longPrefillLoad float64           // decaying fraction of time spent on long parts
 	longLoadUpdated time.Time         // when longPrefillLoad was last updated
 	refusedAt       time.Time         // time of its last refusal
+	shownAt         time.Time         // when it last showed a first token or the end of a pass
 	slowdown        slowdown
 	slowdownFactor  float64       // factor of slowdown when advance was last called
 	prefilled       time.Duration // declared time of all prefill done so far
@@ -93,16 +95,17 @@
 		return
 	}
 	l.prefilling[a.ID] = a
-	l.queuePartLocked(a, s, false, engine, now)
+	l.queuePartLocked(a, attempt.Server, false, engine, now)
 	for _, key := range attempt.Helpers {
-		l.queuePartLocked(a, l.serverLocked(key), true, engine, now)
+		l.queuePartLocked(a, key, true, engine, now)
 	}
 }
 
 // queuePartLocked queues a part of an attempt on a server and updates the other attempts
 // there. A stream whose pause gets too long has nothing more to lose, and queued prompts
 // are prefilled later.
-func (l *Ledger) queuePartLocked(a *activeAttempt, s *serverState, helper bool, e *EngineProfile, now time.Time) {
+func (l *Ledger) queuePartLocked(a *activeAttempt, key uint64, helper bool, e *EngineProfile, now time.Time) {
+	s := l.serverLocked(key)
 	s.advance(e, now)
 	f := s.forecast(e, a.PartTime, a.PartTokens, helper, now)
 	for _, other := range s.attempts {
@@ -118,7 +121,7 @@
 	if ready.After(a.expectedReady) {
 		a.expectedReady = ready
 	}
-	p := &part{attempt: a, helper: helper, timeLeft: a.PartTime, tokensLeft: a.PartTokens, server: s, expectedReady: ready, slowdownFactor: s.slowdownFactor}
+	p := &part{attempt: a, helper: helper, timeLeft: a.PartTime, tokensLeft: a.PartTokens, server: s, key: key, expectedReady: ready, slowdownFactor: s.slowdownFactor}
 	a.parts = append(a.parts, p)
 	s.enqueue(p, e, now)
 }
@@ -132,6 +135,9 @@
 		return
 	}
 	l.observeFirstTokenLocked(a, now)
+	for _, p := range a.parts {
+		l.recordSignLocked(p.server, now)
+	}
 	a.Decoding = true
 	a.changedAt = now
 	l.endPrefillLocked(a)
@@ -146,6 +152,7 @@
 	if a == nil || s == nil || engine == nil {
 		return
 	}
+	l.recordSignLocked(s, now)
 	s.recordPass(&a.sample, engine, now)
 }
 
--- a/placement/passes.go
+++ b/placement/passes.go
@@ -34,6 +34,7 @@
 	timeLeft       time.Duration // declared prefill time left
 	tokensLeft     int           // prompt tokens left
 	server         *serverState
+	key            uint64    // ServerKey of server
 	expectedReady  time.Time // when it should be prefilled
 	finalPassEnd   time.Time // end of the pass that should prefill its last tokens
 	slowdownFactor float64   // slowdown of the server on which expectedReady is based
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -76,11 +76,7 @@
 	p.ledger.mu.Lock()
 	defer p.ledger.mu.Unlock()
 	p.ledger.checkOverdueLocked(now)
-	options := make([]serverOption, len(candidates))
-	for i, c := range candidates {
-		key := ServerKey(c.Instance)
-		options[i] = serverOption{candidate: c, key: key, state: p.ledger.serverLocked(key)}
-	}
+	options := p.optionsLocked(candidates)
 	p.shuffle(len(options), func(i, j int) { options[i], options[j] = options[j], options[i] })
 	if p.policy.byRequestCount(q) {
 		return p.commit(q, choice{primary: leastRequests(options, now)}, now), Placed
@@ -97,6 +93,16 @@
 	return p.commit(q, best, now), Placed
 }
 
+// optionsLocked returns the options for candidates.
+func (p *Planner) optionsLocked(candidates []Candidate) []serverOption {
+	options := make([]serverOption, len(candidates))
+	for i, c := range candidates {
+		key := ServerKey(c.Instance)
+		options[i] = serverOption{candidate: c, key: key, state: p.ledger.serverLocked(key)}
+	}
+	return options
+}
+
 // bestChoice returns the choice with the least loss. tolerance is the cost difference up to
 // which servers count as equal for a prompt that one server prefills alone.
 func (p *Planner) bestChoice(q Query, options []serverOption, tolerance float64, now time.Time) choice {
