Share the measured pace of servers between entries

Passes of a stream show the pace of its server, but only to the entry that relays it: each entry found each slow server by its own late prompts.

--- a/placement/pace.go
+++ b/placement/pace.go
@@ -100,22 +100,28 @@
 }
 
 // recordPass records the end of a pass, which the events of one stream show: the events of
-// a pass arrive together.
-func (s *serverState) recordPass(m *passSample, e *EngineProfile, now time.Time) {
+// a pass arrive together. It returns the ratio of the actual to the declared time of the sample
+// that the pass completes, or 0 if it completes none.
+func (s *serverState) recordPass(m *passSample, e *EngineProfile, now time.Time) (ratio float64) {
 	s.advance(e, now)
 	if m.begunAt.IsZero() {
 		*m = passSample{begunAt: now, prefilledBefore: s.prefilled}
-		return
+		return 0
 	}
 	n, context := s.decodingStreams()
 	m.decodeTime += e.DecodePassTime(n, context)
 	if m.passes++; m.passes < passesPerSample {
-		return
+		return 0
 	}
-	if declared := m.decodeTime + s.prefilled - m.prefilledBefore; now.Sub(m.begunAt) <= scale(declared, maxNormalSlowdown) {
+	took, declared := now.Sub(m.begunAt), m.decodeTime+s.prefilled-m.prefilledBefore
+	if took <= scale(declared, maxNormalSlowdown) {
 		s.slowdown.reset(now)
 	}
 	*m = passSample{begunAt: now, prefilledBefore: s.prefilled}
+	if declared <= 0 {
+		return 0
+	}
+	return float64(took) / float64(declared)
 }
 
 // checkOverdueLocked updates the slowdown of servers from the prompts that should have been
--- a/placement/play_test.go
+++ b/placement/play_test.go
@@ -90,9 +90,10 @@
 // simServer is a simulated engine.
 type simServer struct {
 	fleet    *simFleet
-	parts    []*simPart   // helper parts first, the newest in front
-	queued   []*simCaller // waiting for a slot
-	slots    int          // occupied
+	slowdown func(now time.Time) float64 // ratio of its actual to its declared times; nil: 1
+	parts    []*simPart                  // helper parts first, the newest in front
+	queued   []*simCaller                // waiting for a slot
+	slots    int                         // occupied
 	decoding []*simCaller
 	running  bool // a pass is in progress
 }
@@ -157,6 +158,21 @@
 	e.announce(func(l *Ledger, _ time.Time) { l.End(id) })
 }
 
+// sharePaces makes all entries share the paces that they measure.
+func (f *simFleet) sharePaces() {
+	for _, e := range f.entries {
+		e.ledger.SharePaces(e, func(uint64) bool { return true })
+	}
+}
+
+// Pace implements PacePublisher.
+func (e *simEntry) Pace(p Pace) {
+	e.announce(func(l *Ledger, now time.Time) {
+		p.Age = e.fleet.announceDelay
+		l.MergePace(e.planner.owner, p, now)
+	})
+}
+
 // arrive adds a caller at a random entry.
 func (f *simFleet) arrive(q Query, events int) {
 	c := &simCaller{query: q, arrivedAt: f.now, events: events, eventsLeft: events}
@@ -275,6 +291,9 @@
 		prefilled = append(prefilled, p)
 		s.parts = s.parts[1:]
 	}
+	if s.slowdown != nil {
+		length = scale(length, s.slowdown(s.fleet.now))
+	}
 	s.fleet.schedule(length, func() { s.finishPass(streams, prefilled) })
 }
 
--- a/placement/silence_test.go
+++ b/placement/silence_test.go
@@ -25,7 +25,7 @@
 		{"not past its forecast", func(s *Silence) { s.Waited = 200 * ms }, KeepWaiting},
 		{"long prompt being read", func(s *Silence) { s.Forecast = 200 * ms }, KeepWaiting},
 		{"no evidence yet", func(s *Silence) { s.SuspectSilent = false }, KeepWaiting},
-		{"no evidence, long past", func(s *Silence) { s.SuspectSilent, s.Waited = false, 600 * ms }, Move},
+		{"no evidence, long past", func(s *Silence) { s.SuspectSilent, s.Waited = false, 600*ms }, Move},
 		{"everything is slow", func(s *Silence) { s.OverdueShare = 0.6 }, MoveOverloaded},
 		{"others are as late", func(s *Silence) { s.Elsewhere = 200 * ms }, MoveNoGain},
 		{"no other server", func(s *Silence) { s.Elsewhere = 0 }, MoveNoGain},
