--- a/placement/pace.go
+++ b/placement/pace.go
@@ -1,10 +1,8 @@
 package placement
 
 import (
-	"cmp"
 	"maps"
 	"math"
-	"slices"
 	"time"
 )
 
@@ -133,20 +131,11 @@
 		return
 	}
 	l.lastOverdueCheck = now
-	var overdue []*activeAttempt
 	for _, a := range l.prefilling {
 		if now.After(a.expectedReady.Add(firstTokenSlack)) {
-			overdue = append(overdue, a)
+			l.attributeDelayLocked(a, now)
 		}
 	}
-	// In a fixed order: the first ones decide which servers count as slow while their number is
-	// limited.
-	slices.SortFunc(overdue, func(a, b *activeAttempt) int {
-		return cmp.Or(a.expectedReady.Compare(b.expectedReady), cmp.Compare(a.ID.Owner, b.ID.Owner), cmp.Compare(a.ID.Seq, b.ID.Seq))
-	})
-	for _, a := range overdue {
-		l.attributeDelayLocked(a, now)
-	}
 }
 
 // observeFirstTokenLocked updates the slowdown of servers from the first token of an
--- a/placement/sharedpace.go
+++ b/placement/sharedpace.go
@@ -16,7 +16,7 @@
 	minCredibleRatio = 0.6
 	// minMeasuredSlowdown is the ratio from which a sample counts as slow. Samples of servers
 	// at their declared speed stay below it also if some prefill is not known yet.
-	minMeasuredSlowdown = 2.5
+	minMeasuredSlowdown = 2.0
 	// paceStep is the ratio of two factors from which a change is announced.
 	paceStep = 1.5
 	// maxLoneSlowdown caps the factor that the measurements of one other entry give. Its link
