--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -109,9 +109,11 @@
 		}
 		return stepDone, ""
 	}
-	e.gateway.cfg.Log.WithFields(logrus.Fields{
-		"request": e.info.ID, "server": e.serverAddress, "events": e.stream.events, "behind": e.stream.lastEventID, "deadline": requestEnded(ctx),
-	}).Info("stream broke")
+	if !movedAway(ctx) { // a move has a line of its own
+		e.gateway.cfg.Log.WithFields(logrus.Fields{
+			"request": e.info.ID, "server": e.serverAddress, "events": e.stream.events, "behind": e.stream.lastEventID, "deadline": requestEnded(ctx),
+		}).Info("stream broke")
+	}
 	e.recordBreak(ctx, attempt, stageStream, err)
 	return e.decideNext(request.AttemptOutcome{Sent: true, Deadline: requestEnded(ctx)})
 }
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -200,6 +200,7 @@
 			fmt.Fprintf(w, "evacuated zones, by %s %d ms ago: %s\n", p.Name, p.ZonesAgeMS, strings.Join(p.EvacuatedZones, ", "))
 		}
 	}
+	f.writeSlowServers(w)
 	for _, r := range f.Revisions {
 		fmt.Fprintf(w, "revision %s: %d processes, %.1f%%\n", objectapi.FormatRevision(r.Revision), r.Processes, 100*r.Share)
 	}
@@ -209,6 +210,22 @@
 	return nil
 }
 
+// writeSlowServers writes a line for each server that a gateway takes for slow.
+func (f *fleetStatus) writeSlowServers(w io.Writer) {
+	for _, p := range f.Processes {
+		for _, s := range p.Servers {
+			if s.Slowdown == 0 {
+				continue
+			}
+			source := "by late first tokens"
+			if len(s.SlowBy) > 0 {
+				source = "measured by " + strings.Join(s.SlowBy, ", ")
+			}
+			fmt.Fprintf(w, "slow for %s: %s, %.1f times its declared times, %s\n", p.Name, s.Name, s.Slowdown, source)
+		}
+	}
+}
+
 func readiness(s *admin.Status) string {
 	switch {
 	case s.Draining:
--- a/internal/ctl/status_test.go
+++ b/internal/ctl/status_test.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -56,3 +57,19 @@
 		t.Errorf("the agent alone: in force at %d of %d, want 0 of 1", f.InForce, f.Known)
 	}
 }
+
+// Guards against operators who can't see which servers are avoided, and who said so.
+func TestStatusNamesSlowServers(t *testing.T) {
+	f := &fleetStatus{Processes: []processStatus{{Status: admin.Status{Name: "gw-1", Role: roleGateway, Servers: []admin.ServerStatus{
+		{Name: "engine-1"},
+		{Name: "engine-2", Slowdown: 4, SlowBy: []string{"gw-1", "gw-2"}},
+		{Name: "engine-3", Slowdown: 2},
+	}}}}}
+	var out strings.Builder
+	f.writeSlowServers(&out)
+	want := "slow for gw-1: engine-2, 4.0 times its declared times, measured by gw-1, gw-2\n" +
+		"slow for gw-1: engine-3, 2.0 times its declared times, by late first tokens\n"
+	if out.String() != want {
+		t.Errorf("%q, want %q", out.String(), want)
+	}
+}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -260,8 +260,12 @@
 
 // attempts counts what became of a request's attempts.
 func (r *Report) attempts() string {
-	return fmt.Sprintf("attempts that failed %d, were refused %d, were given up before they began %d, broke %d", r.count(messageFailed),
+	text := fmt.Sprintf("attempts that failed %d, were refused %d, were given up before they began %d, broke %d", r.count(messageFailed),
 		r.count(messageRefused)+r.count(messageNoMemory), r.count(messageGivenUp), r.count(messageStreamBroke)+r.count(messageAnswerBroke)+r.count(messageServerFailed))
+	if moved := r.count(messageMoved); moved > 0 {
+		text += fmt.Sprintf(", were moved since they showed nothing %d", moved)
+	}
+	return text
 }
 
 func (r *Report) count(message string) int {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -26,6 +26,8 @@
   9.1 front-2 {"first_ms":900,"forecast_ms":200,"level":"info","msg":"request","node":"front-2","outcome":"caller_gone","part_ms":20,"request":"late","server":"10.0.1.2:80","status":0,"took_ms":1000,"time":"2026-01-01T10:00:09.100Z"}
   9.2 front-1 {"forecast_ms":800,"level":"info","msg":"attempt given up, not begun","node":"front-1","request":"silent","server":"10.0.1.3:80","waited_ms":1905,"time":"2026-01-01T10:00:09.200Z"}
   9.3 front-1 {"level":"info","limit":"attempts","msg":"request","node":"front-1","outcome":"outcome_unknown","request":"silent","sends":2,"server":"10.0.1.4:80","status":502,"took_ms":3900,"time":"2026-01-01T10:00:09.300Z"}
+  9.4 front-1 {"forecast_ms":60,"level":"info","msg":"attempt moved, nothing shown","mute":true,"node":"front-1","request":"moved","server":"10.0.1.3:80","suspect":"10.0.1.3:80","waited_ms":290,"time":"2026-01-01T10:00:09.400Z"}
+  9.5 front-1 {"level":"info","limit":"attempts","msg":"request","node":"front-1","outcome":"outcome_unknown","request":"moved","sends":2,"server":"10.0.1.4:80","status":502,"took_ms":900,"time":"2026-01-01T10:00:09.500Z"}
   9.9 front-2 {"level":"info","msg":"request","node":"front-2","outcome":"answered","part_ms":900,"request":"after","server":"10.0.1.2:80","status":200,"took_ms":10,"time":"2026-01-01T10:00:09.900Z"}
 `
 
@@ -63,6 +65,10 @@
 	wantCause(t, explained(t, "silent"), "without proof", "given up before they began 1")
 }
 
+func TestMovedAttemptsAreCounted(t *testing.T) {
+	wantCause(t, explained(t, "moved"), "moved since they showed nothing 1")
+}
+
 func TestBrokenStreamNamesTheLimit(t *testing.T) {
 	wantCause(t, explained(t, "torn"), "behind 7 events", "budget", "broke 1")
 }
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -17,6 +17,7 @@
 	messageRefused      = "attempt refused"
 	messageNoMemory     = "memory not reserved"
 	messageGivenUp      = "attempt given up, not begun"
+	messageMoved        = "attempt moved, nothing shown"
 	messageStreamBroke  = "stream broke"
 	messageAnswerBroke  = "answer broke"
 	messageServerFailed = "server failed"
--- a/internal/gatewaynode/status.go
+++ b/internal/gatewaynode/status.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/briarturn/briarturn/internal/admin"
+	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/servernotice"
 	"github.com/briarturn/briarturn/upstream"
 )
@@ -39,6 +40,7 @@
 		s.ConfigRevision = table.Revision()
 	}
 	now, notices := time.Now(), n.notices.View()
+	slow := n.ledger.SlowServers(now)
 	for _, server := range n.directory.All() {
 		state := stateLive
 		switch {
@@ -48,12 +50,26 @@
 			state = stateCold
 		}
 		draining := server.Draining || notices.Draining(servernotice.ServerOf(server.Instance, server.StartedUnixMs))
-		s.Servers = append(s.Servers, serverStatus(server, state, draining))
+		status := serverStatus(server, state, draining)
+		if pace, ok := slow[placement.ServerKey(server.Instance)]; ok {
+			status.Slowdown, status.SlowBy = pace.Factor, n.measuredBy(pace)
+		}
+		s.Servers = append(s.Servers, status)
 	}
 	slices.SortFunc(s.Servers, func(a, b admin.ServerStatus) int { return cmp.Compare(a.Name, b.Name) })
 	return s
 }
 
+// measuredBy returns the names of the gateways that measured a server as slow.
+func (n *Node) measuredBy(s placement.SlowServer) []string {
+	names := n.exchange.PeerNames(s.Reporters)
+	if s.Own {
+		names = append(names, n.cfg.Name)
+	}
+	slices.Sort(names)
+	return names
+}
+
 func serverStatus(s upstream.Server, state string, draining bool) admin.ServerStatus {
 	return admin.ServerStatus{Name: s.Instance, Zone: s.Zone, Pool: s.Service, State: state, Draining: draining}
 }
--- a/peering/paces.go
+++ b/peering/paces.go
@@ -1,6 +1,7 @@
 package peering
 
 import (
+	"slices"
 	"time"
 
 	"github.com/briarturn/briarturn/placement"
@@ -55,3 +56,16 @@
 		}
 	}
 }
+
+// PeerNames returns the names of the peers with the given incarnations. Unknown ones are left out.
+func (x *Exchange) PeerNames(incarnations []uint64) []string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var out []string
+	for _, p := range x.peers {
+		if slices.Contains(incarnations, p.Incarnation) {
+			out = append(out, p.Name)
+		}
+	}
+	return out
+}
