Find out what is cheap before a silent attempt asks for a forecast elsewhere

A forecast takes as long as a placement. In a burst an entry of a tenth of a core has hundreds of silent attempts, each checked every 50 ms. Checks now come at an eighth of the time since the attempt's start, and the forecast is asked for last. The test's ledger knows all servers, as after a placement among them.

--- a/gateway/silentattempt.go
+++ b/gateway/silentattempt.go
@@ -21,8 +21,11 @@
 const errMoved = errors.ConstError("attempt showed nothing")
 
 const (
-	// silenceCheckInterval is the time between two checks of a silent attempt.
+	// silenceCheckInterval is the shortest time between two checks of a silent attempt, and
+	// silenceCheckShare the share of the time since its start. In a burst an entry has hundreds of
+	// them.
 	silenceCheckInterval = 50 * time.Millisecond
+	silenceCheckShare    = 0.125
 	// maxCheckDelay is how late a check may run. If it is later, the process was stopped, and
 	// events that have arrived meanwhile are not read yet.
 	maxCheckDelay = 150 * time.Millisecond
@@ -50,14 +53,15 @@
 	attempt  *placedAttempt
 	cancel   context.CancelCauseFunc
 
-	mu      sync.Mutex // guards what follows; the retry budget and the ledger are locked under it
-	timer   *time.Timer
-	due     time.Time // of the next check
-	ended   bool      // something of the response is relayed, or the attempt has ended
-	moved   bool
-	silence placement.Silence // that moved it
-	retry   *retrybudget.Withdrawal
-	denied  map[moveDenial]bool // causes that were counted
+	mu        sync.Mutex // guards what follows; the retry budget and the ledger are locked under it
+	timer     *time.Timer
+	due       time.Time // of the next check
+	ended     bool      // something of the response is relayed, or the attempt has ended
+	moved     bool
+	silence   placement.Silence // that moved it
+	elsewhere time.Duration     // forecast of another placement then
+	retry     *retrybudget.Withdrawal
+	denied    map[moveDenial]bool // causes that were counted
 }
 
 // watchSilence returns a context that ends with its parent, or with the cause errMoved when the
@@ -107,35 +111,40 @@
 	if now.Sub(w.due) <= maxCheckDelay && w.decide(now) {
 		return
 	}
-	w.schedule(silenceCheckInterval)
+	w.schedule(max(silenceCheckInterval, time.Duration(silenceCheckShare*float64(now.Sub(w.exchange.placedAt)))))
 }
 
-// decide moves the attempt if it should and reports whether the watch is over.
+// decide moves the attempt if it should and reports whether the watch is over. What is cheap to
+// find out comes first: a forecast takes as long as a placement.
 func (w *silenceWatch) decide(now time.Time) bool {
 	e := w.exchange
-	candidates, _, _ := e.candidates(now)
-	silence, ok := w.attempt.Silence(e.placementQuery(), candidates)
+	q := e.placementQuery()
+	silence, ok := w.attempt.Silence(q)
 	if !ok {
 		return true
 	}
 	switch silence.Verdict() {
-	case placement.Move:
-		return w.move(silence, now)
+	case placement.KeepWaiting:
+		return false
 	case placement.MoveOverloaded:
-		w.deny(moveDeniedOverload)
-	case placement.MoveNoGain:
-		w.deny(moveDeniedNoGain)
+		return w.deny(moveDeniedOverload)
 	}
-	return false
+	if e.gateway.moves.TokensAt(now) < 1 {
+		return w.deny(moveDeniedRate)
+	}
+	candidates, _, _ := e.candidates(now)
+	elsewhere := w.attempt.Elsewhere(silence, q, candidates)
+	if !silence.Gains(elsewhere) {
+		return w.deny(moveDeniedNoGain)
+	}
+	w.silence, w.elsewhere = silence, elsewhere
+	return w.move(now)
 }
 
 // move ends the attempt if the rate of moves and the retry budget allow it, and reports whether
 // they do. The retry is withdrawn first: without one the attempt is better than none.
-func (w *silenceWatch) move(silence placement.Silence, now time.Time) bool {
+func (w *silenceWatch) move(now time.Time) bool {
 	g := w.exchange.gateway
-	if g.moves.TokensAt(now) < 1 {
-		return w.deny(moveDeniedRate)
-	}
 	w.retry = g.cfg.Budget.TryWithdraw(w.exchange.service.Name, boottime.Now())
 	if w.retry == nil {
 		return w.deny(moveDeniedBudget)
@@ -145,7 +154,7 @@
 		w.retry = nil
 		return w.deny(moveDeniedRate)
 	}
-	w.moved, w.silence = true, silence
+	w.moved = true
 	w.cancel(errMoved)
 	return true
 }
@@ -192,7 +201,7 @@
 	e.gateway.cfg.Log.WithFields(logrus.Fields{
 		"request": e.info.ID, "server": e.serverAddress, "suspect": suspect.Address, "mute": w.silence.SuspectSilent,
 		"waited_ms": w.silence.Waited.Milliseconds(), "forecast_ms": w.silence.Forecast.Milliseconds(),
-		"elsewhere_ms": w.silence.Elsewhere.Milliseconds(),
+		"elsewhere_ms": w.elsewhere.Milliseconds(),
 	}).Info("attempt moved, nothing shown")
 }
 
--- a/gateway/silentattempt_test.go
+++ b/gateway/silentattempt_test.go
@@ -30,6 +30,9 @@
 func (gw *testGateway) withMoves(change func(*routetable.Config)) *testGateway {
 	ledger := placement.NewLedger(func(uint64) *placement.EngineProfile { return promptEngine })
 	gw.gateway.cfg.Placer = firstPlacer{placement.NewPlanner(ledger, 1, time.Now, nil)}
+	for _, s := range gw.directory.All() { // as if each had been a candidate
+		ledger.Refused(placement.ServerKey(s.Instance), time.Time{})
+	}
 	gw.gateway.cfg.Options.Features = routetable.Features{SilentAttempts: routetable.SwitchOn}
 	d := sampleConfig(1)
 	d.Services = []routetable.Service{{Name: "s", Engine: promptEngine}}
@@ -145,6 +148,7 @@
 	if decision != placement.Placed {
 		t.Fatalf("decision %d", decision)
 	}
+	e.placedAt = time.Now()
 	attempt := &placedAttempt{Placement: placed}
 	ctx, stop := e.watchSilence(t.Context(), attempt)
 	t.Cleanup(stop)
--- a/placement/silence.go
+++ b/placement/silence.go
@@ -36,9 +36,8 @@
 	// SuspectSilent means that Suspect has shown nothing since the attempt began, while
 	// another server has.
 	SuspectSilent bool
-	SuspectSlow   bool          // Suspect is measured as slow
-	OverdueShare  float64       // share of all servers that have an overdue prompt
-	Elsewhere     time.Duration // forecast of the first token on other servers; 0: not placed there now
+	SuspectSlow   bool    // Suspect is measured as slow
+	OverdueShare  float64 // share of all servers that have an overdue prompt
 }
 
 // MoveVerdict says whether a silent attempt moves to another server.
@@ -47,9 +46,8 @@
 // The verdicts on a silent attempt.
 const (
 	KeepWaiting    MoveVerdict = iota // not silent for long enough, or too little evidence
-	Move                              // another server is expected to answer clearly earlier
+	MayMove                           // it moves if Gains says so
 	MoveOverloaded                    // too many servers are overdue: no other one is better
-	MoveNoGain                        // no other server is expected to answer clearly earlier
 )
 
 // Patience returns how long an attempt may show nothing before it counts as silent, from its
@@ -58,8 +56,7 @@
 	return scale(forecast, silentForecastFactor) + scale(objective, silentObjectiveShare)
 }
 
-// Verdict returns whether the attempt should move. The remaining wait of an attempt that is late
-// by some time is expected to be as long again.
+// Verdict returns whether the attempt may move.
 func (s Silence) Verdict() MoveVerdict {
 	patience := Patience(s.Forecast, s.Objective)
 	if !s.SuspectSilent && !s.SuspectSlow {
@@ -70,21 +67,25 @@
 		return KeepWaiting
 	case s.OverdueShare > maxSilentShare:
 		return MoveOverloaded
-	case s.Elsewhere <= 0 || s.TimeLeft > 0 && s.Elsewhere >= s.TimeLeft:
-		return MoveNoGain
-	case s.Waited-s.Forecast < scale(s.Elsewhere, minMoveGain):
-		return MoveNoGain
 	}
-	return Move
+	return MayMove
+}
+
+// Gains reports whether a first token that is forecast elsewhere after the given time (0: not placed
+// there now) is clearly earlier than the one that the attempt waits for. The remaining wait of an
+// attempt that is late by some time is expected to be as long again.
+func (s Silence) Gains(elsewhere time.Duration) bool {
+	if elsewhere <= 0 || s.TimeLeft > 0 && elsewhere >= s.TimeLeft {
+		return false
+	}
+	return s.Waited-s.Forecast >= scale(elsewhere, minMoveGain)
 }
 
 // Silence returns what is known of an attempt that has shown nothing yet. The query is that of
-// a new attempt, and candidates, which it may change, are the servers for it. ok is false if the
-// attempt has shown its first token or has ended.
-func (p Placement) Silence(q Query, candidates []Candidate) (s Silence, ok bool) {
-	planner := p.planner
-	now := planner.clock()
-	l := planner.ledger
+// a new attempt. ok is false if the attempt has shown its first token or has ended.
+func (p Placement) Silence(q Query) (s Silence, ok bool) {
+	now := p.planner.clock()
+	l := p.planner.ledger
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.prefilling[p.attemptID]
@@ -93,17 +94,24 @@
 	}
 	l.checkOverdueLocked(now)
 	suspect := a.mostSilentPart()
-	s = Silence{
+	return Silence{
 		Forecast: a.expectedReady.Sub(a.begunAt), Waited: now.Sub(a.begunAt), TimeLeft: q.TimeLeft,
 		Objective:     q.FirstTokenObjective + q.Waited,
 		Suspect:       p.candidateOf(suspect.key),
 		SuspectSilent: suspect.server.shownAt.Before(a.begunAt) && l.shownAt.After(a.begunAt),
 		SuspectSlow:   suspect.server.slowdown.factorAt(now) > maxNormalSlowdown,
 		OverdueShare:  l.overdueShareLocked(now),
-	}
+	}, true
+}
+
+// Elsewhere returns the forecast of the first token if the request were placed on candidates now,
+// without the suspect, or 0 if it would not be placed. It changes candidates.
+func (p Placement) Elsewhere(s Silence, q Query, candidates []Candidate) time.Duration {
+	l := p.planner.ledger
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	others := slices.DeleteFunc(candidates, func(c Candidate) bool { return c.Instance == s.Suspect.Instance })
-	s.Elsewhere = planner.forecastLocked(q, others, now)
-	return s, true
+	return p.planner.forecastLocked(q, others, p.planner.clock())
 }
 
 // candidateOf returns the server of the placement with the given key.
--- a/placement/silence_test.go
+++ b/placement/silence_test.go
@@ -13,28 +13,30 @@
 	const ms = time.Millisecond
 	mute := Silence{
 		Forecast: 60 * ms, Waited: 300 * ms, Objective: 300 * ms, TimeLeft: 9 * time.Second,
-		SuspectSilent: true, OverdueShare: 0.2, Elsewhere: 80 * ms,
+		SuspectSilent: true, OverdueShare: 0.2,
 	}
 	for _, c := range []struct {
-		name   string
-		change func(*Silence)
-		want   MoveVerdict
+		name      string
+		elsewhere time.Duration
+		change    func(*Silence)
+		verdict   MoveVerdict
+		gains     bool
 	}{
-		{"mute", func(*Silence) {}, Move},
-		{"slow", func(s *Silence) { s.SuspectSilent, s.SuspectSlow = false, true }, Move},
-		{"not past its forecast", func(s *Silence) { s.Waited = 200 * ms }, KeepWaiting},
-		{"long prompt being read", func(s *Silence) { s.Forecast = 200 * ms }, KeepWaiting},
-		{"no evidence yet", func(s *Silence) { s.SuspectSilent = false }, KeepWaiting},
-		{"no evidence, long past", func(s *Silence) { s.SuspectSilent, s.Waited = false, 600*ms }, Move},
-		{"everything is slow", func(s *Silence) { s.OverdueShare = 0.6 }, MoveOverloaded},
-		{"others are as late", func(s *Silence) { s.Elsewhere = 200 * ms }, MoveNoGain},
-		{"no other server", func(s *Silence) { s.Elsewhere = 0 }, MoveNoGain},
-		{"caller about to leave", func(s *Silence) { s.TimeLeft = 50 * ms }, MoveNoGain},
+		{"mute", 80 * ms, func(*Silence) {}, MayMove, true},
+		{"slow", 80 * ms, func(s *Silence) { s.SuspectSilent, s.SuspectSlow = false, true }, MayMove, true},
+		{"not past its forecast", 60 * ms, func(s *Silence) { s.Waited = 200 * ms }, KeepWaiting, true},
+		{"long prompt being read", 40 * ms, func(s *Silence) { s.Forecast = 200 * ms }, KeepWaiting, true},
+		{"no evidence yet", 80 * ms, func(s *Silence) { s.SuspectSilent = false }, KeepWaiting, true},
+		{"no evidence, long past", 80 * ms, func(s *Silence) { s.SuspectSilent, s.Waited = false, 600*ms }, MayMove, true},
+		{"everything is slow", 80 * ms, func(s *Silence) { s.OverdueShare = 0.6 }, MoveOverloaded, true},
+		{"others are as late", 200 * ms, func(*Silence) {}, MayMove, false},
+		{"no other server", 0, func(*Silence) {}, MayMove, false},
+		{"caller about to leave", 80 * ms, func(s *Silence) { s.TimeLeft = 50 * ms }, MayMove, false},
 	} {
 		s := mute
 		c.change(&s)
-		if got := s.Verdict(); got != c.want {
-			t.Errorf("%s: verdict %d, want %d", c.name, got, c.want)
+		if verdict, gains := s.Verdict(), s.Gains(c.elsewhere); verdict != c.verdict || gains != c.gains {
+			t.Errorf("%s: verdict %d, gains %v; want %d, %v", c.name, verdict, gains, c.verdict, c.gains)
 		}
 	}
 }
@@ -45,7 +47,7 @@
 	f.now = f.now.Add(after)
 	q.Engine = engine
 	q.Waited, q.FirstTokenObjective = after, q.FirstTokenObjective-after
-	s, ok := p.Silence(q, slices.Clone(f.candidates))
+	s, ok := p.Silence(q)
 	if !ok {
 		t.Fatal("nothing is known of an attempt without a first token")
 	}
@@ -66,9 +68,17 @@
 	f.now = f.now.Add(50 * time.Millisecond)
 	other.FirstToken()
 	s := f.silenceOf(t, p, notice(), 0)
-	if !s.SuspectSilent || s.Suspect.Instance != p.Server.Instance || s.Elsewhere <= 0 {
+	if !s.SuspectSilent || s.Suspect.Instance != p.Server.Instance {
 		t.Errorf("another server has shown a token: %+v", s)
 	}
+	q := notice()
+	q.Engine = engine
+	if elsewhere := p.Elsewhere(s, q, slices.Clone(f.candidates)); elsewhere <= 0 || elsewhere > 200*time.Millisecond {
+		t.Errorf("forecast on other servers %v", elsewhere)
+	}
+	if elsewhere := p.Elsewhere(s, q, []Candidate{p.Server}); elsewhere != 0 {
+		t.Errorf("forecast %v without another server", elsewhere)
+	}
 }
 
 // Guards against a server that answers others and is taken for mute.
