--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -50,8 +50,6 @@
 	// Slowdown is the ratio of the server's actual times to its declared ones as a gateway takes
 	// them; 0 if the server counts as running at its declared speed.
 	Slowdown float64 `json:"slowdown,omitempty"`
-	// SlowBy lists the gateways that measured it as slow; empty if only late first tokens show it.
-	SlowBy []string `json:"slow_by,omitempty"`
 }
 
 // Status is the state of one process.
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -217,11 +217,7 @@
 			if s.Slowdown == 0 {
 				continue
 			}
-			source := "by late first tokens"
-			if len(s.SlowBy) > 0 {
-				source = "measured by " + strings.Join(s.SlowBy, ", ")
-			}
-			fmt.Fprintf(w, "slow for %s: %s, %.1f times its declared times, %s\n", p.Name, s.Name, s.Slowdown, source)
+			fmt.Fprintf(w, "slow for %s: %s, %.1f times its declared times\n", p.Name, s.Name, s.Slowdown)
 		}
 	}
 }
--- a/internal/gatewaynode/engines.go
+++ b/internal/gatewaynode/engines.go
@@ -4,7 +4,6 @@
 	"sync"
 
 	"github.com/briarturn/briarturn/placement"
-	"github.com/briarturn/briarturn/routetable"
 	"github.com/briarturn/briarturn/upstream"
 )
 
@@ -35,8 +34,9 @@
 	return ok
 }
 
-// serviceOf returns the service of a server, or nil if the server or its service is unknown.
-func (n *Node) serviceOf(server uint64) *routetable.Service {
+// engineProfile returns the engine profile of a server, or nil if its service has none or
+// the server is unknown.
+func (n *Node) engineProfile(server uint64) *placement.EngineProfile {
 	name, ok := n.engines.service(n.directory, server)
 	if !ok {
 		return nil
@@ -45,21 +45,8 @@
 	if !ok {
 		return nil
 	}
-	service, _ := table.Service(name)
-	return service
-}
-
-// sharesPace reports whether entries share the measured pace of a server.
-func (n *Node) sharesPace(server uint64) bool {
-	f := n.cfg.Options.Features
-	return f.Enabled(f.ServerPace, n.serviceOf(server))
-}
-
-// engineProfile returns the engine profile of a server, or nil if its service has none or
-// the server is unknown.
-func (n *Node) engineProfile(server uint64) *placement.EngineProfile {
-	service := n.serviceOf(server)
-	if service == nil {
+	service, ok := table.Service(name)
+	if !ok {
 		return nil
 	}
 	return service.Engine
--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -218,7 +218,6 @@
 	}
 	n.exchange = exchange
 	budget.SetAsker(exchange.RetryAsker())
-	n.ledger.SharePaces(exchange.PacePublisher(), n.sharesPace)
 	n.gateway = gateway.New(gateway.Config{
 		Protocol:      cfg.Protocol,
 		Routes:        n.routes,
--- a/internal/gatewaynode/status.go
+++ b/internal/gatewaynode/status.go
@@ -51,25 +51,13 @@
 		}
 		draining := server.Draining || notices.Draining(servernotice.ServerOf(server.Instance, server.StartedUnixMs))
 		status := serverStatus(server, state, draining)
-		if pace, ok := slow[placement.ServerKey(server.Instance)]; ok {
-			status.Slowdown, status.SlowBy = pace.Factor, n.measuredBy(pace)
-		}
+		status.Slowdown = slow[placement.ServerKey(server.Instance)]
 		s.Servers = append(s.Servers, status)
 	}
 	slices.SortFunc(s.Servers, func(a, b admin.ServerStatus) int { return cmp.Compare(a.Name, b.Name) })
 	return s
 }
 
-// measuredBy returns the names of the gateways that measured a server as slow.
-func (n *Node) measuredBy(s placement.SlowServer) []string {
-	names := n.exchange.PeerNames(s.Reporters)
-	if s.Own {
-		names = append(names, n.cfg.Name)
-	}
-	slices.Sort(names)
-	return names
-}
-
 func serverStatus(s upstream.Server, state string, draining bool) admin.ServerStatus {
 	return admin.ServerStatus{Name: s.Instance, Zone: s.Zone, Pool: s.Service, State: state, Draining: draining}
 }
--- a/peering/exchange.go
+++ b/peering/exchange.go
@@ -77,13 +77,12 @@
 // Exchange sends this entry's attempts to its peers and records the attempts that they
 // report. Start creates it.
 type Exchange struct {
-	cfg           Config
-	outbox        *outbox
-	presences     *presenceSink
-	datagrams     *wire.Datagrams
-	received      metrics.Counter
-	sendFailures  metrics.Counter
-	pacesReceived metrics.Counter // measurements of servers' paces that peers sent and that counted
+	cfg          Config
+	outbox       *outbox
+	presences    *presenceSink
+	datagrams    *wire.Datagrams
+	received     metrics.Counter
+	sendFailures metrics.Counter
 
 	ownPresence   presence // set before the goroutines that use it start
 	started       time.Time
@@ -108,7 +107,6 @@
 		outbox:        newOutbox(cfg.Incarnation),
 		received:      metrics.GetOrRegisterCounter("peering.news.heard", cfg.Metrics),
 		sendFailures:  metrics.GetOrRegisterCounter("peering.news.send_failed", cfg.Metrics),
-		pacesReceived: metrics.GetOrRegisterCounter("peering.paces.received", cfg.Metrics),
 		lastSeen:      map[uint64]time.Time{},
 		idlePeers:     map[uint64]bool{},
 		relayQueue:    make(chan *wirepb.WorkNews, relayQueueSize),
@@ -220,7 +218,6 @@
 		x.repeatParts(time.Now())
 		x.repeatLimits(time.Now())
 		x.repeatDrains(time.Now())
-		x.repeatPaces(time.Now())
 		// UpTo is read before the list: an attempt that starts in between may or may not
 		// be listed.
 		m := &wirepb.WorkNews{Owner: x.cfg.Incarnation, Beat: true, UpTo: x.outbox.lastSeq()}
@@ -367,7 +364,6 @@
 	x.handleParts(m, now)
 	x.handleRates(m.GetRates(), now)
 	x.handleDrains(m.GetDrains(), now)
-	x.handlePaces(owner, m.GetPaces(), now)
 	x.handleRetries(m)
 	if m.GetBeat() {
 		x.cfg.Ledger.Reconcile(owner, m.GetActive(), m.GetUpTo(), now.Add(-reorderTolerance))
--- a/peering/outbox.go
+++ b/peering/outbox.go
@@ -23,7 +23,7 @@
 const maxBegunPerMessage = 3
 
 // outbox collects this entry's updates until publishLoop sends them. It implements
-// placement.AttemptPublisher, placement.PacePublisher, gateway.DeathReporter, gateway.LimitReporter,
+// placement.AttemptPublisher, gateway.DeathReporter, gateway.LimitReporter,
 // gateway.DrainReporter and retrybudget.Asker.
 type outbox struct {
 	owner uint64
@@ -42,7 +42,6 @@
 	loans         []retryLoan
 	limits        []serverlimit.Observation
 	drains        []servernotice.Server
-	paces         []placement.Pace
 	firstTokens   []uint64
 	ended         []uint64
 }
@@ -120,8 +119,8 @@
 	o.mu.Lock()
 	began, first, ended, died, completed := o.began, o.firstTokens, o.ended, o.deaths, o.completed
 	o.began, o.firstTokens, o.ended, o.deaths, o.completed = nil, nil, nil, nil, nil
-	limits, drains, parts, paces := o.limits, o.drains, o.parts, o.paces
-	o.limits, o.drains, o.parts, o.paces = nil, nil, partReports{}, nil
+	limits, drains, parts := o.limits, o.drains, o.parts
+	o.limits, o.drains, o.parts = nil, nil, partReports{}
 	o.reportedParts.add(parts)
 	for _, r := range died {
 		o.reported = append(o.reported, reportedDeath{record: r, at: now})
@@ -133,7 +132,6 @@
 		completionMessages(o.owner, completed),
 		limitMessages(o.owner, limits),
 		drainMessages(o.owner, drains),
-		paceMessages(o.owner, paces),
 		partMessages(o.owner, parts, now),
 	)
 }
--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -26,8 +26,6 @@
 	slow             map[*serverState]struct{}    // servers currently treated as slow
 	peerChoices      choiceRate                   // placements by other entries
 	shownAt          time.Time                    // when any server last showed a sign of work
-	pacePublisher    PacePublisher                // nil if paces aren't shared
-	sharesPace       func(server uint64) bool     // whether the pace of a server is shared
 }
 
 type activeAttempt struct {
@@ -57,7 +55,6 @@
 	refusedAt       time.Time         // time of its last refusal
 	shownAt         time.Time         // when it last showed a first token or the end of a pass
 	slowdown        slowdown
-	pace            serverPace
 	slowdownFactor  float64       // factor of slowdown when advance was last called
 	prefilled       time.Duration // declared time of all prefill done so far
 }
@@ -156,9 +153,7 @@
 		return
 	}
 	l.recordSignLocked(s, now)
-	if ratio := s.recordPass(&a.sample, engine, now); ratio > 0 {
-		l.measurePaceLocked(server, s, ratio, now)
-	}
+	s.recordPass(&a.sample, engine, now)
 }
 
 // endPrefillLocked removes the remaining parts of an attempt whose prompt is prefilled or
@@ -257,7 +252,6 @@
 	s.longPrefillLoad = 0
 	s.slowdown = slowdown{}
 	s.slowdown.reset(now)
-	s.forgetPace(now)
 	delete(l.slow, s)
 }
 
--- a/placement/pace.go
+++ b/placement/pace.go
@@ -100,28 +100,22 @@
 }
 
 // recordPass records the end of a pass, which the events of one stream show: the events of
-// a pass arrive together. It returns the ratio of the actual to the declared time of the sample
-// that the pass completes, or 0 if it completes none.
-func (s *serverState) recordPass(m *passSample, e *EngineProfile, now time.Time) (ratio float64) {
+// a pass arrive together.
+func (s *serverState) recordPass(m *passSample, e *EngineProfile, now time.Time) {
 	s.advance(e, now)
 	if m.begunAt.IsZero() {
 		*m = passSample{begunAt: now, prefilledBefore: s.prefilled}
-		return 0
+		return
 	}
 	n, context := s.decodingStreams()
 	m.decodeTime += e.DecodePassTime(n, context)
 	if m.passes++; m.passes < passesPerSample {
-		return 0
+		return
 	}
-	took, declared := now.Sub(m.begunAt), m.decodeTime+s.prefilled-m.prefilledBefore
-	if took <= scale(declared, maxNormalSlowdown) {
+	if declared := m.decodeTime + s.prefilled - m.prefilledBefore; now.Sub(m.begunAt) <= scale(declared, maxNormalSlowdown) {
 		s.slowdown.reset(now)
 	}
 	*m = passSample{begunAt: now, prefilledBefore: s.prefilled}
-	if declared <= 0 {
-		return 0
-	}
-	return float64(took) / float64(declared)
 }
 
 // checkOverdueLocked updates the slowdown of servers from the prompts that should have been
@@ -187,3 +181,16 @@
 	maps.DeleteFunc(l.slow, func(s *serverState, _ struct{}) bool { return s.slowdown.factorAt(now) <= maxNormalSlowdown })
 	return float64(len(l.slow)) >= maxSlowShare*float64(len(l.servers))
 }
+
+// SlowServers returns the slowdown factors of the servers that count as slow, by ServerKey.
+func (l *Ledger) SlowServers(now time.Time) map[uint64]float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := map[uint64]float64{}
+	for key, s := range l.servers {
+		if factor := s.slowdown.factorAt(now); factor > maxNormalSlowdown {
+			out[key] = factor
+		}
+	}
+	return out
+}
--- a/placement/pace_test.go
+++ b/placement/pace_test.go
@@ -73,6 +73,10 @@
 	if other.Server.Instance == p.Server.Instance {
 		t.Errorf("both prompts are on %s, where the first is overdue", p.Server.Instance)
 	}
+	slow := f.ledger.SlowServers(f.now)
+	if factor := slow[ServerKey(p.Server.Instance)]; len(slow) != 1 || factor <= maxNormalSlowdown {
+		t.Errorf("slow servers %v, want the first one", slow)
+	}
 }
 
 // A server stayed idle long after it had recovered, because its slowdown only decayed with
--- a/wire/check.go
+++ b/wire/check.go
@@ -14,14 +14,12 @@
 
 // Bounds of the fields of a datagram.
 const (
-	maxNameBytes         = 64 // names of servers, pools, zones and models
-	maxModels            = 16 // models of one server
-	maxAdapters          = 32 // adapters of one server
-	maxDigestRows        = 32 // rows of one digest
-	maxEvidence          = 40 // evidence records of one datagram
-	maxRates             = 60 // server rates of one datagram
-	maxPaces             = 60 // paces of servers of one datagram
-	maxPaceFactor        = 1000
+	maxNameBytes         = 64      // names of servers, pools, zones and models
+	maxModels            = 16      // models of one server
+	maxAdapters          = 32      // adapters of one server
+	maxDigestRows        = 32      // rows of one digest
+	maxEvidence          = 40      // evidence records of one datagram
+	maxRates             = 60      // server rates of one datagram
 	maxDrains            = 60      // draining servers of one datagram
 	maxCompleted         = 120     // completed fingerprints of one datagram
 	maxRetryTokens       = 1024    // retries that one entry asks another for, or lends it
@@ -86,7 +84,6 @@
 		require(len(w.GetCompleted()) <= maxCompleted, "work.completed"),
 		checkRates(w.GetRates()),
 		checkDrains(w.GetDrains()),
-		checkPaces(w.GetPaces()),
 		checkPartDeaths(w.GetPartDeaths()),
 		checkPartsCleared(w.GetPartsCleared()),
 		checkRetryAsks(w.GetRetryAsks()),
@@ -196,23 +193,6 @@
 	return nil
 }
 
-func checkPaces(list []*wirepb.ServerPace) error {
-	if err := require(len(list) <= maxPaces, "work.paces"); err != nil {
-		return err
-	}
-	for _, p := range list {
-		err := firstError(
-			require(p.GetServer() != 0, "work.paces.server"),
-			require(p.GetFactor() > 0 && p.GetFactor() <= maxPaceFactor, "work.paces.factor"), // false for NaN
-			require(p.GetAgeMs() <= maxMillis, "work.paces.age_ms"),
-		)
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // MaxRatePerSecond is the greatest request rate of a server that a message may carry.
 const MaxRatePerSecond = 1e6
 
