Space out looks that leave room to other entries over the whole fleet

Cause: with twelve entries those of a workspace over its share looked 600 times a second, and late ones as often. The loop of the tests hid it: a request that had the turn looked up to a millisecond late. A refund of tokens whose charge had faded made a usage negative (found by the property test). With a late start due, late requests looked without bound after one had found no room.

Change: the time for which room is left to others grows with the number of entries, 20 to 100 ms. A refund ends at no usage. A due late start is tried once until room is freed. The tests' loop lets each look at once; a test checks that late starts go round the workspaces.

--- a/workspace/doc.go
+++ b/workspace/doc.go
@@ -24,7 +24,7 @@
 //   - The workspace comes first for which all entries together have started the least
 //     tokens lately, divided by its weight; within it the subject.
 //   - Late requests, and those of a workspace far over its share, leave freed room to
-//     other entries for yieldTime.
+//     other entries for 20 to 100 ms.
 //   - While requests wait, one of them has the turn or will look for room again.
 //
 // Scheduler.mu is the only mutex. Of other packages, only metrics and invariants are called while it
--- a/workspace/fleet_test.go
+++ b/workspace/fleet_test.go
@@ -185,9 +185,8 @@
 	for progress := true; progress; {
 		progress = false
 		e.calls = slices.DeleteFunc(e.calls, func(c *fleetCall) bool {
-			ended := f.lookCall(e, c)
-			progress = progress || ended
-			return ended
+			progress = progress || c.w.state != waiting
+			return f.lookCall(e, c)
 		})
 	}
 }
--- a/workspace/overload_test.go
+++ b/workspace/overload_test.go
@@ -91,3 +91,17 @@
 		}
 	}
 }
+
+// Guards against the same workspaces having all late starts: with a late start after each seven
+// others it would always be the turn of the same ones of twelve.
+func TestLateStartsGoRoundTheWorkspaces(t *testing.T) {
+	const workspaces = 12
+	f := newFleet(1)
+	f.play(6*time.Second, evenStreams(f, workspaces, 2*fleetRate))
+	mean := f.sum(anyWorkspace).late / workspaces
+	for name, tally := range f.results {
+		if tally.late < mean/2 {
+			t.Errorf("%s has %d late starts, the mean is %d", name, tally.late, mean)
+		}
+	}
+}
--- a/workspace/queue.go
+++ b/workspace/queue.go
@@ -199,9 +199,10 @@
 }
 
 // lateDue reports whether the next start of the queue is due to a late request and the flow may
-// have it: a workspace gets no more than its share for being late.
+// have it: a workspace gets no more than its share for being late. If one has just found no room,
+// it is the turn of those on time.
 func (f *flow) lateDue() bool {
-	return f.queued[late] > 0 && f.queue.onTimeStarts >= lateStartInterval-1 && !f.overShare()
+	return f.queued[late] > 0 && f.queue.onTimeStarts >= lateStartInterval-1 && !f.overShare() && len(f.queue.turns.aside) == 0
 }
 
 // nextTier returns the tier of the flow's next request.
@@ -262,12 +263,13 @@
 // charge advances the flow's start tag by the tokens used. A negative value refunds
 // tokens that were charged and not used.
 func (f *flow) charge(tokens int64) {
-	usage := float64(tokens) / f.ws.policy.Weight
-	f.startTag += usage
-	f.queue.maxStartTag = max(f.queue.maxStartTag, f.startTag)
-	if f.queue.turns != nil {
-		f.queue.turns.usageSum += usage
+	q, usage := f.queue, float64(tokens)/f.ws.policy.Weight
+	if q.turns != nil {
+		usage = max(usage, -f.startTag) // what is refunded has faded
+		q.turns.usageSum += usage
 	}
+	f.startTag += usage
+	q.maxStartTag = max(q.maxStartTag, f.startTag)
 }
 
 // finish releases the capacity of a dispatched request and corrects its charge to the
--- a/workspace/turns.go
+++ b/workspace/turns.go
@@ -14,9 +14,14 @@
 const maxLooks = 2
 
 const (
-	// yieldTime is how long requests leave freed room to other entries: several times what news
-	// of it takes to reach them.
-	yieldTime = 20 * time.Millisecond
+	// yieldPerEntry gives the time for which requests leave freed room to other entries, by the
+	// number of entries: of all entries' requests that do so, one looks in the time that news of a
+	// start takes to reach the others.
+	yieldPerEntry = 5 * time.Millisecond
+	// minYield and maxYield bound this time: several times what news take, and short against the
+	// seconds that late requests wait.
+	minYield = 20 * time.Millisecond
+	maxYield = 100 * time.Millisecond
 	// shortageTime is how long after a turn without room a queue counts as short of room.
 	shortageTime = 200 * time.Millisecond
 )
@@ -165,11 +170,16 @@
 	}
 	if !t.yielding {
 		t.yielding = true
-		s.afterFunc(yieldTime, func() { s.endYield(q) })
+		s.afterFunc(yieldTime(s.entries), func() { s.endYield(q) })
 	}
 	return true
 }
 
+// yieldTime returns for how long requests leave freed room to other entries.
+func yieldTime(entries int) time.Duration {
+	return min(max(minYield, time.Duration(entries)*yieldPerEntry), maxYield)
+}
+
 // yields reports whether requests that go before the next one may wait at other entries: it is
 // late and not due, or room is short and its workspace is over its share.
 func (q *queue) yields(next *waiter, now time.Time) bool {
--- a/workspace/turns_property_test.go
+++ b/workspace/turns_property_test.go
@@ -49,7 +49,7 @@
 	due := m.timers
 	m.timers = nil
 	for _, timer := range due {
-		timer.call() // at the latest: time only passes in steps of at least yieldTime
+		timer.call() // at the latest: time only passes in steps of at least maxYield
 	}
 	for _, c := range m.calls {
 		if c.waiter.state == waiting && c.waiter.expired(m.now) {
@@ -129,7 +129,7 @@
 	case event == 4:
 		m.s.RecordPeerStart("p", 0, uint32(rapid.IntRange(0, 3).Draw(t, "key")), 100)
 	case event == 5:
-		m.pass(yieldTime + time.Duration(rapid.IntRange(0, 2_000).Draw(t, "ms"))*time.Millisecond)
+		m.pass(maxYield + time.Duration(rapid.IntRange(0, 2_000).Draw(t, "ms"))*time.Millisecond)
 	case event == 6 && len(m.running) > 0:
 		m.running[0].Release(50)
 		m.running[0].Release(50)
@@ -168,7 +168,7 @@
 			m.running = append(m.running, c.Started())
 		}
 		m.s.RoomFreed("p")
-		m.pass(yieldTime)
+		m.pass(maxYield)
 		m.forget()
 	}
 	for _, ticket := range m.running {
--- a/workspace/turns_test.go
+++ b/workspace/turns_test.go
@@ -353,6 +353,7 @@
 // Guards against requests that an entry starts after a freeze although their callers are gone.
 func TestExpiredRequestsHaveNoTurnAfterFreeze(t *testing.T) {
 	f := newFleet(1)
+	f.fifo = true // without objectives, so that only their time decides
 	f.free = 0
 	f.play(time.Second, evenStreams(f, 4, 100))
 	f.now = f.now.Add(callTimeout)
