--- a/workspace/usage.go
+++ b/workspace/usage.go
@@ -57,7 +57,8 @@
 	delete(u, lowest)
 }
 
-// fade reduces all usages by the time that has passed.
+// fade reduces all usages by the time that has passed. They become whole tokens, so that the order
+// of their addition has no effect.
 func (q *queue) fade(now time.Time) {
 	t := q.turns
 	passed := now.Sub(t.fadedAt)
@@ -68,16 +69,16 @@
 	remaining := math.Exp2(-passed.Seconds() / usageHalfLife.Seconds())
 	sum := 0.0
 	for _, f := range q.flows {
-		f.startTag *= remaining
-		sum += math.Round(f.startTag) // whole, so that the order of addition has no effect
+		f.startTag = math.Floor(f.startTag * remaining)
+		sum += f.startTag
 	}
 	for key, usage := range t.usages {
-		usage *= remaining
+		usage = math.Floor(usage * remaining)
 		if usage < minUsage {
 			delete(t.usages, key)
 			continue
 		}
-		sum += math.Round(usage)
+		sum += usage
 		t.usages[key] = usage
 	}
 	t.usageSum = sum
