--- a/internal/gatewaynode/status.go
+++ b/internal/gatewaynode/status.go
@@ -35,9 +35,6 @@
 	for _, suspicion := range n.parts.Suspicions() {
 		s.SuspectParts = append(s.SuspectParts, suspectPart(suspicion))
 	}
-	if n.turns != nil {
-		s.Waiting = waitingRequests(n.turns.Waiting())
-	}
 	if table, _, ok := n.routes.Table(); ok {
 		s.ConfigRevision = table.Revision()
 	}
