--- a/gateway/silentattempt_test.go
+++ b/gateway/silentattempt_test.go
@@ -203,3 +203,15 @@
 		t.Error("the attempt moved after its first event")
 	}
 }
+
+// Guards against a stream that goes from server to server and costs the prefill of each.
+func TestStreamMovesOncePerRequest(t *testing.T) {
+	gw := newTestGateway(t, silent, silent, silent).withMoves(func(d *routetable.Config) {
+		for i := range d.Routes {
+			d.Routes[i].MaxAttempts = 4
+		}
+	})
+	r, _, err := gw.send(http.MethodPost, "/stream/", "body", hPrompt, "2000", hTimeout, "2000")
+	wantStatus(t, r, err, http.StatusGatewayTimeout)
+	gw.wantArrivals("s1 id-1, s2 id-1")
+}
