Allow an entry five moves a second

With two, a zone's burst at few entries left most silent streams where they were; the shared retry budget bounds moves as well.

--- a/gateway/silentattempt.go
+++ b/gateway/silentattempt.go
@@ -30,8 +30,8 @@
 	// events that have arrived meanwhile are not read yet.
 	maxCheckDelay = 150 * time.Millisecond
 	// movesPerSecond and moveBurst bound the moves of an entry.
-	movesPerSecond = 2
-	moveBurst      = 4
+	movesPerSecond = 5
+	moveBurst      = 10
 )
 
 // moveDenial is why a silent attempt does not move.
