Merge the queue by turns, the room decision, and moves of silent attempts

Reviewed by reading, each by one who didn't write it: changes to tests are additions, but for placement's play, in which a stream could end twice and free its slot twice (mended, no bound eased).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -43,6 +43,8 @@
 	e.gateway.counters.attempts.Inc(1)
 	attemptCtx, cancel := attempt.context(ctx)
 	defer cancel()
+	attemptCtx, stopWatch := e.watchSilence(attemptCtx, attempt)
+	defer stopWatch()
 	next, reason := e.sendAndRelay(attemptCtx, attempt)
 	if neverStarted(attemptCtx) {
 		e.recordNeverStarted(attempt)
@@ -94,6 +96,9 @@
 	if e.lateForecast > 0 {
 		return ReasonDeadlineUnmeetable
 	}
+	if e.queueFailure != nil {
+		return queueReason(e.queueFailure)
+	}
 	if reason := reasonFor(e.exclusionCause); reason != "" {
 		return reason
 	}
@@ -115,6 +120,8 @@
 		Priority:            e.priority(),
 		Stream:              e.route.Kind == routetable.Stream,
 		Workspace:           e.announcedWorkspace(),
+		MayWait:             e.waitsForRoom(),
+		FirstTokenLimit:     e.firstTokenLimit(),
 	}
 }
 
@@ -231,6 +238,9 @@
 		// relayed.
 		return e.decideNext(request.AttemptOutcome{Sent: true, Deadline: requestEnded(ctx)})
 	}
+	if !attempt.watch.end() {
+		return e.decideNext(request.AttemptOutcome{Sent: true, Deadline: requestEnded(ctx)})
+	}
 	return e.relayResponse(ctx, attempt, r)
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -42,6 +42,8 @@
 	sends           int                     // attempts that sent something
 	connectFailures int                     // attempts that sent nothing
 	retry           *retrybudget.Withdrawal // of the attempt; nil before something was sent
+	moveRetry       *retrybudget.Withdrawal // of the attempt that follows a move; nil: none
+	moved           bool                    // an attempt that showed nothing was ended for another one
 	triedInstances  map[string]bool         // instances that had an attempt
 	mayHaveRun      bool                    // an attempt ended without proof that it did not run
 	held            holding                 // of a response that is not relayed yet
@@ -55,6 +57,11 @@
 	partsRunning    bool                    // startParts admitted the attempt, and stopParts was not called
 	partsAlone      bool                    // no other request with one of the parts may run beside it
 	partRetryAt     time.Time               // when a refused part is tried again
+	candidateCount  int                     // servers that the last placement could choose from
+	waitedForRoom   time.Duration           // time in the queue of this entry
+	turns           int                     // how often it looked for room from the queue
+	queueFailure    *request.Failure        // why the queue refused it
+	retryDelay      time.Duration           // that a refused caller was asked to wait
 	outcome         string
 	limit           string // limit that ended the attempts, if one did
 	status          int
@@ -243,7 +250,10 @@
 	}
 	e.triedInstances = map[string]bool{}
 	e.gateway.cfg.Budget.RecordRequest(e.service.Name, boottime.Now())
-	defer func() { e.retry.Release() }() // also if an attempt panics to abort the response
+	defer func() { // also if an attempt panics to abort the response
+		e.retry.Release()
+		e.moveRetry.Release()
+	}()
 	for {
 		next, reason := e.attempt(ctx)
 		e.retry.Release()
@@ -300,7 +310,7 @@
 	if e.sends >= max(1, e.route.MaxAttempts) {
 		return e.stopRetrying(limitAttempts)
 	}
-	if e.retry = e.gateway.cfg.Budget.TryWithdraw(e.service.Name, boottime.Now()); e.retry == nil {
+	if e.retry = e.withdrawRetry(); e.retry == nil {
 		e.gateway.counters.retriesOverBudget.Inc(1)
 		return e.stopRetrying(limitBudget)
 	}
@@ -349,7 +359,8 @@
 	e.outcome = string(reason)
 	e.status = reason.status()
 	e.gateway.counters.refused[reason].Inc(1)
-	writeRefusal(e.writer, reason, e.retryAfter(reason))
+	e.retryDelay = e.retryAfter(reason)
+	writeRefusal(e.writer, reason, e.retryDelay)
 }
 
 // retryAfter returns when the caller may retry. If the response was forecast to miss the
@@ -361,6 +372,8 @@
 		after = max(after, e.lateForecast-time.Until(e.deadline))
 	}
 	switch reason {
+	case ReasonDeadlineUnmeetable, ReasonQueueFull:
+		after = e.roomRetryAfter(after)
 	case ReasonServersLimited:
 		after = e.limitRetryAfter(after)
 	case ReasonServersBackOff:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,6 +9,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"github.com/briarturn/briarturn/allowance"
 	"github.com/briarturn/briarturn/evacuation"
@@ -49,6 +50,8 @@
 	Log           logrus.FieldLogger
 	// Sampler limits the log lines of successful requests; if nil, all are written.
 	Sampler Sampler
+	// Room is the queue of requests that wait for room; if nil, they don't wait in one.
+	Room    *RoomQueue
 	Metrics metrics.Registry
 }
 
@@ -70,6 +73,7 @@
 	heldResponses     heldBytes
 	possibleDeaths    possibleDeathList
 	lostClock         boottime.Clock // of the evidence in cfg.Lost
+	moves             *rate.Limiter  // of attempts that show nothing
 }
 
 // New returns a Gateway. Options that are not set take their defaults.
@@ -77,6 +81,7 @@
 	cfg.Options = cfg.Options.withDefaults()
 	return &Gateway{
 		cfg: cfg, counters: newCounters(cfg.Metrics), heldResponses: heldBytes{max: cfg.Options.BodiesBytes}, lostClock: boottime.Now,
+		moves: rate.NewLimiter(movesPerSecond, moveBurst),
 	}
 }
 
--- a/gateway/placedattempt.go
+++ b/gateway/placedattempt.go
@@ -8,6 +8,7 @@
 
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/reservation"
+	"github.com/briarturn/briarturn/workspace"
 )
 
 // placedAttempt is an attempt on the servers that were chosen for it, with the memory
@@ -18,6 +19,9 @@
 	firstEventSeen bool                     // an event of the stream was relayed
 	began          bool                     // the server has begun to respond with content
 	lifeAt         time.Time                // when an event was last recorded as a sign of life of the server
+	ticket         workspace.Ticket         // of its turn, if it waited for room
+	cost           int64                    // tokens charged for the turn
+	watch          *silenceWatch            // nil if the attempt doesn't move when it shows nothing
 }
 
 // context returns a context that ends with its parent, or when the engines report that
@@ -36,8 +40,10 @@
 }
 
 // requestEnded reports whether the request's deadline has passed or its caller is gone.
-// It returns false if only the attempt was ended because it did not begin.
-func requestEnded(ctx context.Context) bool { return ctx.Err() != nil && !neverStarted(ctx) }
+// It returns false if only the attempt was ended because it did not begin or showed nothing.
+func requestEnded(ctx context.Context) bool {
+	return ctx.Err() != nil && !neverStarted(ctx) && !movedAway(ctx)
+}
 
 // recordEvent records an event of the stream. The first event of each attempt, not only
 // of the stream, shows that the prompt is read and its memory in use. The prompt of a
@@ -64,4 +70,5 @@
 	if r.reservation != nil {
 		r.reservation.Release()
 	}
+	r.ticket.Release(r.cost)
 }
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -43,7 +43,9 @@
 	InForce   int             `json:"in_force"` // processes and servers at Wanted or later
 	Known     int             `json:"known"`    // processes and servers asked or told of
 	Revisions []revisionShare `json:"revisions"`
-	Processes []processStatus `json:"processes"`
+	// Waiting is the sum of what waits at all processes.
+	Waiting   []admin.WaitingRequests `json:"waiting_requests,omitempty"`
+	Processes []processStatus         `json:"processes"`
 }
 
 func (t *tool) status(ctx context.Context) error {
@@ -109,6 +111,7 @@
 	}
 	asked.Wait()
 	f.count()
+	f.Waiting = f.sumWaiting()
 	return f
 }
 
@@ -195,11 +198,15 @@
 			return errors.Trace(err)
 		}
 	}
+	if err := f.writeWaiting(w); err != nil {
+		return errors.Trace(err)
+	}
 	for _, p := range f.Processes {
 		if len(p.EvacuatedZones) > 0 {
 			fmt.Fprintf(w, "evacuated zones, by %s %d ms ago: %s\n", p.Name, p.ZonesAgeMS, strings.Join(p.EvacuatedZones, ", "))
 		}
 	}
+	f.writeSlowServers(w)
 	for _, r := range f.Revisions {
 		fmt.Fprintf(w, "revision %s: %d processes, %.1f%%\n", objectapi.FormatRevision(r.Revision), r.Processes, 100*r.Share)
 	}
@@ -209,6 +216,18 @@
 	return nil
 }
 
+// writeSlowServers writes a line for each server that a gateway takes for slow.
+func (f *fleetStatus) writeSlowServers(w io.Writer) {
+	for _, p := range f.Processes {
+		for _, s := range p.Servers {
+			if s.Slowdown == 0 {
+				continue
+			}
+			fmt.Fprintf(w, "slow for %s: %s, %.1f times its declared times\n", p.Name, s.Name, s.Slowdown)
+		}
+	}
+}
+
 func readiness(s *admin.Status) string {
 	switch {
 	case s.Draining:
--- a/internal/ctl/status_test.go
+++ b/internal/ctl/status_test.go
@@ -73,3 +73,16 @@
 		t.Error(out.String())
 	}
 }
+
+// Guards against operators who can't see which servers an entry avoids.
+func TestStatusNamesSlowServers(t *testing.T) {
+	f := &fleetStatus{Processes: []processStatus{{Status: admin.Status{Name: "gw-1", Role: roleGateway, Servers: []admin.ServerStatus{
+		{Name: "engine-1"},
+		{Name: "engine-2", Slowdown: 4},
+	}}}}}
+	var out strings.Builder
+	f.writeSlowServers(&out)
+	if want := "slow for gw-1: engine-2, 4.0 times its declared times\n"; out.String() != want {
+		t.Errorf("%q, want %q", out.String(), want)
+	}
+}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -39,6 +39,8 @@
 	State []Line `json:"state"`
 	// Company are the requests with the most reading on the same server meanwhile.
 	Company []Line `json:"company"`
+	// Overtakers are the first requests of its process that came later and had room before it.
+	Overtakers []Line `json:"overtakers,omitempty"`
 }
 
 // Request explains the request with an id. Lines may be in any order.
@@ -60,7 +62,9 @@
 	}
 	r.State = stateAround(lines, end)
 	r.Company = companyOf(lines, end)
-	r.Cause = causeOf(end, r)
+	overtakers := overtakersOf(lines, end)
+	r.Overtakers = overtakers[:min(len(overtakers), maxOvertaking)]
+	r.Cause = causeOf(end, r) + waitText(end, overtakers)
 	return r, nil
 }
 
@@ -144,7 +148,13 @@
 	"servers_refused": func(_ Line, r *Report) string {
 		return "every server tried refused; " + r.attempts()
 	},
+	"queue_full": func(end Line, _ *Report) string {
+		return fmt.Sprintf("as many requests as may waited for room on the servers already; its caller was asked to return after %d ms", end.RetryAfterMS)
+	},
 	"no_time": func(end Line, _ *Report) string {
+		if end.ForecastMS == 0 {
+			return fmt.Sprintf("no room on the servers was expected for it before its caller would leave; its caller was asked to return after %d ms", end.RetryAfterMS)
+		}
 		return fmt.Sprintf("by the forecast, %d ms, its answer would have come long after its caller's time", end.ForecastMS)
 	},
 	"outcome_unknown": func(_ Line, r *Report) string {
@@ -260,8 +270,12 @@
 
 // attempts counts what became of a request's attempts.
 func (r *Report) attempts() string {
-	return fmt.Sprintf("attempts that failed %d, were refused %d, were given up before they began %d, broke %d", r.count(messageFailed),
+	text := fmt.Sprintf("attempts that failed %d, were refused %d, were given up before they began %d, broke %d", r.count(messageFailed),
 		r.count(messageRefused)+r.count(messageNoMemory), r.count(messageGivenUp), r.count(messageStreamBroke)+r.count(messageAnswerBroke)+r.count(messageServerFailed))
+	if moved := r.count(messageMoved); moved > 0 {
+		text += fmt.Sprintf(", were moved since they showed nothing %d", moved)
+	}
+	return text
 }
 
 func (r *Report) count(message string) int {
--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -30,6 +31,7 @@
 	"github.com/briarturn/briarturn/serverlimit"
 	"github.com/briarturn/briarturn/servernotice"
 	"github.com/briarturn/briarturn/upstream"
+	"github.com/briarturn/briarturn/workspace"
 )
 
 const (
@@ -146,6 +148,9 @@
 	exchange      *peering.Exchange
 	replica       *replica.Replica
 	engines       serviceIndex
+	room          *gateway.RoomQueue                  // nil if no request waits for room
+	turns         atomic.Pointer[workspace.Scheduler] // of room; nil before the first request that may wait
+	entries       atomic.Int64
 
 	address, readyAddress string // as bound
 }
@@ -167,7 +172,9 @@
 	if !n.evacuationEnabled() {
 		n.zones.Replace(nil, boottime.Now())
 	}
+	n.room = n.newRoomQueue()
 	n.ledger = placement.NewLedger(n.engineProfile)
+	n.ledger.OnEnded(n.attemptEnded)
 	eras := objectapi.NewRecoverySink(objectapi.RecoverySinkConfig{Next: (*sink)(n), Log: cfg.Log, Metrics: cfg.Metrics})
 	n.replica = replica.New(eras, boottime.Now)
 	n.replica.SetEras(eras)
@@ -178,9 +185,8 @@
 		stop()
 		return nil, err
 	}
-	incarnation := rand.Uint64()
-	n.incarnation = incarnation
-	n.lost = lostservers.NewTable(incarnation)
+	n.incarnation = rand.Uint64()
+	n.lost = lostservers.NewTable(n.incarnation)
 	suspects := quarantine.NewTracker(gateway.QuarantineOptions())
 	partOptions := quarantine.DefaultPartOptions
 	partOptions.TrialDelay = rand.Float64()
@@ -192,7 +198,7 @@
 		Name:          cfg.Name,
 		ListenAddress: cfg.Datagram,
 		RPCAddress:    rpc,
-		Incarnation:   incarnation,
+		Incarnation:   n.incarnation,
 		Zone:          cfg.Zone,
 		Region:        cfg.Region,
 		LinkMbps:      cfg.LinkMbps,
@@ -209,6 +215,7 @@
 				budget.SetEntries(len(names), boottime.Now())
 				n.coldSends.SetEntries(names, time.Now())
 				n.limitedSends.SetEntries(names, time.Now())
+				n.setEntries(len(names))
 			}
 		},
 		OnPeerAttempt: n.recordPeerAttempt,
@@ -239,15 +246,16 @@
 		Lost:          n.lost,
 		LossReporter:  exchange.LossReporter(),
 		Pool:          n.pool,
-		Placer:        placement.NewPlanner(n.ledger, incarnation, time.Now, exchange.AttemptPublisher()).SetPolicy(cmp.Or(cfg.Policy, placement.LeastLoss)),
+		Placer:        placement.NewPlanner(n.ledger, n.incarnation, time.Now, exchange.AttemptPublisher()).SetPolicy(cmp.Or(cfg.Policy, placement.LeastLoss)),
 		Budget:        budget,
 		Quarantine:    suspects,
 		Parts:         n.parts,
 		DeathReporter: exchange.DeathReporter(),
-		Reserver:      reservation.New(cfg.Engines(n.pool), incarnation, cfg.Log, cfg.Metrics),
+		Reserver:      reservation.New(cfg.Engines(n.pool), n.incarnation, cfg.Log, cfg.Metrics),
 		Options:       cfg.Options,
 		Log:           cfg.Log,
 		Sampler:       cfg.Sampler,
+		Room:          n.room,
 		Metrics:       cfg.Metrics,
 	})
 	if err := n.serve(); err != nil {
@@ -274,6 +282,7 @@
 		n.coldSends.RecordSend(server, now)
 		n.limitedSends.RecordSend(server, now)
 	}
+	n.chargePeerAttempt(attempt)
 }
 
 func (n *Node) watch(ctx context.Context, kind string, pace pace, follow *follower) {
--- a/internal/gatewaynode/status.go
+++ b/internal/gatewaynode/status.go
@@ -7,6 +7,7 @@
 
 	"github.com/briarturn/briarturn/internal/admin"
 	"github.com/briarturn/briarturn/internal/boottime"
+	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/servernotice"
 	"github.com/briarturn/briarturn/upstream"
 )
@@ -40,6 +41,7 @@
 		s.ConfigRevision = table.Revision()
 	}
 	now, notices, lost := time.Now(), n.notices.View(), n.lostServers(boottime.Now())
+	slow := n.ledger.SlowServers(now)
 	for _, server := range n.directory.All() {
 		state := stateLive
 		switch {
@@ -50,12 +52,16 @@
 		}
 		draining := server.Draining || notices.Draining(servernotice.ServerOf(server.Instance, server.StartedUnixMs))
 		line := serverStatus(server, state, draining)
+		line.Slowdown = slow[placement.ServerKey(server.Instance)]
 		if evidence, ok := lost[server.Instance]; ok {
 			line.Lost = &evidence
 		}
 		s.Servers = append(s.Servers, line)
 	}
 	slices.SortFunc(s.Servers, func(a, b admin.ServerStatus) int { return cmp.Compare(a.Name, b.Name) })
+	if turns := n.turns.Load(); turns != nil {
+		s.Waiting = waitingRequests(turns.Waiting())
+	}
 	return s
 }
 
--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -17,6 +17,7 @@
 // and is a leaf lock.
 type Ledger struct {
 	profileOf func(server uint64) *EngineProfile
+	onEnded   func(Attempt) // set before use; called without mu
 
 	mu               sync.Mutex
 	servers          map[uint64]*serverState
@@ -25,6 +26,9 @@
 	lastOverdueCheck time.Time                    // when prefilling was last checked for overdue attempts
 	slow             map[*serverState]struct{}    // servers currently treated as slow
 	peerChoices      choiceRate                   // placements by other entries
+	ownChoices       choiceRate                   // placements by this entry
+	recentChoices    recentChoices                // placements by this entry that others may not know of
+	shownAt          time.Time                    // when any server last showed a sign of work
 }
 
 type activeAttempt struct {
@@ -52,6 +56,7 @@
 	longPrefillLoad float64           // decaying fraction of time spent on long parts
 	longLoadUpdated time.Time         // when longPrefillLoad was last updated
 	refusedAt       time.Time         // time of its last refusal
+	shownAt         time.Time         // when it last showed a first token or the end of a pass
 	slowdown        slowdown
 	slowdownFactor  float64       // factor of slowdown when advance was last called
 	prefilled       time.Duration // declared time of all prefill done so far
@@ -63,6 +68,20 @@
 	return &Ledger{profileOf: profileOf, servers: map[uint64]*serverState{}, attempts: map[AttemptID]*activeAttempt{}, prefilling: map[AttemptID]*activeAttempt{}, slow: map[*serverState]struct{}{}}
 }
 
+// OnEnded sets a function that is called after each attempt that has ended, of this entry and of
+// others. It must not block. Set it before the ledger is used.
+func (l *Ledger) OnEnded(f func(Attempt)) { l.onEnded = f }
+
+// reportEnded calls the function set by OnEnded. The caller doesn't hold mu.
+func (l *Ledger) reportEnded(ended []*activeAttempt) {
+	if l.onEnded == nil {
+		return
+	}
+	for _, a := range ended {
+		l.onEnded(a.Attempt)
+	}
+}
+
 // Begin records an attempt of another entry. If the attempt is already known, it only
 // counts toward the rate of choices of other entries.
 func (l *Ledger) Begin(attempt Attempt, now time.Time) (isNew bool) {
@@ -93,16 +112,17 @@
 		return
 	}
 	l.prefilling[a.ID] = a
-	l.queuePartLocked(a, s, false, engine, now)
+	l.queuePartLocked(a, attempt.Server, false, engine, now)
 	for _, key := range attempt.Helpers {
-		l.queuePartLocked(a, l.serverLocked(key), true, engine, now)
+		l.queuePartLocked(a, key, true, engine, now)
 	}
 }
 
 // queuePartLocked queues a part of an attempt on a server and updates the other attempts
 // there. A stream whose pause gets too long has nothing more to lose, and queued prompts
 // are prefilled later.
-func (l *Ledger) queuePartLocked(a *activeAttempt, s *serverState, helper bool, e *EngineProfile, now time.Time) {
+func (l *Ledger) queuePartLocked(a *activeAttempt, key uint64, helper bool, e *EngineProfile, now time.Time) {
+	s := l.serverLocked(key)
 	s.advance(e, now)
 	f := s.forecast(e, a.PartTime, a.PartTokens, helper, now)
 	for _, other := range s.attempts {
@@ -118,7 +138,7 @@
 	if ready.After(a.expectedReady) {
 		a.expectedReady = ready
 	}
-	p := &part{attempt: a, helper: helper, timeLeft: a.PartTime, tokensLeft: a.PartTokens, server: s, expectedReady: ready, slowdownFactor: s.slowdownFactor}
+	p := &part{attempt: a, helper: helper, timeLeft: a.PartTime, tokensLeft: a.PartTokens, server: s, key: key, expectedReady: ready, slowdownFactor: s.slowdownFactor}
 	a.parts = append(a.parts, p)
 	s.enqueue(p, e, now)
 }
@@ -132,6 +152,9 @@
 		return
 	}
 	l.observeFirstTokenLocked(a, now)
+	for _, p := range a.parts {
+		l.recordSignLocked(p.server, now)
+	}
 	a.Decoding = true
 	a.changedAt = now
 	l.endPrefillLocked(a)
@@ -146,6 +169,7 @@
 	if a == nil || s == nil || engine == nil {
 		return
 	}
+	l.recordSignLocked(s, now)
 	s.recordPass(&a.sample, engine, now)
 }
 
@@ -166,15 +190,20 @@
 
 // End records the end of an attempt.
 func (l *Ledger) End(id AttemptID) {
+	l.reportEnded(l.end(id))
+}
+
+func (l *Ledger) end(id AttemptID) []*activeAttempt {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.endLocked(id)
+	return l.endLocked(id)
 }
 
-func (l *Ledger) endLocked(id AttemptID) {
+// endLocked ends an attempt. It returns the attempt, or none if it isn't known.
+func (l *Ledger) endLocked(id AttemptID) []*activeAttempt {
 	a := l.attempts[id]
 	if a == nil {
-		return
+		return nil
 	}
 	delete(l.attempts, id)
 	l.endPrefillLocked(a)
@@ -186,6 +215,7 @@
 			s.release(id)
 		}
 	}
+	return []*activeAttempt{a}
 }
 
 // Reconcile ends the attempts of an entry that active doesn't list. It keeps those that
@@ -193,29 +223,31 @@
 // highest one when the list was made (0: unknown). Such attempts began while the list was
 // in transit, however long that took.
 func (l *Ledger) Reconcile(owner uint64, active []uint64, newest uint64, changedBefore time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	listed := make(map[uint64]bool, len(active))
 	for _, seq := range active {
 		listed[seq] = true
 	}
-	for id, a := range l.attempts {
-		newer := newest > 0 && id.Seq > newest
-		if id.Owner == owner && !newer && !listed[id.Seq] && a.changedAt.Before(changedBefore) {
-			l.endLocked(id)
-		}
-	}
+	l.reportEnded(l.endMatching(func(a *activeAttempt) bool {
+		newer := newest > 0 && a.ID.Seq > newest
+		return a.ID.Owner == owner && !newer && !listed[a.ID.Seq] && a.changedAt.Before(changedBefore)
+	}))
 }
 
 // EndOwner ends all attempts of an entry that is gone.
 func (l *Ledger) EndOwner(owner uint64) {
+	l.reportEnded(l.endMatching(func(a *activeAttempt) bool { return a.ID.Owner == owner }))
+}
+
+// endMatching ends the attempts that match and returns them.
+func (l *Ledger) endMatching(match func(*activeAttempt) bool) (ended []*activeAttempt) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for id := range l.attempts {
-		if id.Owner == owner {
-			l.endLocked(id)
+	for id, a := range l.attempts {
+		if match(a) {
+			ended = append(ended, l.endLocked(id)...)
 		}
 	}
+	return ended
 }
 
 // Refused records that a server refused an attempt.
--- a/placement/play_test.go
+++ b/placement/play_test.go
@@ -52,6 +52,8 @@
 	dispatchDelay, announceDelay time.Duration
 	// hideDeadline hides the callers' deadlines from the entries.
 	hideDeadline bool
+	// queued makes requests without room wait in the queue of their entry.
+	queued bool
 }
 
 // simEntry is a simulated entry. It implements AttemptPublisher and announces attempts to
@@ -60,6 +62,9 @@
 	fleet   *simFleet
 	ledger  *Ledger
 	planner *Planner
+	queues  [2]simQueue // of short streams and of longer ones
+	polling bool        // pollLater has scheduled turns
+	turnDue bool        // roomFreedSoon has scheduled a turn
 }
 
 // simCaller is a simulated request.
@@ -155,13 +160,26 @@
 // Ended implements AttemptPublisher.
 func (e *simEntry) Ended(id AttemptID) {
 	e.announce(func(l *Ledger, _ time.Time) { l.End(id) })
+	e.roomFreed()
+	e.fleet.schedule(e.fleet.announceDelay, func() {
+		for _, other := range e.fleet.entries {
+			if other != e {
+				other.roomFreedSoon()
+			}
+		}
+	})
 }
 
 // arrive adds a caller at a random entry.
 func (f *simFleet) arrive(q Query, events int) {
 	c := &simCaller{query: q, arrivedAt: f.now, events: events, eventsLeft: events}
 	f.callers = append(f.callers, c)
-	f.place(f.entries[f.random.IntN(len(f.entries))], c)
+	e := f.entries[f.random.IntN(len(f.entries))]
+	if f.queued {
+		e.await(c)
+		return
+	}
+	f.place(e, c)
 }
 
 // placeRetryInterval is the interval at which a waiting prompt is retried, as in the
@@ -169,14 +187,26 @@
 const placeRetryInterval = 60 * time.Millisecond
 
 func (f *simFleet) place(e *simEntry, c *simCaller) {
+	if !f.tryPlace(e, c) {
+		f.schedule(placeRetryInterval, func() { f.place(e, c) })
+	}
+}
+
+// tryPlace places a caller's prompt, or reports that it waits. A prompt that can't be served
+// before its deadline is abandoned.
+func (f *simFleet) tryPlace(e *simEntry, c *simCaller) bool {
 	q := c.query
 	q.Engine = f.engine
+	q.MayWait = f.queued
 	q.Waited = f.now.Sub(c.arrivedAt)
 	q.FirstTokenObjective -= q.Waited
+	if q.FirstTokenLimit > 0 {
+		q.FirstTokenLimit -= q.Waited
+	}
 	left := q.TimeLeft - q.Waited
 	if left <= 0 {
 		c.abandoned = true
-		return
+		return true
 	}
 	q.TimeLeft = left
 	if f.hideDeadline {
@@ -185,14 +215,22 @@
 	placed, answer := e.planner.Place(q, slices.Clone(f.options))
 	if answer == DeadlineUnmeetable {
 		c.abandoned = true
-		return
+		return true
 	}
 	if answer != Placed {
-		f.schedule(placeRetryInterval, func() { f.place(e, c) })
-		return
+		return false
 	}
+	f.dispatch(c, placed, left)
+	return true
+}
+
+// dispatch sends a placed prompt to its servers.
+func (f *simFleet) dispatch(c *simCaller, placed Placement, left time.Duration) {
 	c.placed = placed
 	f.schedule(left, func() { f.abandon(c) })
+	if limit := c.query.FirstTokenLimit; limit > 0 {
+		f.schedule(limit-f.now.Sub(c.arrivedAt), func() { f.abandonWithoutFirstToken(c) })
+	}
 	n := 1 + len(placed.Helpers)
 	c.pendingParts = n
 	part := func(helper bool) *simPart {
@@ -209,7 +247,7 @@
 // abandon removes a caller at its deadline if its answer isn't complete. Its parts are
 // dropped, except for what the passes in progress prefill.
 func (f *simFleet) abandon(c *simCaller) {
-	if c.done {
+	if c.done || c.abandoned {
 		return
 	}
 	c.abandoned = true
@@ -224,6 +262,13 @@
 	}
 }
 
+// abandonWithoutFirstToken removes a caller that has no first token yet.
+func (f *simFleet) abandonWithoutFirstToken(c *simCaller) {
+	if c.firstTokenAt.IsZero() {
+		f.abandon(c)
+	}
+}
+
 // admit gives a request a slot, or queues it until one is free.
 func (s *simServer) admit(c *simCaller, p *simPart) {
 	if s.slots >= s.fleet.engine.Capacity {
@@ -301,7 +346,7 @@
 
 // deliverEvent gives a caller the next event of its stream.
 func (s *simServer) deliverEvent(c *simCaller) {
-	if c.abandoned {
+	if c.abandoned || c.done {
 		return
 	}
 	now := s.fleet.now
@@ -412,6 +457,7 @@
 	events               float64 // mean number
 	objective, pause     time.Duration
 	timeout              time.Duration
+	patience             time.Duration // time without a first token after which callers leave; 0: timeout
 }
 
 // addTraffic schedules the arrivals of a workload for a period.
@@ -420,7 +466,7 @@
 		tokens := int(math.Exp(math.Log(k.median) + k.sigma*f.random.NormFloat64()))
 		q := Query{
 			InputTokens: min(max(tokens, k.minTokens), k.maxTokens), MaxOutputTokens: int(k.events) * f.engine.Stride,
-			FirstTokenObjective: k.objective, PauseObjective: k.pause, TimeLeft: k.timeout, Stream: true,
+			FirstTokenObjective: k.objective, PauseObjective: k.pause, TimeLeft: k.timeout, FirstTokenLimit: k.patience, Stream: true,
 		}
 		events := max(1, int(k.events*(0.4+1.2*f.random.Float64())))
 		f.schedule(begins+at, func() { f.arrive(q, events) })
