--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -108,6 +108,8 @@
 	return ReasonNoServer
 }
 
+// placementQuery describes the request to the placer. It reads nothing that changes during an
+// attempt, since a silenceWatch calls it beside the exchange.
 func (e *exchange) placementQuery() placement.Query {
 	return placement.Query{
 		Engine:              e.service.Engine,
@@ -120,7 +122,6 @@
 		Priority:            e.priority(),
 		Stream:              e.route.Kind == routetable.Stream,
 		Workspace:           e.announcedWorkspace(),
-		MayWait:             e.waitsForRoom(),
 		FirstTokenLimit:     e.firstTokenLimit(),
 	}
 }
@@ -199,6 +200,7 @@
 
 // handleNoResponse handles an attempt that got no response head.
 func (e *exchange) handleNoResponse(ctx context.Context, attempt *placedAttempt, err error) (nextStep, Reason) {
+	attempt.watch.end() // its checks read what changes now
 	sent := !errors.Is(err, upstream.ErrNotSent)
 	if sent {
 		e.sends++
--- a/gateway/candidates.go
+++ b/gateway/candidates.go
@@ -23,7 +23,9 @@
 		candidates = alreadyTried
 	}
 	e.candidateCount = len(candidates)
-	placed, decision := e.gateway.cfg.Placer.Place(e.placementQuery(), candidates)
+	query := e.placementQuery()
+	query.MayWait = e.waitsForRoom()
+	placed, decision := e.gateway.cfg.Placer.Place(query, candidates)
 	if decision == placement.Placed {
 		e.startTrial(placed)
 	}
--- a/placement/room.go
+++ b/placement/room.go
@@ -48,16 +48,18 @@
 }
 
 // decide returns Placed if the query has room on the servers of the choice, and NoRoom if it
-// waits. A query that is on time there has room. One that would be on time if a slot were
-// free waits for the slot. Any other one is late in any case and gets spare room only.
+// waits. A short stream that is on time there has room. One that would be on time if a slot were
+// free waits for the slot. One that is late in any case gets spare room only, and so does a long
+// prompt, whose prefill takes the time of many short ones.
 func (r room) decide(c choice) Decision {
 	objective := scale(r.query.FirstTokenObjective, onTimeForecastShare)
+	onTime := c.firstToken <= objective
 	switch {
 	case !c.primary.hasSlotFor(r.query) || r.query.cannotFinish(c.firstToken):
 		return NoRoom
-	case c.firstToken <= objective:
+	case onTime && IsShortStream(r.query.PauseObjective):
 		return Placed
-	case r.earliestFirstToken(c) <= objective:
+	case !onTime && r.earliestFirstToken(c) <= objective:
 		return NoRoom
 	case float64(r.freeSlots()) <= r.reserve():
 		return NoRoom
--- a/placement/room_test.go
+++ b/placement/room_test.go
@@ -248,6 +248,25 @@
 	f.wantDecision(t, "late, its time nearly over", late, Placed)
 }
 
+// Guards against long prompts that take the last free slots in a surge, so that short ones wait
+// behind their prefill, and against long prompts that starve.
+func TestLongPromptLeavesRoomToShortOnes(t *testing.T) {
+	f := newRoomFleet(2, 2)
+	f.placeElsewhere(100)
+	long := f.query
+	long.InputTokens, long.PauseObjective = 45_000, time.Second
+	long.FirstTokenObjective, long.FirstTokenLimit = 8*time.Second, 20*time.Second
+	long.TimeLeft = 30 * time.Second
+	f.wantDecision(t, "long, on time", long, NoRoom)
+	f.wantDecision(t, "short, on time", f.query, Placed)
+	f.now = f.now.Add(2 * propagationDelay) // the others know of the short one
+	long.Waited, long.FirstTokenLimit = time.Minute, 5*time.Second
+	f.wantDecision(t, "long, its time nearly over", long, Placed)
+	f.now = f.now.Add(time.Minute) // the others have placed nothing since
+	long.Waited, long.FirstTokenLimit = 0, 20*time.Second
+	f.wantDecision(t, "long, with spare room", long, Placed)
+}
+
 // Guards against a caller that is held although its answer can't come before it leaves.
 func TestHopelessQueryIsRefused(t *testing.T) {
 	f := newRoomFleet(4)
