--- a/review/standin/case_bodies.go
+++ b/review/standin/case_bodies.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"io"
 	"os"
 	"strconv"
 	"strings"
@@ -46,12 +45,12 @@
 	var engines []*engine
 	for i, zone := range []string{"hobart", "launceston", "burnie"} {
 		for _, service := range []string{"roster-app", "briar-pool"} {
-			e, err := startEngine(fmt.Sprintf("i-%s-%d", service, i+1), service, zone, 16)
+			e, err := startEngine(fmt.Sprintf("i-%s-%d", service, i+1), service, zone, slotsOf(service))
 			if err != nil {
 				return false, err
 			}
 			defer e.server.Close()
-			e.register(s, "ready")
+			e.beat(s)
 			engines = append(engines, e)
 		}
 	}
@@ -84,11 +83,28 @@
 	u.wait()
 	time.Sleep(time.Second)
 	results := steady.stop()
+	guard.stop()
+	recordRequests(r, "upload", u.results, engines)
+	recordRequests(r, "request on a kept connection", results, engines)
 	r.note("uploads: %d answered 200, %d refused with 503, %d without an answer, %d others", u.ok.Load(), u.refused.Load(), u.unanswered.Load(), u.others.Load())
 	r.note("the process held %.0f MB at most, of %.0f; ended by the platform: %v", guard.peak, memoryLimit, guard.killed)
+	if !r.trouble && (int(u.ok.Load()) < len(u.results) || steady.served() < len(results)) {
+		return false, errCalm
+	}
 	return judgeBodies(r, engines, results), nil
 }
 
+// recordRequests writes what was sent, whether it ran and what was answered.
+func recordRequests(r *run, what string, results []result, engines []*engine) {
+	for _, res := range results {
+		ran := 0
+		for _, e := range engines {
+			ran += len(e.runsOf(res.id))
+		}
+		r.note("%s %s sent at %.3f, ended at %.3f; ran %d times; the client saw %s", what, res.id, r.sinceBegin(res.sent), r.sinceBegin(res.ended), ran, res)
+	}
+}
+
 // judgeBodies checks the rule LOST for the requests on kept connections: three may be
 // passed on to an engine and end with a closed connection, not more.
 func judgeBodies(r *run, engines []*engine, results []result) bool {
@@ -165,6 +181,8 @@
 type uploads struct {
 	run                             *run
 	address                         string
+	mu                              sync.Mutex
+	results                         []result
 	all                             sync.WaitGroup
 	ok, refused, unanswered, others atomic.Int64
 }
@@ -183,17 +201,35 @@
 
 // one sends one request evenly over uploadTime and reads its answer.
 func (u *uploads) one() {
+	res := u.exchange()
+	u.mu.Lock()
+	u.results = append(u.results, res)
+	u.mu.Unlock()
+	switch {
+	case res.status == 200 && res.complete:
+		u.ok.Add(1)
+	case res.status == 503 && res.complete:
+		u.refused.Add(1)
+	case !res.complete:
+		u.unanswered.Add(1)
+	default:
+		u.others.Add(1)
+	}
+}
+
+func (u *uploads) exchange() result {
 	const steps = 50
+	h := request("", "1")
+	res := result{id: h["X-Attempt-Id"]}
 	c, err := dialClient(u.address)
 	if err != nil {
-		u.unanswered.Add(1)
-		return
+		res.sent, res.ended, res.err = time.Now(), time.Now(), err
+		return res
 	}
 	defer c.conn.Close()
-	h := request("15", "")
 	_ = c.conn.SetDeadline(time.Now().Add(uploadTime + 6*time.Second))
 	fmt.Fprintf(c.conn, "POST /draft/x HTTP/1.1\r\nHost: roster.example\r\nX-Deadline-Ms: 10000\r\nContent-Length: %d\r\nX-Attempt-Id: %s\r\nX-Api-Key: %s\r\nWork-Events: 1\r\n\r\n",
-		uploadBytes, h["X-Attempt-Id"], key)
+		uploadBytes, res.id, key)
 	chunk := make([]byte, uploadBytes/steps)
 	for range steps {
 		if _, err := c.conn.Write(chunk); err != nil {
@@ -201,22 +237,9 @@
 		}
 		time.Sleep(uploadTime / steps)
 	}
-	line, err := c.reader.ReadString('\n')
-	status := 0
-	if err == nil {
-		_, _ = fmt.Sscanf(line, "HTTP/1.1 %d", &status)
-	}
-	switch status {
-	case 200:
-		u.ok.Add(1)
-	case 503:
-		u.refused.Add(1)
-	case 0:
-		u.unanswered.Add(1)
-	default:
-		u.others.Add(1)
-	}
-	_, _ = io.CopyN(io.Discard, c.reader, 1)
+	res.sent = time.Now()
+	c.readAnswer("POST", &res)
+	return res
 }
 
 // steadySet is the clients that send one request after the other.
@@ -248,7 +271,7 @@
 			return
 		default:
 		}
-		res := c.do("POST", "/commit/x", "{}", request("300", ""), 4*time.Second)
+		res := c.do("POST", "/commit/x", "{}", request("300", ""), 2500*time.Millisecond)
 		if kept { // on the first request the connection is new
 			t.mu.Lock()
 			t.results = append(t.results, res)
@@ -260,6 +283,17 @@
 	}
 }
 
+// served returns how many requests got the whole answer.
+func (t *steadySet) served() int {
+	n := 0
+	for _, res := range t.results {
+		if res.status == 200 && res.body == answerTo(res.id) {
+			n++
+		}
+	}
+	return n
+}
+
 func (t *steadySet) stop() []result {
 	close(t.done)
 	t.all.Wait()
--- a/review/standin/case_leave.go
+++ b/review/standin/case_leave.go
@@ -19,6 +19,9 @@
 	longEvents   = 32 // each 250 ms: 8 s
 	// leaveNotice is the time from the notice of an engine that is taken away to its end.
 	leaveNotice = 2 * time.Second
+	// entryExpiry is the time after which the store removes the entry of a silent engine:
+	// three times heartbeat_ms.
+	entryExpiry = 3600 * time.Millisecond
 )
 
 // caseLeave: an engine says that it leaves, and is gone two seconds later, while it still
@@ -38,7 +41,7 @@
 			return false, err
 		}
 		defer k.kill()
-		k.engine.register(s, "ready")
+		k.engine.beat(s)
 		engines, entries = append(engines, k), append(entries, &k.engine)
 	}
 	s.put("config", "main", configuration(1))
@@ -57,7 +60,9 @@
 		return false, err
 	}
 	r.note("%s is ready", n.name)
-	if results := streamAll(n.front, shortStreams, 2); !judgeStreams(r, results, 2) {
+	short := streamAll(n.front, shortStreams, 2)
+	recordStreams(r, short, engines)
+	if held, whole := judgeStreams(r, short, 2); !held || whole < len(short) {
 		return false, errNotServed
 	}
 
@@ -69,30 +74,48 @@
 	}()
 	time.Sleep(2 * time.Second)
 	if r.trouble {
-		stopLeaving()
-		leaving.engine.register(s, "draining")
+		leaving.engine.drain(s)
 		r.note("%s says in the store that it is draining", leaving.engine.id)
 		time.Sleep(leaveNotice)
+		stopLeaving()
 		leaving.kill()
 		r.note("%s is gone", leaving.engine.id)
+		expiry := time.AfterFunc(entryExpiry, func() { s.expire("servers", leaving.engine.id) })
+		defer expiry.Stop()
 	}
 	<-done
+	recordStreams(r, results, engines)
 	unframed := 0
 	for _, b := range leaving.streams() {
 		if b.Unframed {
 			unframed++
-			r.note("%s answered %s without a length", leaving.engine.id, b.ID)
 		}
 	}
 	r.note("%s began %d streams, and answered %d of them without a length", leaving.engine.id, len(leaving.streams()), unframed)
+	held, whole := judgeStreams(r, results, longEvents)
+	if !r.trouble && whole < len(results) && held {
+		return false, errCalm
+	}
+	return held, nil
+}
+
+// recordStreams writes what was sent, where it ran and what was answered.
+func recordStreams(r *run, results []result, engines []*killableEngine) {
+	ran := map[string]string{}
 	for _, k := range engines {
 		for _, b := range k.streams() {
+			ran[b.ID] += fmt.Sprintf(" %s", k.engine.id)
 			if b.From > 0 {
-				r.note("%s went on with %s behind event %d", k.engine.id, b.ID, b.From)
+				ran[b.ID] += fmt.Sprintf(" (behind event %d)", b.From)
+			}
+			if b.Unframed {
+				ran[b.ID] += " (without a length)"
 			}
 		}
 	}
-	return judgeStreams(r, results, longEvents), nil
+	for _, res := range results {
+		r.note("stream %s sent at %.3f, ended at %.3f; ran at%s; the client saw %s", res.id, r.sinceBegin(res.sent), r.sinceBegin(res.ended), ran[res.id], res)
+	}
 }
 
 // streamAll sends so many streams at once, each on a connection of its own.
@@ -116,9 +139,10 @@
 }
 
 // judgeStreams checks the rule ORDER: no stream ends as complete before its last piece, and
-// none lacks a piece or has one twice.
-func judgeStreams(r *run, results []result, events int) bool {
-	held, whole, cut := true, 0, 0
+// none lacks a piece or has one twice. It also returns how many are whole.
+func judgeStreams(r *run, results []result, events int) (held bool, whole int) {
+	held = true
+	cut := 0
 	for _, res := range results {
 		var want strings.Builder
 		for n := 1; n <= events; n++ {
@@ -132,9 +156,8 @@
 			r.note("stream %s ended as complete with %d of %d events  ORDER", res.id, strings.Count(res.body, "data: "), events)
 		default:
 			cut++
-			r.note("stream %s: %s", res.id, res)
 		}
 	}
 	r.note("%d streams of %d events: %d whole, %d refused or visibly cut", len(results), events, whole, cut)
-	return held
+	return held, whole
 }
--- a/review/standin/case_term.go
+++ b/review/standin/case_term.go
@@ -11,15 +11,17 @@
 
 // Times of case term, after the SIGTERM.
 const (
-	termGrace    = 8 * time.Second         // grace_s
-	termFirst    = 5950 * time.Millisecond // the first of the requests is sent
-	termLast     = 6400 * time.Millisecond // the last one
-	termRequests = 20
+	termGrace     = 8 * time.Second         // grace_s
+	termLossSlack = 200 * time.Millisecond  // loss_slack_ms
+	termFirst     = 5950 * time.Millisecond // the first of the requests is sent
+	termLast      = 6400 * time.Millisecond // the last one
+	termRequests  = 15
 	// termWork is how long the engine works on each of them. It is less than the timeout_ms
 	// of their route, 2,000 ms, and termDeadline, the deadline of their clients.
-	termWork     = 1800 * time.Millisecond
-	termDeadline = 2500 * time.Millisecond
-	termStreams  = 4
+	termRouteTimeout = 2 * time.Second
+	termWork         = 1800 * time.Millisecond
+	termDeadline     = 2500 * time.Millisecond
+	termStreams      = 4
 	// A stream of termEvents events, each 250 ms, begins a second before the SIGTERM.
 	termEvents = 28
 )
@@ -37,12 +39,12 @@
 		{"i-app-1", "roster-app", "hobart"}, {"i-app-2", "roster-app", "launceston"}, {"i-app-3", "roster-app", "burnie"},
 		{"i-pool-1", "briar-pool", "hobart"}, {"i-pool-2", "briar-pool", "launceston"}, {"i-pool-3", "briar-pool", "burnie"},
 	} {
-		e, err := startEngine(x.id, x.service, x.zone, 16)
+		e, err := startEngine(x.id, x.service, x.zone, slotsOf(x.service))
 		if err != nil {
 			return false, err
 		}
 		defer e.server.Close()
-		e.register(s, "ready")
+		e.beat(s)
 		engines = append(engines, e)
 	}
 	s.put("config", "main", configuration(1))
@@ -107,11 +109,39 @@
 		})
 	}
 	all.Wait()
+	if !r.trouble {
+		for _, res := range results {
+			if res.status != 200 || res.body != answerTo(res.id) {
+				r.note("request %s: %s", res.id, res)
+				return false, errCalm
+			}
+		}
+	}
 	return judgeTerm(r, engines, results, termed), nil
 }
 
-// judgeTerm checks the rule LOST: a request that the process has read and passed on ends
-// with a complete answer.
+// lostAtTerm reports whether the rule LOST counts a request as lost around the SIGTERM: its
+// connection ended without a complete answer, once it had been passed on or later than
+// loss_slack_ms after its last byte, in the time of the planned work, and by none of the
+// causes that the rule leaves out. The engines here never break off by themselves.
+func lostAtTerm(res result, ran int, termed time.Time) bool {
+	took, sent, ended := res.ended.Sub(res.sent), res.sent.Sub(termed), res.ended.Sub(termed)
+	switch {
+	case res.complete:
+		return false
+	case ran == 0 && took <= termLossSlack:
+		return false
+	case took >= termRouteTimeout: // or the deadline, which is later
+		return false
+	case ended < 0 || ended > termGrace+time.Second: // no planned work
+		return false
+	case sent <= 3*time.Second && ended >= termGrace*5/6: // at work in the last sixth of the grace
+		return false
+	}
+	return true
+}
+
+// judgeTerm checks the rule LOST.
 func judgeTerm(r *run, engines []*engine, results []result, termed time.Time) bool {
 	lost := 0
 	for _, res := range results {
@@ -125,13 +155,13 @@
 			}
 		}
 		verdict := ""
-		if ran > 0 && !res.complete {
+		if lostAtTerm(res, ran, termed) {
 			lost++
 			verdict = "  LOST"
 		}
 		r.note("request %s sent %.2f s after the SIGTERM, ended %.2f s after it: ran %d times, %d cut; the client saw %s%s",
 			res.id, res.sent.Sub(termed).Seconds(), res.ended.Sub(termed).Seconds(), ran, cut, res, verdict)
 	}
-	r.note("%d of %d requests were passed on to an engine and got no answer", lost, len(results))
+	r.note("%d of %d requests are lost as the rule counts it", lost, len(results))
 	return lost == 0
 }
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -57,15 +57,20 @@
 		return r
 	}
 	r.sent = time.Now()
+	c.readAnswer(method, &r)
+	return r
+}
+
+// readAnswer reads the answer to a request that was sent.
+func (c *client) readAnswer(method string, r *result) {
 	answer, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	if err != nil {
 		r.ended, r.err = time.Now(), err
-		return r
+		return
 	}
 	r.status, r.seal, r.closes = answer.StatusCode, answer.Header.Get("X-Response-Seal"), answer.Close
 	data, err := io.ReadAll(answer.Body)
 	r.ended, r.body, r.err, r.complete = time.Now(), string(data), err, err == nil
-	return r
 }
 
 func (r result) String() string {
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -21,8 +21,9 @@
 	server                     *http.Server
 	sequence                   int
 
-	mu   sync.Mutex
-	runs map[string][]*engineRun // by id of the request
+	mu       sync.Mutex
+	draining bool
+	runs     map[string][]*engineRun // by id of the request
 }
 
 // engineRun is one run of a request.
@@ -44,15 +45,29 @@
 	return e, nil
 }
 
-// register writes the engine's entry into the store, as it does every heartbeat_ms.
-func (e *engine) register(s *store, state string) {
+// beat writes the engine's entry into the store, as it does every heartbeat_ms.
+func (e *engine) beat(s *store) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.sequence++
+	state := "ready"
+	if e.draining {
+		state = "draining"
+	}
 	s.put("servers", e.id, map[string]any{
 		"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "capacity": e.capacity,
 		"state": state, "cold_remaining_ms": 0, "sequence": e.sequence,
 	})
 }
 
+// drain makes the engine say that it leaves, at once and in its later entries.
+func (e *engine) drain(s *store) {
+	e.mu.Lock()
+	e.draining = true
+	e.mu.Unlock()
+	e.beat(s)
+}
+
 func (e *engine) runsOf(id string) []engineRun {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -70,6 +85,8 @@
 		w.Header().Set("X-Attempt-Id", id)
 	}
 	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != e.id {
+		w.Header().Set("X-Instance-Id", e.id)
+		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
--- a/review/standin/engine_process.go
+++ b/review/standin/engine_process.go
@@ -53,10 +53,17 @@
 func (p *engineProcess) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Attempt-Id")
 	w.Header().Set("X-Attempt-Id", id)
-	if want := r.Header.Get("X-Expect-Instance"); want != p.id {
+	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != p.id {
+		w.Header().Set("X-Instance-Id", p.id)
+		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if id == "" {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,6 +6,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -43,10 +44,17 @@
 	fmt.Fprintf(r.record, "%8.3f  %s\n", time.Since(r.begun).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// errCalm means that a request was not served though there was no disruption.
+var errCalm = errors.New("without the disruption, a request was not served")
+
+// sinceBegin returns a time as the record shows it.
+func (r *run) sinceBegin(t time.Time) float64 { return t.Sub(r.begun).Seconds() }
+
 // processes are what the case has started and not ended yet.
 var processes struct {
 	sync.Mutex
 	started []*exec.Cmd
+	dir     string // temporary folder
 }
 
 // start starts a process, which is killed if the case is interrupted.
@@ -63,13 +71,17 @@
 // killOnInterrupt ends all processes if the case itself is told to end.
 func killOnInterrupt() {
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	go func() {
 		<-signals
 		processes.Lock() // no other process starts
 		for _, c := range processes.started {
 			_ = c.Process.Kill()
 		}
+		for _, c := range processes.started {
+			_, _ = c.Process.Wait() // fails if the case waits for it, too
+		}
+		_ = os.RemoveAll(processes.dir)
 		os.Exit(exitNotRun)
 	}()
 }
@@ -102,6 +114,9 @@
 		return exitNotRun
 	}
 	defer os.RemoveAll(dir)
+	processes.Lock()
+	processes.dir = dir
+	processes.Unlock()
 	r := &run{dir: dir, trouble: os.Getenv("TROUBLE") != "0", begun: time.Now(), record: record}
 	r.note("case %s, trouble %v", name, r.trouble)
 	held, err := cases[name](r)
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -9,6 +9,14 @@
 
 var errNotServed = errors.New("a request before the disruption was not served")
 
+// slotsOf returns how many requests an engine of a service runs at once, as in dwa-rosters.
+func slotsOf(service string) int {
+	if service == "roster-app" {
+		return 6
+	}
+	return 16
+}
+
 // key is the API key of the one tenant.
 const key = "n2ctnfzs989anu6wsjnb"
 
@@ -66,7 +74,7 @@
 				return
 			case <-ticker.C:
 				for _, e := range engines {
-					e.register(s, "ready")
+					e.beat(s)
 				}
 			}
 		}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -76,6 +76,17 @@
 	s.putLocked(kind, name, data, nil)
 }
 
+// expire removes an object, as the store does with the entry of an engine that is silent.
+func (s *store) expire(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if held := s.objects[kind][name]; held != nil {
+		s.revision++
+		delete(s.objects[kind], name)
+		s.recordLocked(kind, event{Object: *held, Deleted: true})
+	}
+}
+
 func (s *store) putLocked(kind, name string, spec json.RawMessage, finalizers []string) object {
 	if s.objects[kind] == nil {
 		s.objects[kind] = map[string]*object{}
