Refuse requests late in a shutdown by their deadline, not by their kind

Plain requests that reached a gateway 5.95 to 6.4 s after SIGTERM (grace 8 s) were passed on, and their connections were closed 7.7 s after it without a byte of an answer, while the engines still worked. They run once only, so that the callers couldn't repeat them.

Cause: the gateway decided by the kind of a request whether it would outlast the process. Streams were refused from 2.5 s on, plain requests only in the last 1.5 s, whatever the timeout of their route. One that was taken on last had 1.2 s, and its route allowed it more.

Change: from 2.5 s of the drain on, a request is refused with 503, not run, if its deadline (its caller's or its route's timeout) is later than 0.5 s before the end of the grace. All others are served, streams included. A plain idempotent request is taken on as long as 2 s are left: nearly all take milliseconds, and its caller may repeat it. Whatever has not begun its response 0.5 s before the end gets a complete answer then (outcome_unknown, or ending if it has not run), where its connection was closed before.

Why it works: a request that is sent to a server after 2.5 s ends by its own deadline, before the process ends; the deadline ends the attempt. For the others the end of the shutdown is a deadline.

TestShutdownPhases and TestShutdownRefusesThoseThatWait keep their checks; the names of the calls changed.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -39,6 +39,9 @@
 	deadline    time.Time         // by the caller's or the route's timeout
 	stream      *streamRelay      // nil unless the route serves streams
 
+	// keepBeyondShutdown lets the attempts continue when the shutdown is over.
+	keepBeyondShutdown func() bool
+
 	sends           int                     // attempts that sent something
 	connectFailures int                     // attempts that sent nothing
 	retry           *retrybudget.Withdrawal // of the attempt; nil before something was sent
@@ -89,11 +92,10 @@
 		e.refuse(ReasonPartKillsServers)
 		return
 	}
-	ctx, cancel, end := requestContext(e.incoming.Context(), e.startedAt, e.info, e.route)
+	ctx, cancel := e.requestContext()
 	defer cancel()
-	e.deadline = end
 	controller := http.NewResponseController(e.writer)
-	_ = controller.SetWriteDeadline(end.Add(e.gateway.cfg.Options.WriteSlack)) // error ignored as in readBody
+	_ = controller.SetWriteDeadline(e.deadline.Add(e.gateway.cfg.Options.WriteSlack)) // error ignored as in readBody
 	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
 	e.runAttempts(ctx)
 	e.recordCompletion()
@@ -129,10 +131,11 @@
 	if err != nil || hasParentSegment(e.incoming.URL.Path) {
 		return ReasonMalformed
 	}
+	e.deadline = e.startedAt.Add(timeLimit(info, e.route))
 	if reason := e.authorize(table); reason != "" {
 		return reason
 	}
-	if g.refusesRoute(e.route) {
+	if e.refusesNew() {
 		return ReasonShuttingDown
 	}
 	e.service, ok = table.Service(pickService(e.route))
@@ -336,6 +339,8 @@
 		e.gateway.counters.callersGone.Inc(1)
 	case e.lastFailure != nil:
 		e.lastFailure.writeTo(e)
+	case endedByShutdown(ctx):
+		e.refuse(e.reasonBeforeSend(ReasonShuttingDown))
 	case ctx.Err() != nil && e.mayHaveRun:
 		e.refuse(ReasonTimeout)
 	case reason == ReasonServersRefused:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -68,7 +67,7 @@
 	cfg               Config
 	counters          counters
 	activeRequests    atomic.Int64
-	phase             atomic.Int32 // shutdown phase
+	shutdown          *shutdown
 	bufferedBodyBytes atomic.Int64 // bytes of request bodies held in memory
 	heldResponses     heldBytes
 	possibleDeaths    possibleDeathList
@@ -81,7 +80,7 @@
 	cfg.Options = cfg.Options.withDefaults()
 	return &Gateway{
 		cfg: cfg, counters: newCounters(cfg.Metrics), heldResponses: heldBytes{max: cfg.Options.BodiesBytes}, lostClock: boottime.Now,
-		moves: rate.NewLimiter(movesPerSecond, moveBurst),
+		moves: rate.NewLimiter(movesPerSecond, moveBurst), shutdown: newShutdown(),
 	}
 }
 
@@ -116,9 +115,9 @@
 	return ""
 }
 
-// requestContext returns a context that ends at the caller's or the route's timeout,
-// whichever is shorter, and the time at which it ends.
-func requestContext(ctx context.Context, startedAt time.Time, info RequestInfo, route *routetable.Route) (context.Context, context.CancelFunc, time.Time) {
+// timeLimit returns how long a request may take: its caller's or its route's timeout, whichever is
+// shorter.
+func timeLimit(info RequestInfo, route *routetable.Route) time.Duration {
 	limit := route.Timeout
 	if info.Timeout > 0 && (limit <= 0 || info.Timeout < limit) {
 		limit = info.Timeout
@@ -126,7 +125,5 @@
 	if limit <= 0 {
 		limit = DefaultTimeout
 	}
-	end := startedAt.Add(limit)
-	ctx, cancel := context.WithDeadline(ctx, end)
-	return ctx, cancel, end
+	return limit
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -457,13 +457,13 @@
 
 func TestShutdownPhases(t *testing.T) {
 	gw := newTestGateway(t, respondWith("ok")).withSampleConfig()
-	gw.gateway.BeginShutdown()
+	gw.gateway.BeginShutdown(time.Now().Add(shutdownTime))
 	r, _, err := gw.send(http.MethodGet, "/safe/", "")
 	wantStatus(t, r, err, http.StatusOK)
 	if !r.Close {
 		t.Error("the response does not close the connection")
 	}
-	gw.gateway.RefuseStreams()
+	gw.gateway.RefuseLate()
 	r, _, err = gw.send(http.MethodPost, "/stream/", "")
 	wantStatus(t, r, err, http.StatusServiceUnavailable)
 	if after := r.Header.Get("Retry-After"); after != "0.01" {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -47,6 +47,10 @@
 	hParts     = "T-Parts" // of the prompt, hexadecimal, that others may share
 )
 
+// shutdownTime is how long a shutdown takes in these tests. It is shorter than the timeout of the
+// routes of sampleConfig.
+const shutdownTime = 10 * time.Second
+
 type testProtocol struct{}
 
 func (testProtocol) DecodeRequest(h http.Header) (RequestInfo, error) {
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -107,6 +107,7 @@
 // writeHead sends the head of a server's response. length is -1 for a body of unknown
 // length.
 func (e *exchange) writeHead(status int, from http.Header, length int64) {
+	e.keepBeyondShutdown()
 	to := e.writer.Header()
 	for name, values := range endToEndHeaders(from) {
 		to[name] = values
--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -155,8 +155,8 @@
 func TestShutdownRefusesThoseThatWait(t *testing.T) {
 	gw := newRoomGateway(t, 0)
 	waiting := gw.sendWaiting("/safe/")
-	gw.gateway.BeginShutdown()
-	gw.gateway.RefuseStreams()
+	gw.gateway.BeginShutdown(time.Now().Add(shutdownTime))
+	gw.gateway.RefuseLate()
 	gw.wantRefusal(<-waiting, http.StatusServiceUnavailable, ReasonShuttingDown)
 }
 
--- a/internal/gatewaynode/end.go
+++ b/internal/gatewaynode/end.go
@@ -11,10 +11,10 @@
 // Times of the shutdown, counted from the termination signal unless stated otherwise. The
 // platform kills the process when the grace period ends.
 const (
-	// refuseStreamsAfter is the time after which new streams are refused, because they
-	// might not end within the grace period. Streams that begin earlier may run until the
-	// last sixth of the grace period.
-	refuseStreamsAfter = 2500 * time.Millisecond
+	// refuseLateAfter is the time after which requests are refused that might not end within
+	// the grace period. Those that begin earlier may run until the last sixth of the grace
+	// period.
+	refuseLateAfter = 2500 * time.Millisecond
 	// minServeTime is the shortest time for which the node continues to serve open
 	// connections: the load balancer checks readiness once a second and needs two failed
 	// checks, and a connection may be in transit. With a short grace period, new ones are
@@ -24,6 +24,9 @@
 	// Between them, callers that are still connected have time to receive a refusal.
 	refuseAllBefore = 1500 * time.Millisecond
 	exitBefore      = 300 * time.Millisecond
+	// answerBefore is counted back from the end, too. Requests whose response has not begun by
+	// then are answered, and callers have time to receive it.
+	answerBefore = exitBefore + 200*time.Millisecond
 	// refusalTime is the time that they have for this if the grace period is so short that
 	// minServeTime would end later.
 	refusalTime = 100 * time.Millisecond
@@ -39,7 +42,7 @@
 // no connection that couldn't get a response by then.
 func (n *Node) DrainAndWait(ctx context.Context) error {
 	begun := time.Now()
-	n.gateway.BeginShutdown()
+	n.gateway.BeginShutdown(begun.Add(n.cfg.Grace - answerBefore))
 	end := begun.Add(n.cfg.Grace - exitBefore)
 	stopAccepting := time.AfterFunc(time.Until(end)-graceful.AnswerTime, n.callers.StopAccepting)
 	defer stopAccepting.Stop()
@@ -80,8 +83,8 @@
 		n.gateway.RefuseAll()
 		return true
 	}
-	if passed >= refuseStreamsAfter {
-		n.gateway.RefuseStreams()
+	if passed >= refuseLateAfter {
+		n.gateway.RefuseLate()
 	}
 	return false
 }
