Decide again before each send whether a request may outlast a shutdown

What callers saw: a connection closed without an answer at the end of a gateway's grace. A request whose head came 2.0 s after SIGTERM and whose body was complete at 4.2 s was passed on then; one whose first server refused it at 4.2 s went to a second one. Both were cut off 5.70 s after the signal (grace 6 s), with 60 s left by their route.

Cause: whether a request may outlast the process was decided once, when its head arrived. Its body, a wait or a first attempt may take seconds after that, and nothing looked at the time again.

Change: the decision is made again right before each send, after the last wait. A request that has not run gets the refusal that is true, 503 with "not run", and its caller goes elsewhere with the time that it has left. One that may have run keeps its attempts, as no refusal would be true of it.

Why it works: no first byte goes to a server after 2.5 s of the drain unless the deadline of the request comes before the end, however long ago its head arrived.

Evidence: two more cases of TestShutdownCutsOffNoRequest.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -32,6 +32,9 @@
 	if e.isQuarantined() { // other runs of it may have killed servers while this one waited
 		return stepFail, e.reasonBeforeSend(ReasonKillsServers)
 	}
+	if e.refusedByShutdown() { // its body, its wait or an earlier attempt took long
+		return stepFail, ReasonShuttingDown
+	}
 	if !e.spendRetry() {
 		e.stopRetrying(limitBudget)
 		return stepFail, e.reasonBeforeSend(ReasonServersRefused)
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -68,6 +68,10 @@
 // ActiveRequests returns how many requests are in progress.
 func (g *Gateway) ActiveRequests() int64 { return g.activeRequests.Load() }
 
+// refusedByShutdown reports whether the shutdown refuses the request before its next attempt. One that
+// may have run keeps its attempts: no refusal would be true.
+func (e *exchange) refusedByShutdown() bool { return !e.mayHaveRun && e.mayOutlastShutdown() }
+
 // refusesNew reports whether the shutdown refuses the request, which has just arrived.
 func (e *exchange) refusesNew() bool {
 	return e.gateway.shutdown.phase.Load() == phaseRefuseAll || e.mayOutlastShutdown()
