review: an engine that answers first and reads the rest of a long body later is cut off

The gateway resets its connection to a sound engine that leaves the rest of a long body unread for more than 1.2 s, also in the middle of an answer, goes on at a second engine, cuts that too, and breaks the answer off.

Cause: TCP_USER_TIMEOUT in upstream/conn.go, which Linux applies to a peer without room in its receive buffer as well. Ruled out: the engine's end (it writes when it is reset), the deadline (12 s are left), the retry budget (the second engine is asked), a small receive buffer (the script uses the kernel's default).

--- a/review/standin-2/case_bodies.go
+++ b/review/standin-2/case_bodies.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -221,8 +220,11 @@
 // judgeEnds applies the rule: processes do not end by themselves three times on two machines or more;
 // memory over the limit counts. It also notes what was lost with them.
 func judgeEnds(r *run, f *fleet, guards []memoryGuard, kept []*attempt) (bool, error) {
-	data, _ := os.ReadFile(filepath.Clean(f.runsLog)) // without it no request counts as passed on
-	runs, lost, cut := string(data), 0, 0
+	runs, err := f.runs()
+	if err != nil {
+		return false, err
+	}
+	lost, cut := 0, 0
 	for _, a := range kept {
 		switch {
 		case a.status == 0 && strings.Contains(runs, " run "+a.id+" "):
--- /dev/null
+++ b/review/standin-2/case_early.go
@@ -0,0 +1,81 @@
+//go:build review
+
+package main
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+func init() { drivers["early"] = caseEarly }
+
+const (
+	// earlyBytes is the body of the longest prompt of conflict-review, 600,000 tokens of 0.25 bytes.
+	earlyBytes   = 150000
+	earlyStreams = 8
+	// readPause is how long an engine that reads on later takes until then.
+	readPause = 3 * time.Second
+)
+
+// caseEarly sends long prompts right after a SIGHUP of the gateway, to engines that answer before they
+// have read the body. With the disruption they read on three seconds later, otherwise at once.
+func caseEarly(r *run) (bool, error) {
+	pause := time.Duration(0)
+	if r.trouble {
+		pause = readPause
+	}
+	f, err := r.startFleet(fleetOptions{
+		engines: 4, apps: 1, engineCommand: "early", engineArgs: []string{"-read-after", pause.String(), "-events", fmt.Sprint(leavingEvents)},
+		zones: []string{"hobart", "launceston"},
+	})
+	if err != nil {
+		return false, err
+	}
+	time.Sleep(budgetTime)
+	for _, g := range f.gateways {
+		r.signal(g.process, syscall.SIGHUP)
+	}
+	streams := make([]*attempt, earlyStreams)
+	var all sync.WaitGroup
+	for i := range streams {
+		a := streamAttempt(i, strings.NewReader(strings.Repeat("b", earlyBytes)), earlyBytes)
+		a.deadline = 15 * time.Second
+		streams[i] = a
+		all.Go(func() {
+			a.send(f.gateways[i%len(f.gateways)].front)
+			if a.conn != nil {
+				_ = a.conn.Close()
+			}
+		})
+		time.Sleep(50 * time.Millisecond)
+	}
+	all.Wait()
+	return judgePlannedWork(r, f, streams)
+}
+
+// judgePlannedWork applies the rule: a request that was sent up to config_ms after the SIGHUP, and
+// passed on to an engine, gets a complete answer on its connection.
+func judgePlannedWork(r *run, f *fleet, streams []*attempt) (bool, error) {
+	runs, err := f.runs()
+	if err != nil {
+		return false, err
+	}
+	for line := range strings.Lines(runs) {
+		r.detail("engines: %s", strings.TrimSpace(line))
+	}
+	lost, refused := 0, 0
+	for _, a := range streams {
+		r.note("%s, %d of %d events", a, strings.Count(string(a.answer), "\n\n"), leavingEvents)
+		switch {
+		case a.answered.IsZero() && strings.Contains(runs, " run "+a.id+" "):
+			lost++
+		case a.status != 200:
+			refused++
+		}
+	}
+	r.note("%d requests sent right after the SIGHUP: %d passed on and ended without a complete answer, %d answered with a failure", len(streams), lost, refused)
+	return lost == 0, nil
+}
--- a/review/standin-2/case_leaving.go
+++ b/review/standin-2/case_leaving.go
@@ -6,7 +6,6 @@
 	"cmp"
 	"fmt"
 	"net/http"
-	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -69,8 +68,8 @@
 
 // busiest returns the engine that has begun most requests.
 func (f *fleet) busiest() *serverProcess {
-	data, _ := os.ReadFile(f.runsLog) // without it each has begun none
-	count := func(s *serverProcess) int { return strings.Count(string(data), " "+s.id+" run ") }
+	runs, _ := f.runs() // without them each has begun none
+	count := func(s *serverProcess) int { return strings.Count(runs, " "+s.id+" run ") }
 	return slices.MaxFunc(f.engines, func(a, b *serverProcess) int { return cmp.Compare(count(a), count(b)) })
 }
 
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -3,8 +3,10 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
+	"os"
 	"path/filepath"
 	"strconv"
 	"time"
@@ -76,12 +78,14 @@
 
 // fleetOptions are what a case changes of the deployment.
 type fleetOptions struct {
-	engines    int
-	apps       int
-	engineArgs []string
-	appArgs    []string
-	gateway    gatewayOptions
-	zones      []string // of the gateways
+	engines int
+	apps    int
+	// engineCommand is the stand-in of the engines, "server" if empty.
+	engineCommand string
+	engineArgs    []string
+	appArgs       []string
+	gateway       gatewayOptions
+	zones         []string // of the gateways
 }
 
 // startFleet starts a deployment and returns once its gateways are ready.
@@ -124,12 +128,12 @@
 		return nil, err
 	}
 	for _, s := range f.engines {
-		if err := r.startServer(f, s, poolService, o.engineArgs); err != nil {
+		if err := r.startServer(f, s, cmp.Or(o.engineCommand, "server"), poolService, o.engineArgs); err != nil {
 			return nil, err
 		}
 	}
 	for _, s := range f.apps {
-		if err := r.startServer(f, s, appService, o.appArgs); err != nil {
+		if err := r.startServer(f, s, "server", appService, o.appArgs); err != nil {
 			return nil, err
 		}
 	}
@@ -148,9 +152,15 @@
 	return f, nil
 }
 
-func (r *run) startServer(f *fleet, s *serverProcess, service string, extra []string) error {
-	args := append([]string{"server", "-listen", s.address, "-store", f.store, "-service", service, "-id", s.id, "-log", f.runsLog}, extra...)
+func (r *run) startServer(f *fleet, s *serverProcess, command, service string, extra []string) error {
+	args := append([]string{command, "-listen", s.address, "-store", f.store, "-service", service, "-id", s.id, "-log", f.runsLog}, extra...)
 	var err error
 	s.process, err = r.startOwn(s.id, args...)
 	return err
 }
+
+// runs returns what the servers have written of their runs.
+func (f *fleet) runs() (string, error) {
+	data, err := os.ReadFile(f.runsLog)
+	return string(data), err
+}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -25,7 +25,7 @@
 
 func main() {
 	if len(os.Args) < 2 {
-		fmt.Fprintln(os.Stderr, "usage: standin-2 store|server|case [flags]")
+		fmt.Fprintln(os.Stderr, "usage: standin-2 store|server|early|case [flags]")
 		os.Exit(exitNotRun)
 	}
 	command, args := os.Args[1], os.Args[2:]
@@ -34,6 +34,8 @@
 		os.Exit(runStore(args))
 	case "server":
 		os.Exit(runServer(args))
+	case "early":
+		os.Exit(runEarlyServer(args))
 	case "case":
 		os.Exit(runCase(args))
 	}
