--- a/review/standin-2/case_early.go
+++ b/review/standin-2/case_early.go
@@ -13,9 +13,13 @@
 func init() { drivers["early"] = caseEarly }
 
 const (
-	// earlyBytes is the body of the longest prompt of conflict-review, 600,000 tokens of 0.25 bytes.
-	earlyBytes   = 150000
-	earlyStreams = 8
+	// earlyTokens is the longest prompt of conflict-review on the site, and earlyBytes its body, at the
+	// site's 0.25 bytes a token.
+	earlyTokens  = 600000
+	earlyBytes   = earlyTokens / 4
+	earlyStreams = 4
+	earlyEngines = 16
+	earlyEvents  = 16
 	// readPause is how long an engine that reads on later takes until then.
 	readPause = 3 * time.Second
 )
@@ -28,7 +32,7 @@
 		pause = readPause
 	}
 	f, err := r.startFleet(fleetOptions{
-		engines: 4, apps: 1, engineCommand: "early", engineArgs: []string{"-read-after", pause.String(), "-events", fmt.Sprint(leavingEvents)},
+		engines: earlyEngines, apps: 1, engineCommand: "early", engineArgs: []string{"-read-after", pause.String(), "-events", fmt.Sprint(earlyEvents)},
 		zones: []string{"hobart", "launceston"},
 	})
 	if err != nil {
@@ -42,7 +46,9 @@
 	var all sync.WaitGroup
 	for i := range streams {
 		a := streamAttempt(i, strings.NewReader(strings.Repeat("b", earlyBytes)), earlyBytes)
-		a.deadline = 15 * time.Second
+		a.path, a.deadline = fmt.Sprintf("%s%d", longPath, i), 15*time.Second
+		a.header["X-Token-Usage"] = fmt.Sprintf("%d,688", earlyTokens)
+		a.header["X-Prompt-Prefix"] = fmt.Sprintf("5c1e07a2:40,%x:%d", 1<<20+i, earlyTokens-40)
 		streams[i] = a
 		all.Go(func() {
 			a.send(f.gateways[i%len(f.gateways)].front)
@@ -68,7 +74,7 @@
 	}
 	lost, refused := 0, 0
 	for _, a := range streams {
-		r.note("%s, %d of %d events", a, strings.Count(string(a.answer), "\n\n"), leavingEvents)
+		r.note("%s, %d of %d events", a, strings.Count(string(a.answer), "\n\n"), earlyEvents)
 		switch {
 		case a.answered.IsZero() && strings.Contains(runs, " run "+a.id+" "):
 			lost++
--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -119,3 +119,12 @@
 func (a *attempt) unansweredAt(after time.Duration) bool {
 	return !a.sent.IsZero() && (a.answered.IsZero() || a.answered.Sub(a.sent) > after)
 }
+
+// streamAttempt is a notice-draft with a body of so many bytes.
+func streamAttempt(n int, body io.Reader, bodyBytes int) *attempt {
+	return &attempt{
+		id: newAttemptID(), method: http.MethodPost, path: streamPath + strconv.Itoa(n), deadline: 10 * time.Second,
+		body: body, bodyBytes: bodyBytes,
+		header: map[string]string{"X-Model": "m", "X-Token-Usage": "4960,688", "X-Prompt-Prefix": fmt.Sprintf("5c1e07a2:40,%x:4960", 1<<20+n)},
+	}
+}
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -8,7 +8,9 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -20,9 +22,12 @@
 	confirmPath   = "/confirm/"
 	declinePath   = "/decline/"
 	streamPath    = "/stream/"
+	longPath      = "/stream/long/"
 	poolService   = "briar-pool"
 	appService    = "roster-app"
 	stabilityTime = 3 * time.Second
+	// budgetTime is the time after which a gateway has its share of the retries, by docs/SETTINGS.md.
+	budgetTime = 12 * time.Second
 )
 
 // configuration returns the operator's configuration, with the routes of the site dwa-rosters.
@@ -35,10 +40,13 @@
 	}
 	stream := route("notice-draft", streamPath, "streaming", poolService, 10000, 300, 2)
 	stream["resumable"], stream["session_affinity"], stream["gap_target_ms"] = true, true, 250
+	review := route("conflict-review", longPath, "streaming", poolService, 15000, 3000, 2)
+	review["resumable"], review["session_affinity"], review["gap_target_ms"] = true, true, 1000
 	return map[string]any{
 		"version": version,
 		"routes": []any{
 			stream,
+			review,
 			route("confirm-tap", confirmPath, "non_idempotent", appService, 800, 100, 1),
 			route("decline-tap", declinePath, "idempotent", appService, 800, 100, 2),
 		},
@@ -83,7 +91,6 @@
 	// engineCommand is the stand-in of the engines, "server" if empty.
 	engineCommand string
 	engineArgs    []string
-	appArgs       []string
 	gateway       gatewayOptions
 	zones         []string // of the gateways
 }
@@ -133,7 +140,7 @@
 		}
 	}
 	for _, s := range f.apps {
-		if err := r.startServer(f, s, "server", appService, o.appArgs); err != nil {
+		if err := r.startServer(f, s, "server", appService, nil); err != nil {
 			return nil, err
 		}
 	}
@@ -164,3 +171,10 @@
 	data, err := os.ReadFile(f.runsLog)
 	return string(data), err
 }
+
+// byRuns returns the engines, first those that have begun most requests.
+func (f *fleet) byRuns() []*serverProcess {
+	runs, _ := f.runs() // without them each has begun none
+	count := func(s *serverProcess) int { return strings.Count(runs, " "+s.id+" run ") }
+	return slices.SortedFunc(slices.Values(f.engines), func(a, b *serverProcess) int { return cmp.Compare(count(b), count(a)) })
+}
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -21,6 +21,9 @@
 // heartbeatInterval is how often a server writes to the store.
 const heartbeatInterval = 1200 * time.Millisecond
 
+// framedPath begins the paths whose streams are in chunks in any case.
+const framedPath = "/stream/framed/"
+
 // server is a stand-in of a backend server, of a model engine or of a plain service.
 type server struct {
 	id, service, address, zone, store string
@@ -28,8 +31,8 @@
 	work                              time.Duration // of a plain request
 	events                            int           // of a stream
 	eventGap                          time.Duration
-	firstEvent                        time.Duration // time before the head of a stream
 	unframed                          bool          // streams have no length and end with their connection
+	slots                             chan struct{} // holds one token for each request that runs
 
 	sequence atomic.Int64
 	leaving  atomic.Bool
@@ -49,7 +52,6 @@
 	flags.DurationVar(&s.work, "work", 15*time.Millisecond, "time of a plain request")
 	flags.IntVar(&s.events, "events", 16, "events of a stream")
 	flags.DurationVar(&s.eventGap, "gap", 20*time.Millisecond, "time between two events")
-	flags.DurationVar(&s.firstEvent, "first", 0, "time before the first event")
 	flags.BoolVar(&s.unframed, "unframed", false, "streams have no length and end with their connection")
 	logPath := flags.String("log", "", "file for the runs")
 	flags.StringVar(&s.id, "id", "", "ID; random if empty")
@@ -64,6 +66,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
+	s.slots = make(chan struct{}, s.capacity)
 	go s.heartbeats()
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /standin/drain", s.drain)
@@ -124,12 +127,18 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	s.running.Add(1)
-	defer s.running.Add(-1)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
+	select { // requests beyond the slots wait
+	case s.slots <- struct{}{}:
+	case <-r.Context().Done():
+		return
+	}
+	defer func() { <-s.slots }()
+	s.running.Add(1)
+	defer s.running.Add(-1)
 	s.note("run %s %s %s %d bytes", attempt, r.Method, r.URL.Path, len(body))
 	w.Header().Set("X-Response-Seal", s.id+"."+attempt)
 	if strings.HasPrefix(r.URL.Path, "/stream/") {
@@ -143,15 +152,16 @@
 
 // stream answers with events. A request with Last-Event-Id gets those behind it.
 func (s *server) stream(w http.ResponseWriter, r *http.Request, attempt string) {
-	time.Sleep(s.firstEvent)
 	first := 1
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		first = last + 1
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	if s.unframed {
+	if s.unframed && !strings.HasPrefix(r.URL.Path, framedPath) {
 		w.Header().Set("Transfer-Encoding", "identity") // net/http then ends the body with the connection
 		w.Header().Set("Connection", "close")
+	} else {
+		w.Header().Set("Keep-Alive", "timeout=15")
 	}
 	w.WriteHeader(http.StatusOK)
 	flush := http.NewResponseController(w)
