--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
@@ -25,6 +26,7 @@
 	bodyBytes        int
 	header           map[string]string
 	deadline         time.Duration
+	key              string // apiKey if empty
 
 	sent     time.Time // when the request was written
 	answered time.Time // when the answer was whole; zero if it never was
@@ -69,7 +71,7 @@
 func (a *attempt) write(conn net.Conn) error {
 	var head strings.Builder
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nX-Api-Key: %s\r\n",
-		a.method, a.path, host, a.id, a.deadline.Milliseconds(), apiKey)
+		a.method, a.path, host, a.id, a.deadline.Milliseconds(), cmp.Or(a.key, apiKey))
 	for name, value := range a.header {
 		fmt.Fprintf(&head, "%s: %s\r\n", name, value)
 	}
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -31,8 +31,12 @@
 	budgetTime = 12 * time.Second
 )
 
-// configuration returns the operator's configuration, with the routes of the site dwa-rosters.
-func configuration(version int) map[string]any {
+// configuration returns the operator's configuration, with the routes of the site dwa-rosters. Its
+// tenant holds the keys, or apiKey if there are none.
+func configuration(version int, keys ...string) map[string]any {
+	if len(keys) == 0 {
+		keys = []string{apiKey}
+	}
 	route := func(name, path, kind, service string, timeoutMS, targetMS, attempts int) map[string]any {
 		return map[string]any{
 			"name": name, "host": host, "path_prefix": path, "kind": kind, "service": service, "timeout_ms": timeoutMS,
@@ -66,7 +70,7 @@
 		"limits": map[string]any{
 			"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
 		},
-		"tenants": []any{map[string]any{"name": tenant, "api_keys": []string{apiKey}, "priority": 1}},
+		"tenants": []any{map[string]any{"name": tenant, "api_keys": keys, "priority": 1}},
 	}
 }
 
@@ -94,6 +98,8 @@
 	engineArgs    []string
 	gateway       gatewayOptions
 	zones         []string // of the gateways
+	storeArgs     []string
+	keys          []string // of the tenant in the first configuration
 }
 
 // startFleet starts a deployment and returns once its gateways are ready.
@@ -126,11 +132,11 @@
 		f.apps = append(f.apps, s)
 	}
 	r.releasePorts()
-	if _, err := r.startOwn("store", "store", "-listen", f.store); err != nil {
+	if _, err := r.startOwn("store", append([]string{"store", "-listen", f.store}, o.storeArgs...)...); err != nil {
 		return nil, err
 	}
 	err = waitFor(5*time.Second, "store", func() bool {
-		return call(http.MethodPost, "http://"+f.store+"/standin/config", configuration(1)) == nil
+		return call(http.MethodPost, "http://"+f.store+"/standin/config", configuration(1, o.keys...)) == nil
 	})
 	if err != nil {
 		return nil, err
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -55,13 +55,15 @@
 	history  []change
 	changed  chan struct{}        // closed at the next change
 	beats    map[string]time.Time // of the entries of kind servers
+	drill    drill
 }
 
 func runStore(args []string) int {
 	flags := flag.NewFlagSet("store", flag.ExitOnError)
 	listen := flags.String("listen", "", "IP:PORT")
+	era := flags.Int("era", unnamedEra, "first Store-Era; -1 names none")
 	_ = flags.Parse(args) // exits on an error
-	s := &store{revision: 100, objects: map[string]map[string]object{}, changed: make(chan struct{}), beats: map[string]time.Time{}}
+	s := &store{drill: drill{era: *era}, revision: 100, objects: map[string]map[string]object{}, changed: make(chan struct{}), beats: map[string]time.Time{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /objects/{kind}", s.listOrWatch)
 	mux.HandleFunc("POST /objects/{kind}", s.create)
@@ -70,8 +72,10 @@
 	mux.HandleFunc("DELETE /objects/{kind}/{name}", s.remove)
 	mux.HandleFunc("POST /standin/beat/{name}", s.beat)
 	mux.HandleFunc("POST /standin/config", s.setConfig)
+	mux.HandleFunc("POST /standin/copy", s.copy)
+	mux.HandleFunc("POST /standin/restore", s.restore)
 	go s.expire()
-	fmt.Fprintln(os.Stderr, http.ListenAndServe(*listen, mux))
+	fmt.Fprintln(os.Stderr, http.ListenAndServe(*listen, s.withEra(mux)))
 	return exitNotRun
 }
 
@@ -140,8 +144,15 @@
 				events = append(events, c.event)
 			}
 		}
-		at, changed := s.revision, s.changed
+		at, changed, away := s.revision, s.changed, s.drill.away
 		s.mu.Unlock()
+		switch {
+		case away:
+			panic(http.ErrAbortHandler) // cuts the watch off
+		case after > at:
+			reply(w, http.StatusGone, map[string]string{"error": "no such revision"})
+			return
+		}
 		if len(events) > 0 {
 			reply(w, http.StatusOK, map[string]any{"events": events, "at": at})
 			return
