review: a driver that is told to end handles it from its first line

SIGTERM in the first milliseconds ended the driver with 143 instead of 2. Nothing had been started by then.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -11,6 +11,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -45,6 +47,8 @@
 
 // runCase runs one case and returns its exit code.
 func runCase(args []string) int {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	flags := flag.NewFlagSet("case", flag.ExitOnError)
 	name := flags.String("name", "", "case")
 	daemon := flags.String("daemon", "target/briarturnd", "the deployed program")
@@ -61,7 +65,7 @@
 		return exitNotRun
 	}
 	defer r.close()
-	r.endOnSignal()
+	r.endOnSignal(signals)
 	held, err := driver(r)
 	r.recordRuns()
 	switch {
--- a/review/standin-2/run.go
+++ b/review/standin-2/run.go
@@ -13,7 +13,6 @@
 	"net/http"
 	"os"
 	"os/exec"
-	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -163,9 +162,7 @@
 }
 
 // endOnSignal ends the run with all its processes when this process is told to end.
-func (r *run) endOnSignal() {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+func (r *run) endOnSignal(signals <-chan os.Signal) {
 	go func() {
 		<-signals
 		r.note("told to end")
