Let requests wait for room while the work that is left fits into their callers' time

What callers saw: a request without room was refused after three tenths of its caller's time, though room came later and the caller would still have had its answer in time. Cause: maxWaitShare in gateway/room.go. Through Item.Deadline it also moved the queue's order, its estimates and refuseHopeless. Change: the first token is due when the caller's time, less the rest of the answer, is over, or when the caller abandons the stream (PROTOCOL.md, eventTimeout), whichever is first. The queue refuses a request when its work doesn't fit into that any more, or at once if it expects no room before. Test: TestRequestIsServedWheneverItsWorkStillFits failed for room after 4 to 9 tenths of 2 s (503 after 0.6 s), also after 3; TestRequestIsRefusedOnceItsWorkDoesNotFit failed (0.6 s, want 1.99 s and 1 s). TestRequestWithoutRoomIsRefusedWhileItsCallerHasTime held the share; its checks of the refusal and of Retry-After are in the latter, which also says when the refusal comes, for three lengths of work. go test ./gateway passes.

--- a/gateway/room.go
+++ b/gateway/room.go
@@ -25,7 +25,7 @@
 }
 
 // placeInTurn places an attempt like placeAndReserve, in the order of the queue. It waits for
-// room until the request can't be served before its deadline any more.
+// room for as long as the work that is left fits into the rest of the caller's time.
 func (e *exchange) placeInTurn(ctx context.Context) (*placedAttempt, bool) {
 	queuedAt := time.Now()
 	defer func() { e.waitedForRoom += time.Since(queuedAt) }()
@@ -69,7 +69,7 @@
 		Cost:             int64(prompt.InputTokens + prompt.MaxOutputTokens),
 		PrefillTokens:    int64(prompt.InputTokens),
 		ExpectedDuration: firstToken,
-		Deadline:         e.firstTokenDeadline(firstToken, rest),
+		Deadline:         e.firstTokenDeadline(rest),
 		Priority:         int32(e.priority()),
 		OnTimeUntil:      e.onTimeUntil(firstToken),
 		Subject:          e.subject(),
@@ -96,19 +96,10 @@
 	return time.Until(e.startedAt.Add(patience))
 }
 
-// maxWaitShare is the fraction of a caller's time after which it is refused if it still waits: it
-// has time left to return or to do without.
-const maxWaitShare = 0.3
-
 // firstTokenDeadline returns the time at which the first token must have arrived, so that the
-// caller is still there and the rest of the answer, which takes the given time, is in time. The
-// request waits no longer than maxWaitShare allows.
-func (e *exchange) firstTokenDeadline(firstToken, rest time.Duration) time.Time {
+// caller is still there and the rest of the answer, which takes the given time, is in time.
+func (e *exchange) firstTokenDeadline(rest time.Duration) time.Time {
 	end := e.deadline.Add(-rest)
-	longestWait := time.Duration(maxWaitShare * float64(e.deadline.Sub(e.startedAt)))
-	if last := e.startedAt.Add(longestWait + firstToken); last.Before(end) {
-		end = last
-	}
 	if patience := e.patience(); patience > 0 && e.startedAt.Add(patience).Before(end) {
 		return e.startedAt.Add(patience)
 	}
