Order waiting requests by their arrival, not by a guess of who has returned

What callers saw: a caller that named less time than its route allows was served before those that had waited longer, up to the whole difference, and one that named its route's time behind it. Cause: exchange.firstAsked took such a caller for one that was refused and has returned. Change: Item.FirstAsked is Item.ArrivedAt, the arrival of the request at this entry, which is known. A caller in a hurry still goes first when its latest start comes first.

--- a/gateway/room.go
+++ b/gateway/room.go
@@ -73,7 +73,7 @@
 		Priority:         int32(e.priority()),
 		OnTimeUntil:      e.onTimeUntil(firstToken),
 		Subject:          e.subject(),
-		FirstAsked:       e.firstAsked(),
+		ArrivedAt:        e.startedAt,
 	}
 }
 
@@ -174,14 +174,3 @@
 	}
 	return e.parts[len(e.parts)-1].ID
 }
-
-// firstAsked returns when the caller may first have asked: one that was refused and returns names
-// less time than its route allows. Others may name less too, so that it decides on the order of
-// requests that are late or on time alike, and on nothing else. It is zero if the caller names
-// the whole time.
-func (e *exchange) firstAsked() time.Time {
-	if e.info.Timeout <= 0 || e.info.Timeout >= e.route.Timeout {
-		return time.Time{}
-	}
-	return e.startedAt.Add(e.info.Timeout - e.route.Timeout)
-}
--- a/gateway/roomtime_test.go
+++ b/gateway/roomtime_test.go
@@ -65,3 +65,21 @@
 		})
 	}
 }
+
+// Guards against callers that go first because they name less time than their route allows, as if
+// they had been refused before: a guess, and one that a caller in no hurry can make come true.
+func TestCallerThatNamesLessTimeDoesNotGoFirst(t *testing.T) {
+	gw := newRoomGateway(t, 0)
+	first := gw.sendWaiting("/safe/", hID, "first")
+	second := gw.sendWaiting("/safe/", append(hTimeoutOf(10*time.Second), hID, "second")...)
+	for range 2 {
+		gw.placer.free(1)
+		gw.gateway.cfg.Room.AttemptEnded("s", true)
+		time.Sleep(roomPollInterval)
+	}
+	for _, waiting := range []<-chan reply{first, second} {
+		got := <-waiting
+		wantStatus(t, got.response, got.err, http.StatusOK)
+	}
+	gw.wantArrivals("s1 first, s1 second")
+}
--- a/workspace/fleet_test.go
+++ b/workspace/fleet_test.go
@@ -194,7 +194,7 @@
 // lookCall does what the goroutine of a request does. It reports whether the request has ended or
 // started.
 func (f *fleet) lookCall(e *fleetEntry, c *fleetCall) bool {
-	waited := f.now.Sub(c.w.arrivedAt)
+	waited := f.now.Sub(c.w.queuedAt)
 	if c.w.state == waiting && c.w.expired(f.now) {
 		e.s.refuseIfWaiting(c.w, ReasonDeadline)
 	}
--- a/workspace/item.go
+++ b/workspace/item.go
@@ -27,9 +27,9 @@
 	// Subject identifies what the request is about, for example the last shared part of its
 	// prompt. Subjects of a workspace share its room equally; 0: none.
 	Subject uint64
-	// FirstAsked is when the caller first asked, if it was refused then and has returned; zero:
-	// now. The request takes the position that it would have had.
-	FirstAsked time.Time
+	// ArrivedAt is when the request arrived at this entry, if it is queued later, for example after
+	// an attempt that failed; zero: now. It takes the position that it would have had.
+	ArrivedAt time.Time
 }
 
 // agingFactor limits how long after its arrival other requests may still overtake a
@@ -64,7 +64,7 @@
 // changes from waiting.
 type waiter struct {
 	Item
-	arrivedAt   time.Time
+	queuedAt    time.Time
 	orderTime   time.Time // position in the subject; earlier times start first
 	arrival     uint64    // sequence number; breaks ties of orderTime
 	expectedEnd time.Time // set when dispatched
@@ -78,12 +78,12 @@
 }
 
 func newWaiter(it Item, arrival uint64, now time.Time) *waiter {
-	w := &waiter{Item: it, arrivedAt: now, arrival: arrival, done: make(chan struct{})}
-	asked := now
-	if !it.FirstAsked.IsZero() && it.FirstAsked.Before(now) {
-		asked = it.FirstAsked
+	w := &waiter{Item: it, queuedAt: now, arrival: arrival, done: make(chan struct{})}
+	arrived := now
+	if !it.ArrivedAt.IsZero() && it.ArrivedAt.Before(now) {
+		arrived = it.ArrivedAt
 	}
-	w.orderTime = asked.Add(agingFactor*it.ExpectedDuration + time.Duration(it.Priority)*priorityStep)
+	w.orderTime = arrived.Add(agingFactor*it.ExpectedDuration + time.Duration(it.Priority)*priorityStep)
 	for _, limit := range []time.Time{w.latestStart(), it.OnTimeUntil} {
 		if !limit.IsZero() && limit.Before(w.orderTime) {
 			w.orderTime = limit
--- a/workspace/turns_test.go
+++ b/workspace/turns_test.go
@@ -130,13 +130,13 @@
 	})
 }
 
-// Guards against a caller that returns after a refusal waiting behind those that came later.
-func TestReturningCallerKeepsItsPlace(t *testing.T) {
+// Guards against a request whose first server was lost waiting behind those that arrived later.
+func TestRequestKeepsItsPlaceByItsArrival(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		time.Sleep(time.Second)
-		returned := item("w", 100, time.Second)
-		returned.FirstAsked = time.Now().Add(-time.Second)
-		got := turnOrder(t, NewScheduler(Options{}), item("w", 100, time.Second), item("w", 100, time.Second), returned)
+		repeated := item("w", 100, time.Second)
+		repeated.ArrivedAt = time.Now().Add(-time.Second)
+		got := turnOrder(t, NewScheduler(Options{}), item("w", 100, time.Second), item("w", 100, time.Second), repeated)
 		if diff := cmp.Diff([]string{"w2", "w0", "w1"}, got); diff != "" {
 			t.Error(diff)
 		}
--- a/workspace/waiting.go
+++ b/workspace/waiting.go
@@ -30,7 +30,7 @@
 		if w.isLate(now) {
 			sum.Late++
 		}
-		sum.Oldest = max(sum.Oldest, now.Sub(w.arrivedAt))
+		sum.Oldest = max(sum.Oldest, now.Sub(w.queuedAt))
 	})
 	return sum
 }
