Let a request whose server was lost wait and be placed like a first try

What callers saw: while requests waited for room, one that had been sent before went ahead of all of them into the queue of a full server, and was late there without anybody choosing. Cause: waitsForRoom was true for first sends only. Change: waitsForRoom doesn't look at sends. The request keeps its arrival (Item.ArrivedAt), so its objective, its latest start and its place are those of a first try that has waited as long. Once its caller has had events, the time until it leaves counts from the last one (PROTOCOL.md: after a gap), and the next event is due by the pause objective. Test: TestRepeatWaitsForRoomLikeFirstTry failed for a lost and for a refusing server (sent twice without room). TestResumedStreamWaitsWhileItsCallerDoes guards the change itself: counted from the arrival, the stream would be broken off. With -race, the tests of gateway about room, streams and moves pass.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -130,7 +130,7 @@
 		Engine:              e.service.Engine,
 		InputTokens:         e.info.Prompt.InputTokens,
 		MaxOutputTokens:     e.info.Prompt.MaxOutputTokens,
-		FirstTokenObjective: e.route.Objective - time.Since(e.startedAt),
+		FirstTokenObjective: time.Until(e.eventDue()),
 		PauseObjective:      e.route.PauseObjective,
 		TimeLeft:            time.Until(e.deadline),
 		Waited:              time.Since(e.startedAt),
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -19,9 +19,9 @@
 func (g *Gateway) roomIsShort() bool { return g.cfg.Room != nil && g.cfg.Room.Pending() }
 
 // waitsForRoom reports whether the request waits in the queue of this entry while its service's
-// servers have no room. A request that was sent before has had its turn.
+// servers have no room.
 func (e *exchange) waitsForRoom() bool {
-	return e.gateway.cfg.Room != nil && e.sends == 0 && e.info.Prompt.InputTokens > 0 && e.queueEnabled()
+	return e.gateway.cfg.Room != nil && e.info.Prompt.InputTokens > 0 && e.queueEnabled()
 }
 
 // placeInTurn places an attempt like placeAndReserve, in the order of the queue. It waits for
@@ -86,22 +86,44 @@
 	return eventTimeout(e.route)
 }
 
+// leavesAt returns when the caller abandons the stream unless an event comes before; zero if it
+// waits for its deadline.
+func (e *exchange) leavesAt() time.Time {
+	patience := e.patience()
+	switch {
+	case patience == 0:
+		return time.Time{}
+	case e.stream.hasEvents():
+		return e.stream.lastEventAt.Add(patience)
+	}
+	return e.startedAt.Add(patience)
+}
+
 // firstTokenLimit returns the time left until the caller abandons the request; 0 if it doesn't
 // before its deadline.
 func (e *exchange) firstTokenLimit() time.Duration {
-	patience := e.patience()
-	if patience == 0 {
+	leaves := e.leavesAt()
+	if leaves.IsZero() {
 		return 0
 	}
-	return time.Until(e.startedAt.Add(patience))
+	return time.Until(leaves)
+}
+
+// eventDue returns when the next event of the response is due by the objectives of its route: the
+// first one after the request, a later one after the one before.
+func (e *exchange) eventDue() time.Time {
+	if e.stream.hasEvents() && e.route.PauseObjective > 0 {
+		return e.stream.lastEventAt.Add(e.route.PauseObjective)
+	}
+	return e.startedAt.Add(e.route.Objective)
 }
 
 // firstTokenDeadline returns the time at which the first token must have arrived, so that the
 // caller is still there and the rest of the answer, which takes the given time, is in time.
 func (e *exchange) firstTokenDeadline(rest time.Duration) time.Time {
 	end := e.deadline.Add(-rest)
-	if patience := e.patience(); patience > 0 && e.startedAt.Add(patience).Before(end) {
-		return e.startedAt.Add(patience)
+	if leaves := e.leavesAt(); !leaves.IsZero() && leaves.Before(end) {
+		return leaves
 	}
 	return end
 }
@@ -112,7 +134,7 @@
 	if e.route.Objective <= 0 {
 		return time.Time{}
 	}
-	return e.startedAt.Add(e.route.Objective - firstToken)
+	return e.eventDue().Add(-firstToken)
 }
 
 // queueReason returns the reason for which the queue refused a request.
--- a/gateway/roomtime_test.go
+++ b/gateway/roomtime_test.go
@@ -4,8 +4,11 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/briarturn/briarturn/routetable"
 )
 
 // callerTime is how long the callers of these tests wait for a response.
@@ -83,3 +86,75 @@
 	}
 	gw.wantArrivals("s1 first, s1 second")
 }
+
+// first returns a handler that passes its first request to one handler and the others to another.
+func first(one, others http.HandlerFunc) http.HandlerFunc {
+	var arrived atomic.Bool
+	return func(w http.ResponseWriter, r *http.Request) {
+		if arrived.Swap(true) {
+			others(w, r)
+			return
+		}
+		one(w, r)
+	}
+}
+
+// Guards against a request that goes ahead of all that wait, into the queue of a full server, because
+// it was sent before.
+func TestRepeatWaitsForRoomLikeFirstTry(t *testing.T) {
+	for name, failing := range map[string]http.HandlerFunc{"server lost": dropConnection, "server refused": respondNotRun} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := first(failing, respondWith("ok"))
+			gw := newRoomGateway(t, 1, server, server)
+			waiting := gw.sendWaiting("/safe/")
+			time.Sleep(callerTime / 4)
+			if n := gw.timesSent(); n != 1 {
+				t.Errorf("sent %d times without room, want 1", n)
+			}
+			gw.placer.free(1)
+			got := <-waiting
+			wantStatus(t, got.response, got.err, http.StatusOK)
+			if n := gw.timesSent(); n != 2 {
+				t.Errorf("sent %d times, want 2", n)
+			}
+		})
+	}
+}
+
+// timesSent returns how many attempts have arrived at servers.
+func (gw *roomGateway) timesSent() int {
+	gw.mu.Lock()
+	defer gw.mu.Unlock()
+	return len(gw.arrivalLog)
+}
+
+// Guards against a stream that is broken off when its server is lost, because its caller is taken for
+// one that has had no event since it asked.
+func TestResumedStreamWaitsWhileItsCallerDoes(t *testing.T) {
+	const pause = 500 * time.Millisecond
+	slow := func(w http.ResponseWriter, r *http.Request) {
+		for i := range 5 { // for longer than a caller waits for an event
+			streamEvents(i+1, i+1, false)(w, r)
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(pause)
+		}
+		panic(http.ErrAbortHandler)
+	}
+	server := first(slow, streamEvents(6, 8, false))
+	gw := newRoomGateway(t, 1, server, server)
+	config := sampleConfig(2)
+	config.Services[0].Engine = promptEngine
+	for i := range config.Routes {
+		config.Routes[i].Objective = pause
+	}
+	gw.routes.Offer(routetable.New(config), *gw.clock)
+	waiting := gw.sendWaiting("/stream/")
+	time.Sleep(6 * pause)
+	gw.placer.free(1)
+	got := <-waiting
+	wantStatus(t, got.response, got.err, http.StatusOK)
+	if got.body != eventText(1, 8) {
+		t.Errorf("stream %q", got.body)
+	}
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -46,6 +46,9 @@
 	return &streamRelay{exchange: e, buffer: make([]byte, readBufferSize)}
 }
 
+// hasEvents reports whether the caller got an event. It may be called on nil.
+func (s *streamRelay) hasEvents() bool { return s != nil && s.events > 0 }
+
 // relayStream relays a stream until it ends or breaks.
 func (e *exchange) relayStream(ctx context.Context, attempt *placedAttempt, r *upstream.Response) (nextStep, Reason) {
 	s := e.stream
