Tell a late caller to return when room is expected

What callers saw: a caller past its objective that was refused for lack of room was told to stay away for a sixth to a third of the time it had left, also where the queue expected room sooner. Cause: roomRetryAfter added a random time from the second half of its longest wait for those that are late, so that they were not refused again: that is counted, but whether the caller can be served when room comes is what counts for it. Change: Retry-After is when the queue expects room, spread over those refused before (Turns.RetryAfter), up to the third of its time for which a caller honours it (PROTOCOL.md, Answers). Test: TestLateCallerReturnsWhenRoomIsExpected failed (12.1 s, room expected after 2 s).

--- a/gateway/room.go
+++ b/gateway/room.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/briarturn/briarturn/placement"
@@ -146,29 +145,18 @@
 	return ReasonDeadlineUnmeetable
 }
 
-// maxRetryShare is the fraction of its remaining time up to which a caller waits before it
-// returns.
+// maxRetryShare is the fraction of its remaining time up to which a caller honours Retry-After, as
+// the protocol says.
 const maxRetryShare = 1.0 / 3
 
 // roomRetryAfter returns when a caller that was refused for lack of room may retry: when the queue
-// expects room for it, at least shortest, and before it would rather give up. One that is late in
-// any case returns in the second half of that time: it was refused since the shortage outlasts what
-// callers wait for, and would only be refused again if it returned into it.
+// expects room for it, at least shortest, and no later than the caller waits for.
 func (e *exchange) roomRetryAfter(shortest time.Duration) time.Duration {
 	if !e.waitsForRoom() {
 		return shortest
 	}
 	longest := time.Duration(maxRetryShare * float64(time.Until(e.deadline)))
-	after := e.expectedRoom()
-	if e.isLate() && longest > 0 {
-		after = max(after, longest/2+rand.N(longest/2+1))
-	}
-	return max(min(after, longest), shortest)
-}
-
-// isLate reports whether the objective of the request has passed.
-func (e *exchange) isLate() bool {
-	return e.route.Objective > 0 && time.Since(e.startedAt) > e.route.Objective
+	return max(min(e.expectedRoom(), longest), shortest)
 }
 
 // expectedRoom returns the delay after which the queue expects room for the refused request.
--- a/gateway/roomtime_test.go
+++ b/gateway/roomtime_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/briarturn/briarturn/routetable"
+	"github.com/briarturn/briarturn/workspace"
 )
 
 // callerTime is how long the callers of these tests wait for a response.
@@ -158,3 +159,30 @@
 		t.Errorf("stream %q", got.body)
 	}
 }
+
+// Guards against telling a caller that is past its objective to stay away longer than until room is
+// expected.
+func TestLateCallerReturnsWhenRoomIsExpected(t *testing.T) {
+	e := &exchange{
+		gateway: &Gateway{cfg: Config{
+			Room:    NewRoomQueue(func() workspace.Turns { return expectedTurns{} }),
+			Options: Options{Features: routetable.Features{Queue: routetable.SwitchOn}},
+		}},
+		route:     &routetable.Route{Objective: time.Second},
+		service:   &routetable.Service{Engine: promptEngine},
+		startedAt: time.Now().Add(-2 * time.Second),
+		deadline:  time.Now().Add(time.Minute),
+	}
+	e.info.Prompt.InputTokens = 1
+	if got := e.roomRetryAfter(DefaultRetryAfter); got != expectedTurnDelay {
+		t.Errorf("told to return after %v, room is expected after %v", got, expectedTurnDelay)
+	}
+}
+
+// expectedTurnDelay is when expectedTurns expects room.
+const expectedTurnDelay = 2 * time.Second
+
+// expectedTurns is a queue that expects room after expectedTurnDelay.
+type expectedTurns struct{ workspace.Turns }
+
+func (expectedTurns) RetryAfter(workspace.Item) time.Duration { return expectedTurnDelay }
