Decide under contention for every service with an engine profile

What callers saw: whether requests without room wait in an order, whether entries tell each other of lost servers and whether a silent attempt moves depended on the ratio of a service's objectives. Cause: 'auto' was on from a ratio of 12 (DefaultMixedObjectives). The deployments known then have ratios of 8 to 10, or over 12; nothing that callers need lies between. A caller that waits wants the order wherever room is short. Change: the switches are on or off, on by default for all services with an engine profile; 'auto', mixed_objectives and Service.ObjectiveRatio are gone. Test: TestContentionIsDecidedByDefault failed for all three features. A settings file that names 'auto' or mixed_objectives is refused by 'briarturnd check'.

--- a/routetable/table.go
+++ b/routetable/table.go
@@ -73,9 +73,6 @@
 	// ColdPerSecond is the number of requests per second, from all entries together,
 	// that one of its servers can handle while it is cold; 0: not declared.
 	ColdPerSecond float64
-	// ObjectiveRatio is the longest first-token objective of the streams that its routes
-	// serve, divided by the shortest one; 0 if no route has one. New sets it.
-	ObjectiveRatio float64
 }
 
 // Limits limits the size of callers' requests. Zero means no limit.
@@ -134,7 +131,6 @@
 	for i := range d.Services {
 		t.services[d.Services[i].Name] = &d.Services[i]
 	}
-	setObjectiveRatios(t.services, d.Routes)
 	byName := make(map[string]*Workspace, len(d.Workspaces))
 	for i := range d.Workspaces {
 		byName[d.Workspaces[i].Name] = &d.Workspaces[i]
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -125,10 +125,9 @@
 		RoutineLines: DefaultRoutineLines,
 		Placement:    string(placement.LeastLoss),
 		Contention: Contention{
-			Queue:           string(routetable.SwitchAuto),
-			LostServers:     string(routetable.SwitchAuto),
-			SilentAttempts:  string(routetable.SwitchAuto),
-			MixedObjectives: routetable.DefaultMixedObjectives,
+			Queue:          string(routetable.SwitchOn),
+			LostServers:    string(routetable.SwitchOn),
+			SilentAttempts: string(routetable.SwitchOn),
 		},
 		Limits: GatewayLimits{
 			KeyAge:             config.Duration(gateway.DefaultKeyAge),
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -46,24 +46,19 @@
 }
 
 // Contention switches features for services whose servers have too little room at times. The
-// features are described at routetable.Features. With "auto" a feature is on for services
-// with mixed objectives.
+// features are described at routetable.Features.
 type Contention struct {
-	Queue          string `json:"queue" validate:"oneof=auto on off"`
-	LostServers    string `json:"lost_servers" validate:"oneof=auto on off"`
-	SilentAttempts string `json:"silent_attempts" validate:"oneof=auto on off"`
-	// MixedObjectives is how many times as long as the shortest first-token objective of a
-	// service its longest one is, for the objectives to count as mixed.
-	MixedObjectives float64 `json:"mixed_objectives" validate:"gte=1,lte=10000"`
+	Queue          string `json:"queue" validate:"oneof=on off"`
+	LostServers    string `json:"lost_servers" validate:"oneof=on off"`
+	SilentAttempts string `json:"silent_attempts" validate:"oneof=on off"`
 }
 
 // Features returns the switches in the form that the gateway takes.
 func (c Contention) Features() routetable.Features {
 	return routetable.Features{
-		Queue:           routetable.Switch(c.Queue),
-		LostServers:     routetable.Switch(c.LostServers),
-		SilentAttempts:  routetable.Switch(c.SilentAttempts),
-		MixedObjectives: c.MixedObjectives,
+		Queue:          routetable.Switch(c.Queue),
+		LostServers:    routetable.Switch(c.LostServers),
+		SilentAttempts: routetable.Switch(c.SilentAttempts),
 	}
 }
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -12,6 +12,8 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/briarturn/briarturn/config"
+	"github.com/briarturn/briarturn/placement"
+	"github.com/briarturn/briarturn/routetable"
 )
 
 const (
@@ -39,6 +41,19 @@
 	}
 }
 
+// Guards against callers that are served in an order on deployments with some objectives only.
+func TestContentionIsDecidedByDefault(t *testing.T) {
+	features := defaultGateway().Contention.Features()
+	service := &routetable.Service{Name: "pool", Engine: &placement.EngineProfile{}}
+	for name, s := range map[string]routetable.Switch{
+		"queue": features.Queue, "lost servers": features.LostServers, "silent attempts": features.SilentAttempts,
+	} {
+		if !features.Enabled(s, service) {
+			t.Errorf("%s: off for a service with an engine profile", name)
+		}
+	}
+}
+
 // Guards against ignoring unknown keys or stopping at the first error: a process
 // would run without a setting that the operator changed, or the operator would have
 // to correct a file one error at a time.
