Place a deferred prompt once its work just fits into its caller's time

What callers saw: a long prompt that waited in the queue was deferred, since it would stop streams, until its caller's time was over, and refused; without the queue it was placed at any cost five seconds before the end, whether it needed four seconds of them or half a second. Change: Query.mustStart: a prompt isn't deferred any more when its forecast, times unmeetableFactor for errors of forecasts, reaches the time within which its first token must come. With and without a queue.

--- a/placement/cost.go
+++ b/placement/cost.go
@@ -16,9 +16,6 @@
 	// beyond its own gain, as fractions of its loss from being late. The margin starts at
 	// deferMargin and grows by deferMarginSlope over the caller's whole time.
 	deferMargin, deferMarginSlope = 0.05, 0.5
-	// minTimeLeftToDefer is the minimum time that a caller must have left for its prompt to
-	// be deferred.
-	minTimeLeftToDefer = 5 * time.Second
 	// lateStreamCost is the cost of a pass as long as the limit for a stream that is
 	// already late, as a fraction of its weight. Its caller still waits for the rest.
 	lateStreamCost = 0.05
--- a/placement/query.go
+++ b/placement/query.go
@@ -53,6 +53,13 @@
 	return q.TimeLeft > 0 && after > scale(q.TimeLeft, unmeetableFactor)
 }
 
+// mustStart reports whether the query can't wait any more: a first token that is forecast after the
+// given time comes just in time for the caller if the forecast is as inaccurate as it may be.
+func (q Query) mustStart(after time.Duration) bool {
+	limit, limited := q.firstTokenLimit()
+	return limited && scale(after, unmeetableFactor) >= limit
+}
+
 // Priorities in the queues of the engines, where 0 is the highest and 9 the lowest. Short
 // streams precede long prompts: their prefill is short and they are late sooner.
 const (
