Weigh requests by their callers and their work, and both promises alike

What callers saw: placement chose whose request is late by 1 + prompt tokens / 10,000, 'close to what their owners pay', and took a late answer for three quarters as bad as none, since 'late answers earn about a quarter'. Change: a request weighs one for its caller and one for each usual prompt's worth of its own, by the mean length that operators declare with a service's engines (usual.prompt; EngineProfile.UsualPrompt). Without it all callers weigh 1. Missing the objective costs the weight, missing the caller's time the weight again: two promises. The summary of logs counts callers, a late one half, instead of weights.

--- a/internal/explain/summary.go
+++ b/internal/explain/summary.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/request"
 )
 
@@ -34,8 +33,8 @@
 	Ways     map[Way]int `json:"ways"`
 	// Reasons counts refusals and failures by their outcome.
 	Reasons map[string]int `json:"reasons"`
-	// Lost is what was lost by lateness and failure, weighed by prompt size as
-	// placement weighs it.
+	// Lost is the number of callers without an answer, and half the number of those whose answer
+	// was late.
 	Lost float64 `json:"lost"`
 }
 
@@ -103,16 +102,19 @@
 	return Refused
 }
 
-// lossOf is what a request's caller lost.
+// lateLoss is what a caller lost whose answer was late: one of two promises, the objective of the
+// route and the caller's own time.
+const lateLoss = 0.5
+
+// lossOf is what a request's caller lost: 1 if it has no answer.
 func lossOf(l Line) float64 {
-	weight := placement.WeightOf(int(l.Tokens))
 	switch wayOf(l) {
 	case InTime:
 		return 0
 	case Broken, Refused:
-		return weight
+		return 1
 	}
-	return weight * placement.LateLoss
+	return lateLoss
 }
 
 // table collects rows by their key.
--- a/placement/apart.go
+++ b/placement/apart.go
@@ -69,7 +69,7 @@
 // rankByPrefillCost sorts the servers by the cost of prefilling one of the given number of
 // parts there.
 func rankByPrefillCost(q Query, options []serverOption, spread int, part time.Duration, now time.Time) []serverOption {
-	weight := WeightOf(q.InputTokens)
+	weight := q.weight()
 	ranked := slices.Clone(options)
 	for i := range ranked {
 		o := &ranked[i]
@@ -83,7 +83,7 @@
 // selectHolders takes the n cheapest servers with room for their share as holders, and adds
 // the cheapest of the others until there are enough readers.
 func selectHolders(q Query, ranked []serverOption, n, spread int, part time.Duration, now time.Time) choice {
-	weight := WeightOf(q.InputTokens)
+	weight := q.weight()
 	share := q.holderTokens(n)
 	var c choice
 	var others []serverOption
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -31,8 +31,8 @@
 	if q.PauseObjective <= shortStreamPause || q.mustStart(c.firstToken) {
 		return false
 	}
-	weight := WeightOf(q.InputTokens)
+	weight := q.weight()
 	gain := q.timeBudget().value(c.firstToken, weight)
 	waitedShare := float64(q.Waited) / float64(q.Waited+q.TimeLeft)
-	return c.interference+congestion > gain+weight*LateLoss*(deferMargin+deferMarginSlope*waitedShare)
+	return c.interference+congestion > gain+weight*(deferMargin+deferMarginSlope*waitedShare)
 }
--- a/placement/collision.go
+++ b/placement/collision.go
@@ -19,10 +19,10 @@
 	// collisionCost is the expected loss for each choice that other entries make within
 	// propagationDelay. A higher value spreads short streams over more servers, where long
 	// prompts stop them.
-	collisionCost = 0.1
+	collisionCost = 0.12
 	// maxCollisionCost caps the tolerance. It stays below the benefit of placing short
 	// streams together; otherwise each long prompt would stop some of them.
-	maxCollisionCost = 0.25
+	maxCollisionCost = 0.3
 	// choiceRateDecay is the time constant with which the choice rate decays.
 	choiceRateDecay = time.Second
 )
--- a/placement/congestion.go
+++ b/placement/congestion.go
@@ -11,9 +11,9 @@
 // shorter or their time is nearly over.
 const (
 	// prefillCostPerSecond is the cost of a second of prefill under full congestion. It is
-	// close to what the longest common prompts gain per second of prefill: a prompt of
-	// 133,000 tokens gains 10.7 by being on time and takes 1.9 s.
-	prefillCostPerSecond = 5.0
+	// close to what long prompts gain per second of prefill: where the usual prompt has 12,300
+	// tokens, one of 133,000 gains 11.8 by being on time and takes 1.9 s.
+	prefillCostPerSecond = 6.0
 	// backlogRampStart and backlogRampEnd are the mean prefill backlogs per server between
 	// which the cost of prefill rises from zero to prefillCostPerSecond. Below the former a
 	// new prompt is on time on any server. At the latter a prompt of 133,000 tokens that is
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -4,6 +4,7 @@
 	"time"
 )
 
+// The unit of losses and costs is a missed promise of a request with weight 1; see promises.
 const (
 	// pauseRampStart and pauseRampEnd are the pass lengths, as fractions of a stream's
 	// pause limit, between which the loss rises from none to that of a late stream. The
@@ -18,7 +19,7 @@
 	deferMargin, deferMarginSlope = 0.05, 0.5
 	// lateStreamCost is the cost of a pass as long as the limit for a stream that is
 	// already late, as a fraction of its weight. Its caller still waits for the rest.
-	lateStreamCost = 0.05
+	lateStreamCost = 0.06
 	// abandonRampStart and abandonRampEnd are the pass lengths, as multiples of the pause
 	// limit, between which callers abandon a stream.
 	abandonRampStart, abandonRampEnd = 5.0, 8.0
@@ -31,13 +32,13 @@
 	interferenceFactor = 1.5
 	// helperCost is the cost of one more server for a prompt: all other work of a server
 	// that prefills a part waits for it.
-	helperCost = 0.02
+	helperCost = 0.024
 	// minPartTime is the shortest part that is given to a helper. Shorter parts gain
 	// nothing, and the first token waits for the slowest of more servers.
 	minPartTime = 30 * time.Millisecond
 	// colocationBonus is the benefit for a short stream of a server that decodes other
 	// short streams. It is a cost for long parts, which keeps them away from such servers.
-	colocationBonus = 0.4
+	colocationBonus = 0.48
 	// fullBonusStreams is the number of short streams that gives the full bonus.
 	fullBonusStreams = 6
 	// occupancyCost is the cost of a server whose slots are all occupied. It is
@@ -45,31 +46,31 @@
 	// the last slots have a noticeable cost: they are needed when a burst begins. If
 	// half-full servers had a cost too, short streams would use more servers than
 	// necessary, and each long prompt would stop some of them.
-	occupancyCost     = 0.6
+	occupancyCost     = 0.72
 	occupancyExponent = 12
 	// longPrefillCost is the cost for a short stream of a server that spends all of its
 	// time on long parts.
-	longPrefillCost = 0.5
+	longPrefillCost = 0.6
 	// shortStreamPause is the pause limit up to which a stream counts as short.
 	shortStreamPause = 400 * time.Millisecond
 	// noMemoryCost is the cost, as a multiple of the weight, of a server without free
 	// memory. The request waits there for as long as another whole request takes.
-	noMemoryCost = 3.0
+	noMemoryCost = 3.6
 	// delayCost is the cost of a second of added prefill, multiplied by the square of the
 	// number of requests on the server. Each of them keeps its slot for that much longer,
 	// and the server runs out of slots sooner the more of them are occupied.
-	delayCost = 0.01
+	delayCost = 0.012
 	// meanSlotTime is how long a request occupies its slot: some thirty passes of 60 ms.
 	meanSlotTime = 2 * time.Second
 	// recentRefusalCost is the cost of a server that has just refused an attempt, could not
 	// be connected to, or was named as the cause of a refusal. Each attempt lost on it is
 	// one of the few that a route allows.
-	recentRefusalCost = 4.0
+	recentRefusalCost = 4.8
 	// refusalDecay is the time over which that cost falls to zero. Crashed servers return
 	// within seconds.
 	refusalDecay = 1200 * time.Millisecond
 	// coldServerCost is the cost of a server that isn't warm, as a fraction of the weight.
-	coldServerCost = 0.3
+	coldServerCost = 0.36
 )
 
 // scale multiplies a duration by a factor.
@@ -81,7 +82,7 @@
 		return 0
 	}
 	share := float64(pass) / float64(limit)
-	return weight * LateLoss * (ramp(pass, scale(limit, pauseRampStart), scale(limit, pauseRampEnd)) + onTimePauseCost*share*share)
+	return weight * (ramp(pass, scale(limit, pauseRampStart), scale(limit, pauseRampEnd)) + onTimePauseCost*share*share)
 }
 
 // interference returns the expected loss of the server's other attempts from one more part.
@@ -90,7 +91,7 @@
 	for _, a := range s.attempts {
 		switch {
 		case a.Decoding && a.pauseExceeded:
-			total += a.Weight * (lateStreamCost*float64(f.longestPass)/float64(a.PauseObjective) + (1-LateLoss)*ramp(f.longestPass, scale(a.PauseObjective, abandonRampStart), scale(a.PauseObjective, abandonRampEnd)))
+			total += a.Weight * (lateStreamCost*float64(f.longestPass)/float64(a.PauseObjective) + ramp(f.longestPass, scale(a.PauseObjective, abandonRampStart), scale(a.PauseObjective, abandonRampEnd)))
 		case a.Decoding:
 			total += pauseLoss(f.longestPass, a.PauseObjective, a.Weight)
 		case f.queuedLast:
--- a/placement/due.go
+++ b/placement/due.go
@@ -15,7 +15,7 @@
 	// to which this cost grows.
 	maxObjectiveRatio = 10
 	// deadlineRampStart and deadlineRampEnd are fractions of the cutoff between which the
-	// rest of the weight is lost. After the cutoff an answer is worth nothing.
+	// second promise is lost. After the cutoff an answer is worth nothing.
 	deadlineRampStart, deadlineRampEnd = 0.8, 1.2
 	// unmeetableFactor is the forecast, as a multiple of the time left, above which a
 	// request counts as impossible to serve in time. Forecasts of long prompts are off by
@@ -32,7 +32,7 @@
 }
 
 // loss returns the loss of a request of the given weight whose first token arrives after
-// the given time: LateLoss of the weight past the objective, and all of it past the cutoff.
+// the given time: its weight past the objective, and its weight again past the cutoff.
 //
 // Without the cutoff a prompt that is already late gains as much from every further second
 // as one that can still be on time. It would then be placed at any cost to other requests,
@@ -46,22 +46,22 @@
 func (d timeBudget) latenessLoss(after time.Duration, weight float64) float64 {
 	if d.objective <= 0 {
 		// The request is late in any case, but earlier is still better for the caller.
-		return weight * LateLoss * (1 + onTimeLatencyCost*after.Seconds())
+		return weight * (1 + onTimeLatencyCost*after.Seconds())
 	}
 	latencyCost := onTimeLatencyCost * min(float64(after)/float64(d.objective), maxObjectiveRatio)
-	return weight * LateLoss * (ramp(after, scale(d.objective, firstTokenRampStart), scale(d.objective, firstTokenRampEnd)) + latencyCost)
+	return weight * (ramp(after, scale(d.objective, firstTokenRampStart), scale(d.objective, firstTokenRampEnd)) + latencyCost)
 }
 
-// missedDeadlineLoss returns the rest of the loss: a late answer keeps some value until the
+// missedDeadlineLoss returns the rest of the loss: a late answer keeps one promise until the
 // cutoff.
 func (d timeBudget) missedDeadlineLoss(after time.Duration, weight float64) float64 {
 	if d.cutoff == 0 {
 		return 0
 	}
-	return weight * (1 - LateLoss) * ramp(after, scale(d.cutoff, deadlineRampStart), scale(d.cutoff, deadlineRampEnd))
+	return weight * ramp(after, scale(d.cutoff, deadlineRampStart), scale(d.cutoff, deadlineRampEnd))
 }
 
 // value returns what a first token after the given time is worth, compared with no answer.
 func (d timeBudget) value(after time.Duration, weight float64) float64 {
-	return max(weight-d.loss(after, weight), 0)
+	return max(promises*weight-d.loss(after, weight), 0)
 }
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -18,6 +18,7 @@
 	PrefillRate                         float64       // prompt tokens prefilled per second
 	PairsTime                           time.Duration // prefill time for a million pairs of a token and an earlier one
 	HopTime                             time.Duration // added to a step of a spread prompt; 0 if helpers aren't supported
+	UsualPrompt                         int           // mean length of a prompt in tokens; 0: not declared
 }
 
 // supportsHelpers reports whether engines can prefill and hold parts of prompts for each
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -151,7 +151,7 @@
 		Server:             primary.key,
 		PauseObjective:     q.PauseObjective,
 		FirstTokenDeadline: now.Add(q.FirstTokenObjective),
-		Weight:             WeightOf(q.InputTokens),
+		Weight:             q.weight(),
 		Workspace:          q.Workspace,
 	}
 	out := Placement{Server: primary.candidate, QueuePriority: q.queuePriority(), planner: p, attemptID: attempt.ID, key: primary.key}
--- a/placement/spread.go
+++ b/placement/spread.go
@@ -27,7 +27,7 @@
 
 // evaluateSpread chooses n servers that each prefill a part of the prompt.
 func evaluateSpread(q Query, options []serverOption, part time.Duration, n int, tolerance float64, now time.Time) choice {
-	weight := WeightOf(q.InputTokens)
+	weight := q.weight()
 	tokens := q.InputTokens / n
 	if n > 1 {
 		tolerance = 0 // long parts: compare servers by their exact costs
@@ -80,7 +80,7 @@
 // choosePrimary returns the server that answers the request. Options are shuffled, so the
 // first one within tolerance of the least cost is a random choice among them.
 func choosePrimary(q Query, options []serverOption, part time.Duration, tokens, n int, tolerance float64, now time.Time) serverOption {
-	weight := WeightOf(q.InputTokens)
+	weight := q.weight()
 	for i := range options {
 		o := &options[i]
 		o.evaluate(q, part, tokens, false, now)
--- a/placement/work.go
+++ b/placement/work.go
@@ -45,18 +45,23 @@
 	return uint32(xxhash.Sum64String(name))
 }
 
-// tokensPerWeight is the prompt length that adds 1 to the fixed weight 1 of a request. With
-// this value a notice of 5,000 tokens weighs 1.5 and a review of 133,000 tokens weighs 14,
-// which is close to what their owners pay for them.
-const tokensPerWeight = 10_000
+// Weight returns the weight of a request against others of the service: one for its caller, and
+// one for each usual prompt's worth of tokens that it asks to be read. Operators declare how long
+// the usual prompt is; without it all callers weigh the same.
+func (e *EngineProfile) Weight(promptTokens int) float64 {
+	const caller = 1
+	if e == nil || e.UsualPrompt <= 0 {
+		return caller
+	}
+	return caller + float64(promptTokens)/float64(e.UsualPrompt)
+}
 
-// WeightOf estimates the value of an on-time answer from the length of the prompt, because
-// operators declare no value.
-func WeightOf(tokens int) float64 { return 1 + float64(tokens)/tokensPerWeight }
+// weight returns the weight of the query.
+func (q Query) weight() float64 { return q.Engine.Weight(q.InputTokens) }
 
-// LateLoss is the fraction of the weight that is lost if an answer is late: late answers
-// earn about a quarter.
-const LateLoss = 0.75
+// promises is the number of promises that a request has: the objective of its route and the time of
+// its caller. Each that is missed costs the weight of the request.
+const promises = 2
 
 // ramp rises linearly from 0 at x = from to 1 at x = to.
 func ramp(x, from, to time.Duration) float64 {
