Move a silent attempt by its forecast, not by a share of the objective

What callers saw: a stream on a mute server waited for twice its forecast and half of the route's first-token objective, so that the same prompt waited ten times as long on a route with a longer one. Cause: silentObjectiveShare in placement/silence.go. Whether a server is silent follows from when it should have shown something; the objective says nothing of that. Change: the margin beside the forecast is firstTokenSlack, the delay of network and news that is used to judge late first tokens already. Evidence, gain, the rate of moves, max_attempts and the shared budget bound moves as before; a request still moves once at most, as each move throws a prefill away. Test: TestMoveFollowsTheForecastNotTheObjective failed (5.0 s on a route with an objective of 10 s).

--- a/gateway/silentattempt.go
+++ b/gateway/silentattempt.go
@@ -75,7 +75,7 @@
 	w := &silenceWatch{exchange: e, attempt: attempt, cancel: cancel, denied: map[moveDenial]bool{}}
 	attempt.watch = w
 	w.mu.Lock()
-	w.schedule(placement.Patience(attempt.Forecast, e.route.Objective))
+	w.schedule(placement.Patience(attempt.Forecast))
 	w.mu.Unlock()
 	return ctx, func() {
 		w.end()
--- a/gateway/silentattempt_test.go
+++ b/gateway/silentattempt_test.go
@@ -219,3 +219,23 @@
 	wantStatus(t, r, err, http.StatusGatewayTimeout)
 	gw.wantArrivals("s1 id-1, s2 id-1")
 }
+
+// Guards against a caller that waits on a mute server for a part of its objective, however soon the
+// server should have shown something.
+func TestMoveFollowsTheForecastNotTheObjective(t *testing.T) {
+	const objective = 10 * time.Second
+	gw := newTestGateway(t, silent, streamEvents(1, 3, false), streamEvents(1, 3, false)).withMoves(func(d *routetable.Config) {
+		for i := range d.Routes {
+			d.Routes[i].Objective = objective
+		}
+	})
+	begun := time.Now()
+	r, text, err := gw.sendPrompt("/stream/")
+	wantStatus(t, r, err, http.StatusOK)
+	if text != eventText(1, 3) {
+		t.Errorf("stream %q", text)
+	}
+	if took := time.Since(begun); took > objective/4 {
+		t.Errorf("served after %v by a server that responds at once", took)
+	}
+}
--- a/placement/silence.go
+++ b/placement/silence.go
@@ -9,11 +9,9 @@
 // The constants below handle streams on a server that has become slow or mute while others
 // serve: the forecast of such a stream is long past, and its caller leaves without an event.
 const (
-	// silentForecastFactor and silentObjectiveShare give the time after which an attempt
-	// without a first token counts as silent: the factor times its forecast plus the share of
-	// the first-token objective.
+	// silentForecastFactor is the multiple of its forecast, beside firstTokenSlack, after which an
+	// attempt without a first token counts as silent: more than forecasts are off on healthy servers.
 	silentForecastFactor = 2.0
-	silentObjectiveShare = 0.5
 	// weakEvidenceFactor multiplies that time if nothing singles out a server of the attempt:
 	// the entry may be cut off, or a part of the prompt be lost.
 	weakEvidenceFactor = 2.0
@@ -28,11 +26,10 @@
 // Silence describes an attempt that has shown nothing yet, and what is known of its servers
 // and the others.
 type Silence struct {
-	Forecast  time.Duration // from the start of the attempt to its first token, as expected now
-	Waited    time.Duration // since the start of the attempt
-	Objective time.Duration // of the route for the first token
-	TimeLeft  time.Duration // of the caller; 0 if unknown
-	Suspect   Candidate     // server of the attempt that most likely delays it
+	Forecast time.Duration // from the start of the attempt to its first token, as expected now
+	Waited   time.Duration // since the start of the attempt
+	TimeLeft time.Duration // of the caller; 0 if unknown
+	Suspect  Candidate     // server of the attempt that most likely delays it
 	// SuspectSilent means that Suspect has shown nothing since the attempt began, while
 	// another server has.
 	SuspectSilent bool
@@ -52,13 +49,13 @@
 
 // Patience returns how long an attempt may show nothing before it counts as silent, from its
 // start.
-func Patience(forecast, objective time.Duration) time.Duration {
-	return scale(forecast, silentForecastFactor) + scale(objective, silentObjectiveShare)
+func Patience(forecast time.Duration) time.Duration {
+	return scale(forecast, silentForecastFactor) + firstTokenSlack
 }
 
 // Verdict returns whether the attempt may move.
 func (s Silence) Verdict() MoveVerdict {
-	patience := Patience(s.Forecast, s.Objective)
+	patience := Patience(s.Forecast)
 	if !s.SuspectSilent && !s.SuspectSlow {
 		patience = scale(patience, weakEvidenceFactor)
 	}
@@ -96,7 +93,6 @@
 	suspect := a.mostSilentPart()
 	return Silence{
 		Forecast: a.expectedReady.Sub(a.begunAt), Waited: now.Sub(a.begunAt), TimeLeft: q.TimeLeft,
-		Objective:     q.FirstTokenObjective + q.Waited,
 		Suspect:       p.candidateOf(suspect.key),
 		SuspectSilent: suspect.server.shownAt.Before(a.begunAt) && l.shownAt.After(a.begunAt),
 		SuspectSlow:   suspect.server.slowdown.factorAt(now) > maxNormalSlowdown,
