Refuse late requests by the same test as others: if their turn comes too late

What callers saw: a request past its objective was refused when its turn was expected in the last tenth of the time in which it could still start; one on time with the same wait was queued. Cause: estimateError, a part of the caller's time that is taken off for late requests only, to leave their start to others. Change: one test, waiter.misses, on arrival, when a request becomes late, and while it waits. Test: TestRequestIsRefusedOnlyIfItsTurnComesTooLate failed (late, a turn after 1 s with 1 s left).

--- a/workspace/estimate.go
+++ b/workspace/estimate.go
@@ -10,9 +10,6 @@
 	// DefaultMaxWaiting is the number of requests that may wait in a queue by turns.
 	DefaultMaxWaiting = 4_096
 
-	// estimateError is the part of the time left by which an estimated wait may be too short. Late
-	// requests that are refused for it leave their start to others that wait.
-	estimateError = 0.1
 	// hopelessInterval is the least time between two checks of whether late requests can still be
 	// served; callers wait for seconds.
 	hopelessInterval = 250 * time.Millisecond
@@ -109,11 +106,10 @@
 	return all
 }
 
-// misses reports whether an item with the given wait would start after its latest start, less a
-// margin for the error of the estimate.
+// misses reports whether an item with the given wait would start after its latest start.
 func (w *waiter) misses(wait time.Duration, now time.Time) bool {
 	start := w.latestStart()
-	return !start.IsZero() && float64(wait) > (1-estimateError)*float64(start.Sub(now))
+	return !start.IsZero() && now.Add(wait).After(start)
 }
 
 // ahead estimates how many of the waiting items of a tier start before one of flow f that comes
--- a/workspace/overload_test.go
+++ b/workspace/overload_test.go
@@ -105,3 +105,18 @@
 		}
 	}
 }
+
+// Guards against refusing a late request whose turn is expected in time, while one that is on time
+// and has the same wait is queued.
+func TestRequestIsRefusedOnlyIfItsTurnComesTooLate(t *testing.T) {
+	now := time.Now()
+	const left = time.Second // until the latest start
+	for name, onTimeUntil := range map[string]time.Time{"on time": now.Add(time.Minute), "late": now.Add(-time.Minute)} {
+		w := newWaiter(Item{Deadline: now.Add(2 * left), ExpectedDuration: left, OnTimeUntil: onTimeUntil}, 1, now)
+		for wait, want := range map[time.Duration]bool{left / 2: false, left: false, left + time.Millisecond: true} {
+			if got := w.misses(wait, now); got != want {
+				t.Errorf("%s, a turn after %v with %v left: refused %v, want %v", name, wait, left, got, want)
+			}
+		}
+	}
+}
--- a/workspace/scheduler.go
+++ b/workspace/scheduler.go
@@ -216,7 +216,7 @@
 		return newRefusal(request.StatusTooManyRequests, ReasonQueueFull, s.returnDelay(q, f, w, now))
 	}
 	wait := q.estimatedWait(f, w, now)
-	if start := w.latestStart(); !start.IsZero() && now.Add(wait).After(start) {
+	if w.misses(wait, now) {
 		return newRefusal(request.StatusServiceUnavailable, ReasonDeadline, s.returnDelay(q, f, w, now))
 	}
 	if rate := entryShare(ws.policy.TokensPerSecond, s.entries); rate > 0 {
