Check a repeat's key after its wait unless it may have run

What callers saw: a request that a server had refused waits for room like a first try now, and was sent with a key that operators removed meanwhile, where a first try is answered 401. Cause: reauthorize looked at whether something had been sent, not at whether it may have run. Change: it looks at mayHaveRun. Test: TestKeyIsCheckedAfterTheWaitOfARepeat failed (200, sent twice).

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -191,11 +191,11 @@
 	return ""
 }
 
-// reauthorize checks the API key again right before the request is first sent, because
-// the key may have been removed while the request waited for a server. A request that was
-// sent before continues: what began under a valid key is finished.
+// reauthorize checks the API key again right before the request is sent, because the key may
+// have been removed while the request waited for a server. A request that may have run
+// continues: what began under a valid key is finished.
 func (e *exchange) reauthorize() Reason {
-	if e.workspace == nil || e.sends > 0 {
+	if e.workspace == nil || e.mayHaveRun {
 		return ""
 	}
 	table, ok := e.latestTable()
--- a/gateway/roomtime_test.go
+++ b/gateway/roomtime_test.go
@@ -123,6 +123,25 @@
 	}
 }
 
+// Guards against a repeat that runs with a key which was removed while it waited, where a first try
+// would be refused: its server has refused it, so nothing has run under the key.
+func TestKeyIsCheckedAfterTheWaitOfARepeat(t *testing.T) {
+	server := first(respondNotRun, respondWith("ok"))
+	gw := newRoomGateway(t, 1, server, server)
+	waiting := gw.sendWaiting("/keyed/", hKey, "k")
+	time.Sleep(callerTime / 10)
+	config := sampleConfig(2)
+	config.Services[0].Engine = promptEngine
+	config.Keys = nil
+	gw.routes.Offer(routetable.New(config), *gw.clock)
+	gw.placer.free(1)
+	got := <-waiting
+	wantStatus(t, got.response, got.err, http.StatusUnauthorized)
+	if n := gw.timesSent(); n != 1 {
+		t.Errorf("sent %d times, want 1", n)
+	}
+}
+
 // timesSent returns how many attempts have arrived at servers.
 func (gw *roomGateway) timesSent() int {
 	gw.mu.Lock()
