Shutdown: say why requests that might outlast it are refused from 2.5 s on

The comment gave a window in which cut requests aren't counted. The caller's reason is the load balancer: it asks once a second and takes an entry out after two misses (PROTOCOL.md, Ingress). No behaviour changes.

--- a/internal/gatewaynode/end.go
+++ b/internal/gatewaynode/end.go
@@ -12,8 +12,8 @@
 // platform kills the process when the grace period ends.
 const (
 	// refuseLateAfter is the time after which requests are refused that might not end within
-	// the grace period. Those that begin earlier may run until the last sixth of the grace
-	// period.
+	// the grace period. By then the load balancer has found two readiness checks failed, so that
+	// their callers reach another entry; sooner they might come back to this one.
 	refuseLateAfter = 2500 * time.Millisecond
 	// minServeTime is the shortest time for which the node continues to serve open
 	// connections: the load balancer checks readiness once a second and needs two failed
