--- a/gateway/roomtime_test.go
+++ b/gateway/roomtime_test.go
@@ -88,8 +88,8 @@
 	gw.wantArrivals("s1 first, s1 second")
 }
 
-// first returns a handler that passes its first request to one handler and the others to another.
-func first(one, others http.HandlerFunc) http.HandlerFunc {
+// firstThen returns a handler that passes its first request to one handler and the others to another.
+func firstThen(one, others http.HandlerFunc) http.HandlerFunc {
 	var arrived atomic.Bool
 	return func(w http.ResponseWriter, r *http.Request) {
 		if arrived.Swap(true) {
@@ -106,7 +106,7 @@
 	for name, failing := range map[string]http.HandlerFunc{"server lost": dropConnection, "server refused": respondNotRun} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			server := first(failing, respondWith("ok"))
+			server := firstThen(failing, respondWith("ok"))
 			gw := newRoomGateway(t, 1, server, server)
 			waiting := gw.sendWaiting("/safe/")
 			time.Sleep(callerTime / 4)
@@ -126,7 +126,7 @@
 // Guards against a repeat that runs with a key which was removed while it waited, where a first try
 // would be refused: its server has refused it, so nothing has run under the key.
 func TestKeyIsCheckedAfterTheWaitOfARepeat(t *testing.T) {
-	server := first(respondNotRun, respondWith("ok"))
+	server := firstThen(respondNotRun, respondWith("ok"))
 	gw := newRoomGateway(t, 1, server, server)
 	waiting := gw.sendWaiting("/keyed/", hKey, "k")
 	time.Sleep(callerTime / 10)
@@ -161,7 +161,7 @@
 		}
 		panic(http.ErrAbortHandler)
 	}
-	server := first(slow, streamEvents(6, 8, false))
+	server := firstThen(slow, streamEvents(6, 8, false))
 	gw := newRoomGateway(t, 1, server, server)
 	config := sampleConfig(2)
 	config.Services[0].Engine = promptEngine
