Defer a prompt until its own work just fits, not its forecast behind the work of others

Cause: Query.mustStart took the forecast, which includes what is queued on busy servers. In a burst it reached the time left at once, so that each further prompt was placed at any cost and made the next forecasts longer. Change: mustStart takes the work that is left: the prompt's own prefill on as many servers as there are, times unmeetableFactor for errors of forecasts. Test: TestDeferredPromptIsPlacedWhileItsWorkFits asks for it with 2 and 1.4 times the prompt's own work left, with and without a queue.

--- a/placement/choice.go
+++ b/placement/choice.go
@@ -26,9 +26,9 @@
 // A prompt of 400,000 tokens stops every stream on its engines for a second or more. In a
 // burst of such prompts the last ones can't be on time, but the streams that they stop
 // could be. The cost that is accepted rises with the time that the prompt has waited. Once its
-// work just fits into the rest of its caller's time, it is placed at any cost.
-func (c *choice) shouldDefer(q Query, congestion float64) bool {
-	if q.PauseObjective <= shortStreamPause || q.mustStart(c.firstToken) {
+// own work just fits into the rest of its caller's time, it is placed at any cost.
+func (c *choice) shouldDefer(q Query, congestion float64, servers int) bool {
+	if q.PauseObjective <= shortStreamPause || q.mustStart(servers) {
 		return false
 	}
 	weight := q.weight()
--- a/placement/due_test.go
+++ b/placement/due_test.go
@@ -81,29 +81,24 @@
 		f.now = f.now.Add(2 * propagationDelay)
 		q := review(380_000)
 		q.Engine, q.MayWait, q.TimeLeft, q.FirstTokenObjective = engine, mayWait, 15*time.Second, -time.Second
-		forecast := f.planner.forecastFor(q, f.candidates, f.now)
+		work := q.leastPrefill(len(f.candidates))
 		for _, c := range []struct {
 			left time.Duration
 			want Decision
 		}{
 			{15 * time.Second, Deferred},
-			{scale(forecast, 2), Deferred},
-			{scale(forecast, 1.3), Placed},
+			{scale(work, 2), Deferred},
+			{scale(work, 1.4), Placed},
 		} {
 			q.TimeLeft = c.left
 			q.Waited = 15*time.Second - c.left
 			if _, got := f.planner.Place(q, slices.Clone(f.candidates)); got != c.want {
-				t.Errorf("queue %v: decision %d with %v left of 15 s and a forecast of %v, want %d", mayWait, got, c.left, forecast, c.want)
+				t.Errorf("queue %v: decision %d with %v left of 15 s and work of %v, want %d", mayWait, got, c.left, work, c.want)
 			}
 		}
 	}
 }
 
-// forecastFor returns the forecast of the first token of a query on its best servers.
-func (p *Planner) forecastFor(q Query, candidates []Candidate, now time.Time) time.Duration {
-	return p.bestChoice(q, p.optionsLocked(slices.Clone(candidates)), 0, now).firstToken
-}
-
 // Every request to a plain service got no answer: with a deadline the placement asked for
 // the decode time of an engine, which a plain service doesn't have.
 func TestPlainServiceHasNoDecodeTime(t *testing.T) {
--- a/placement/query.go
+++ b/placement/query.go
@@ -53,11 +53,28 @@
 	return q.TimeLeft > 0 && after > scale(q.TimeLeft, unmeetableFactor)
 }
 
-// mustStart reports whether the query can't wait any more: a first token that is forecast after the
-// given time comes just in time for the caller if the forecast is as inaccurate as it may be.
-func (q Query) mustStart(after time.Duration) bool {
+// mustStart reports whether the query can't wait any more: its own work on that many servers just
+// fits into the time within which its first token must come, if its time is forecast as inaccurately
+// as it may be. The work of others doesn't count: it is done while the query waits, so that a
+// forecast that includes it would let the query start when it does most harm.
+func (q Query) mustStart(servers int) bool {
 	limit, limited := q.firstTokenLimit()
-	return limited && scale(after, unmeetableFactor) >= limit
+	return limited && scale(q.leastPrefill(servers), unmeetableFactor) >= limit
+}
+
+// leastPrefill returns how long the prompt is prefilled if so many servers are idle.
+func (q Query) leastPrefill(servers int) time.Duration {
+	whole := q.Engine.PrefillTime(q.InputTokens, q.InputTokens)
+	if !q.Engine.supportsHelpers() {
+		return whole
+	}
+	parts := time.Duration(1)
+	for _, n := range spreadSizes {
+		if n <= servers {
+			parts = time.Duration(n)
+		}
+	}
+	return max(whole/parts, min(whole, minPartTime))
 }
 
 // Priorities in the queues of the engines, where 0 is the highest and 9 the lowest. Short
--- a/placement/silence.go
+++ b/placement/silence.go
@@ -158,7 +158,7 @@
 		return 0
 	}
 	best := p.bestChoice(q, p.optionsLocked(candidates), 0, now)
-	if math.IsInf(best.loss, 1) || q.missesDeadline(best.firstToken) || best.shouldDefer(q, 0) {
+	if math.IsInf(best.loss, 1) || q.missesDeadline(best.firstToken) || best.shouldDefer(q, 0, len(candidates)) {
 		return 0
 	}
 	return best.firstToken
