--- a/placement/due_test.go
+++ b/placement/due_test.go
@@ -99,6 +99,27 @@
 	}
 }
 
+// Guards against a burst in which each prompt is placed at any cost, because those before it make its
+// forecast long.
+func TestWorkOfOthersDoesNotEndADeferral(t *testing.T) {
+	f := newFleet(3)
+	for range 30 {
+		f.place(t, notice()).FirstToken()
+	}
+	for i, c := range f.candidates {
+		f.ledger.Begin(Attempt{
+			ID: AttemptID{Owner: 2, Seq: uint64(i) + 1}, Server: ServerKey(c.Instance),
+			PartTime: 7 * time.Second, PartTokens: 250_000, PauseObjective: time.Second, Weight: 20,
+		}, f.now)
+	}
+	f.now = f.now.Add(2 * propagationDelay)
+	q := review(380_000)
+	q.Engine, q.TimeLeft = engine, 15*time.Second
+	if _, got := f.planner.Place(q, slices.Clone(f.candidates)); got != Deferred {
+		t.Errorf("decision %d with %v left and own work of %v, want Deferred", got, q.TimeLeft, q.leastPrefill(len(f.candidates)))
+	}
+}
+
 // Every request to a plain service got no answer: with a deadline the placement asked for
 // the decode time of an engine, which a plain service doesn't have.
 func TestPlainServiceHasNoDecodeTime(t *testing.T) {
