Report an entry as not ready as early as the load balancer needs to take it out

What callers saw: an entry that has lost the store refuses keyed requests when its configuration is 4.5 s old, but told the load balancer at 3 s, which may still send it new callers for half a second then. What callers need is another entry before this one refuses them. Change: readyAge is gateway.DefaultKeyAge less the time that the balancer takes: it asks once a second and takes an entry out after two misses (PROTOCOL.md, Ingress): 2.5 s.

--- a/internal/gatewaynode/serve.go
+++ b/internal/gatewaynode/serve.go
@@ -12,10 +12,15 @@
 	"github.com/briarturn/briarturn/internal/graceful"
 )
 
-// readyAge is the age of the last confirmation of the configuration from which the node
-// reports itself as not ready to the load balancer: three fifths of the five seconds
-// within which a removed key must be refused.
-const readyAge = 3 * time.Second
+const (
+	// balancerTime is how long the load balancer takes at most to send no new connections to an
+	// entry that isn't ready: it asks once a second, and two misses take the entry out.
+	balancerTime = 2 * time.Second
+	// readyAge is the age of the last confirmation of the configuration from which the node
+	// reports itself as not ready, so that callers reach other entries before this one refuses
+	// their keys.
+	readyAge = gateway.DefaultKeyAge - balancerTime
+)
 
 // ConnLimits limit a caller's connection.
 type ConnLimits struct {
