Tell short prompts by their work, not by the pauses that their route allows

What callers saw: whether a prompt was ever deferred, in which queue it waited and how the engine ranked it hung on its route's pause objective being 400 ms or less, so on the figures of one deployment's routes: the same prompt was placed at any cost on one route and waited on another. Cause: shortStreamPause in shouldDefer, classOf and queuePriority. Change: a prompt is deferred by what it costs others against what it gains, whatever its route; it waits with prompts of its length (up to 32,000 tokens, to 100,000, beyond), and the engine ranks those of up to 32,000 tokens first (package request's classes). How well a stream bears long passes still follows from its pauses (colocation). Tests: TestShortPromptIsOneWithLittleWork failed (a prompt of 380,000 tokens placed with pauses of 250 ms; priorities 1 and 1, 4 and 4), TestPromptsOfOneLengthWaitTogether failed (two classes).

--- a/gateway/room.go
+++ b/gateway/room.go
@@ -64,7 +64,7 @@
 	return workspace.Item{
 		Workspace:        e.workspaceName(),
 		Pool:             e.service.Name,
-		Class:            classOf(e.route.PauseObjective, prompt.InputTokens),
+		Class:            classOf(prompt.InputTokens),
 		Cost:             int64(prompt.InputTokens + prompt.MaxOutputTokens),
 		PrefillTokens:    int64(prompt.InputTokens),
 		ExpectedDuration: firstToken,
@@ -167,13 +167,11 @@
 	return e.gateway.cfg.Room.queue().RetryAfter(e.queueItem())
 }
 
-// classOf returns the class in which a request waits: short streams apart from the others, which
-// wait by the length of their prompts.
-func classOf(pauseObjective time.Duration, promptTokens int) request.Class {
-	if placement.IsShortStream(pauseObjective) {
-		return request.ClassShort
-	}
-	return max(request.ClassOf(int64(promptTokens)), request.ClassLarge)
+// classOf returns the class in which a request waits, by the length of its prompt alone: those whose
+// work is alike wait together. Prompts of the two shortest classes are read within moments, so that
+// one doesn't hold up the other.
+func classOf(promptTokens int) request.Class {
+	return max(request.ClassOf(int64(promptTokens)), request.ClassMedium)
 }
 
 // subject returns the last shared part of the prompt, which is what the request is about; 0 if it
--- a/gateway/roomqueue.go
+++ b/gateway/roomqueue.go
@@ -82,5 +82,5 @@
 // RecordPeerStart charges the workspace of another entry's attempt.
 func (r *RoomQueue) RecordPeerStart(pool string, a placement.Attempt) {
 	tokens := a.PromptTokens()
-	r.queue().RecordPeerStart(pool, classOf(a.PauseObjective, tokens), a.Workspace, int64(tokens))
+	r.queue().RecordPeerStart(pool, classOf(tokens), a.Workspace, int64(tokens))
 }
--- a/gateway/roomtime_test.go
+++ b/gateway/roomtime_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/briarturn/briarturn/request"
 	"github.com/briarturn/briarturn/routetable"
 	"github.com/briarturn/briarturn/workspace"
 )
@@ -205,3 +207,19 @@
 type expectedTurns struct{ workspace.Turns }
 
 func (expectedTurns) RetryAfter(workspace.Item) time.Duration { return expectedTurnDelay }
+
+// Guards against prompts of the same length that wait in other queues, and so in another order, because
+// their routes allow shorter pauses.
+func TestPromptsOfOneLengthWaitTogether(t *testing.T) {
+	classOfRoute := func(pause time.Duration) request.Class {
+		e := &exchange{
+			gateway: &Gateway{}, route: &routetable.Route{PauseObjective: pause}, service: &routetable.Service{Engine: promptEngine},
+			incoming: httptest.NewRequest(http.MethodPost, "/", nil), startedAt: time.Now(), deadline: time.Now().Add(time.Minute),
+		}
+		e.info.Prompt.InputTokens = 5_000
+		return e.queueItem().Class
+	}
+	if short, long := classOfRoute(250*time.Millisecond), classOfRoute(time.Second); short != long {
+		t.Errorf("classes %s and %s", short.Name(), long.Name())
+	}
+}
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -19,7 +19,7 @@
 	c.loss = c.interference + ownLoss
 }
 
-// shouldDefer reports whether a long prompt should be placed later because placing it now
+// shouldDefer reports whether a prompt should be placed later because placing it now
 // would cost other requests more than the prompt gains by being on time. congestion is the
 // cost for requests that arrive while its prefill occupies servers.
 //
@@ -28,7 +28,7 @@
 // could be. The cost that is accepted rises with the time that the prompt has waited. Once its
 // own work just fits into the rest of its caller's time, it is placed at any cost.
 func (c *choice) shouldDefer(q Query, congestion float64, servers int) bool {
-	if q.PauseObjective <= shortStreamPause || q.mustStart(servers) {
+	if q.mustStart(servers) {
 		return false
 	}
 	weight := q.weight()
--- a/placement/due_test.go
+++ b/placement/due_test.go
@@ -120,6 +120,27 @@
 	}
 }
 
+// Guards against prompts of the same work that are deferred, and served by engines, in another order
+// because their routes allow shorter pauses.
+func TestShortPromptIsOneWithLittleWork(t *testing.T) {
+	for _, pause := range []time.Duration{250 * time.Millisecond, time.Second} {
+		f := newFleet(3)
+		for range 30 {
+			f.place(t, notice()).FirstToken()
+		}
+		long := review(380_000)
+		long.Engine, long.TimeLeft, long.PauseObjective = engine, 15*time.Second, pause
+		if _, got := f.planner.Place(long, slices.Clone(f.candidates)); got != Deferred {
+			t.Errorf("pauses of %v: decision %d for a long prompt, want Deferred", pause, got)
+		}
+		short := notice()
+		short.Engine, short.PauseObjective = engine, pause
+		if short.queuePriority() != priorityShort || long.queuePriority() != priorityLong {
+			t.Errorf("pauses of %v: priorities %d and %d, want %d and %d", pause, short.queuePriority(), long.queuePriority(), priorityShort, priorityLong)
+		}
+	}
+}
+
 // Every request to a plain service got no answer: with a deadline the placement asked for
 // the decode time of an engine, which a plain service doesn't have.
 func TestPlainServiceHasNoDecodeTime(t *testing.T) {
--- a/placement/query.go
+++ b/placement/query.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/briarturn/briarturn/request"
 )
 
 // Candidate is a server that may receive an attempt.
@@ -78,7 +80,7 @@
 }
 
 // Priorities in the queues of the engines, where 0 is the highest and 9 the lowest. Short
-// streams precede long prompts: their prefill is short and they are late sooner.
+// prompts precede long ones, which hardly wait for them.
 const (
 	priorityShort     = 1
 	priorityLong      = 4
@@ -92,7 +94,7 @@
 		return noPriority
 	}
 	level := priorityLong
-	if q.PauseObjective > 0 && q.PauseObjective <= shortStreamPause {
+	if q.InputTokens < request.LargeTokens {
 		level = priorityShort
 	}
 	return level + min(max(q.Priority, 0), maxPriorityOffset)
--- a/placement/room.go
+++ b/placement/room.go
@@ -76,12 +76,6 @@
 // wait in the server's queue.
 func (o *serverOption) hasSlotFor(q Query) bool { return !q.MayWait || o.freeSlots() > 0 }
 
-// IsShortStream reports whether a stream whose pauses may have the given length counts as short:
-// its first token is owed soon, and the pass of a long prompt stops it for too long.
-func IsShortStream(pauseObjective time.Duration) bool {
-	return pauseObjective > 0 && pauseObjective <= shortStreamPause
-}
-
 // freeSlots returns the number of free slots of the server; it is negative if requests wait there.
 func (o *serverOption) freeSlots() int {
 	return max(1, o.candidate.Capacity) - len(o.state.attempts)
