Wait for memory while the work fits; refuse at once where no server is known

What callers saw: where requests don't wait in a queue, a prompt for which no memory was free was refused after 150 ms though its caller had seconds; where no server was known at all, callers were held for those 150 ms, with a queue too. Cause: MemoryWait, a time chosen so that shorter prompts find the memory that comes free. Change: a prompt waits for memory as it waits for room, until its latest start. A service without a known server refuses at once and says when to come back; one whose servers may only take few requests while they are cold keeps its callers for as long as they have time. The setting memory_wait is gone.

--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/briarturn/briarturn/eligible"
 	"github.com/briarturn/briarturn/internal/sleep"
 	"github.com/briarturn/briarturn/placement"
 	"github.com/briarturn/briarturn/reservation"
@@ -16,26 +17,25 @@
 const memoryRetryInterval = 60 * time.Millisecond
 
 // placeAndReserve places an attempt and reserves memory first if several servers hold the
-// prompt. It waits for free memory up to MemoryWait. If the placer defers the request
-// until it delays other requests less, it waits as long as the placer asks. It returns
-// false at once if the response can't come before the deadline, or if operators, or what servers
-// have announced, leave the request no server. A request without a prompt does not wait.
+// prompt. It waits for free memory, or until the request delays others less, for as long as
+// the work that is left fits into the caller's time. It returns false at once if the response
+// can't come before the deadline, or if no server is known that could take the request. A
+// request without a prompt does not wait.
 func (e *exchange) placeAndReserve(ctx context.Context) (*placedAttempt, bool) {
 	if e.waitsForRoom() {
 		return e.placeInTurn(ctx)
 	}
-	until := time.Now().Add(e.gateway.cfg.Options.MemoryWait)
 	for {
 		r, placed, decision := e.tryPlaceAndReserve(ctx)
 		switch {
 		case r != nil:
 			return r, true
-		case e.exclusionCause.Lasts():
+		case e.hasNoServer():
 			return nil, false
 		case decision == placement.DeadlineUnmeetable:
 			e.lateForecast = placed.Forecast
 			return nil, false
-		case decision != placement.Deferred && time.Now().After(until):
+		case time.Now().After(e.latestStart()):
 			return nil, false
 		case e.info.Prompt.InputTokens == 0 || !sleep.For(ctx, memoryRetryInterval):
 			return nil, false
@@ -43,6 +43,12 @@
 	}
 }
 
+// hasNoServer reports whether the last placement had no server to choose from and waiting a moment
+// can't help.
+func (e *exchange) hasNoServer() bool {
+	return e.exclusionCause.Lasts() || e.candidateCount == 0 && e.exclusionCause == eligible.None
+}
+
 // tryPlaceAndReserve places an attempt and reserves its memory without waiting. It places
 // the attempt again if the servers have become ineligible in the meantime.
 func (e *exchange) tryPlaceAndReserve(ctx context.Context) (*placedAttempt, placement.Placement, placement.Decision) {
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -51,10 +51,6 @@
 	// DefaultConnectTries allows several connection attempts: nothing has been sent yet,
 	// so they cost only the caller's time.
 	DefaultConnectTries = 4
-	// DefaultMemoryWait is short. Where no memory is free, the fleet is full of long
-	// prompts. Another long prompt that keeps waiting takes the next free memory from
-	// shorter prompts that would still be on time.
-	DefaultMemoryWait = 150 * time.Millisecond
 )
 
 // Options configure a Gateway. Values that are zero or negative take the defaults.
@@ -84,9 +80,6 @@
 	// ConnectTries is the number of servers that can't be connected to after which a
 	// request is not sent to any other.
 	ConnectTries int
-	// MemoryWait is how long the gateway looks for free memory before it refuses a
-	// request.
-	MemoryWait time.Duration
 	// Features switches what decides under contention for servers; the zero value switches
 	// all of it off.
 	Features routetable.Features
@@ -103,6 +96,5 @@
 	o.PoisonRetryAfter = cmp.Or(max(o.PoisonRetryAfter, 0), DefaultPoisonRetryAfter)
 	o.DeclaredRetryAfter = cmp.Or(max(o.DeclaredRetryAfter, 0), DefaultDeclaredRetryAfter)
 	o.ConnectTries = cmp.Or(max(o.ConnectTries, 0), DefaultConnectTries)
-	o.MemoryWait = cmp.Or(max(o.MemoryWait, 0), DefaultMemoryWait)
 	return o
 }
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -42,9 +42,7 @@
 		case attempt != nil:
 			attempt.ticket, attempt.cost = turn.Started(), item.Cost
 			return attempt, true
-		case e.exclusionCause.Lasts():
-			return nil, false
-		case e.candidateCount == 0 && time.Since(queuedAt) > e.gateway.cfg.Options.MemoryWait:
+		case e.hasNoServer():
 			return nil, false
 		case decision == placement.DeadlineUnmeetable:
 			e.lateForecast = placed.Forecast
@@ -127,6 +125,12 @@
 	return end
 }
 
+// latestStart returns the latest time at which the request may start and still be served in time.
+func (e *exchange) latestStart() time.Time {
+	firstToken, rest := e.service.Engine.ExpectedTimes(e.info.Prompt.InputTokens, e.info.Prompt.MaxOutputTokens)
+	return e.firstTokenDeadline(rest).Add(-firstToken)
+}
+
 // onTimeUntil returns the latest start with which the request is on time if its first token takes
 // the given time; zero if its route has no objective.
 func (e *exchange) onTimeUntil(firstToken time.Duration) time.Time {
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -270,7 +270,6 @@
 		PoisonRetryAfter:   time.Duration(l.PoisonRetryAfter),
 		DeclaredRetryAfter: time.Duration(l.DeclaredRetryAfter),
 		ConnectTries:       l.ConnectTries,
-		MemoryWait:         time.Duration(l.MemoryWait),
 	}
 }
 
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -142,7 +142,6 @@
 			PoisonRetryAfter:   config.Duration(gateway.DefaultPoisonRetryAfter),
 			DeclaredRetryAfter: config.Duration(gateway.DefaultDeclaredRetryAfter),
 			ConnectTries:       gateway.DefaultConnectTries,
-			MemoryWait:         config.Duration(gateway.DefaultMemoryWait),
 		},
 	}
 }
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -79,5 +79,4 @@
 	// no server.
 	DeclaredRetryAfter config.Duration `json:"declared_retry_after" validate:"min=10ms,max=1h"`
 	ConnectTries       int             `json:"connect_tries" validate:"gte=1,lte=100"`
-	MemoryWait         config.Duration `json:"memory_wait" validate:"min=1ms,max=1m"`
 }
