Refuse at once a prompt for which all servers together have no memory

What callers saw: a prompt larger than the memory of all servers of its service waited for room until its caller's time was over, though it could be known at once that none would come. Cause: the planner answered 'no capacity now' for it, as for one whose memory others use. Change: Decision NeverFits, from what empty servers could hold (at most maxHolders of them); the gateway refuses at once, 503 not run, with the usual Retry-After, since servers may be added. Tests: TestPromptThatNeverFitsIsRefusedAtOnce failed (no_time after 2.0 s of 2 s); TestPromptThatNeverFitsIsTold tells it from a prompt that fits on empty servers.

--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -32,6 +32,8 @@
 			return r, true
 		case e.hasNoServer():
 			return nil, false
+		case decision == placement.NeverFits:
+			return nil, false
 		case decision == placement.DeadlineUnmeetable:
 			e.lateForecast = placed.Forecast
 			return nil, false
--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -72,6 +72,23 @@
 	}
 }
 
+// Guards against a caller that is held to the end of its time for memory that its servers don't have.
+func TestPromptThatNeverFitsIsRefusedAtOnce(t *testing.T) {
+	gw := newRoomGateway(t, 0)
+	config := sampleConfig(2)
+	config.Services[0].Engine = &placement.EngineProfile{
+		Capacity: 4, MemoryTokens: 1_000, Stride: 1, Chunk: 1_000, StepTime: time.Millisecond, PrefillRate: 1e6, HopTime: time.Millisecond,
+	}
+	gw.routes.Offer(routetable.New(config), *gw.clock)
+	gw.gateway.cfg.Placer = gw.placer.planner
+	begun := time.Now()
+	r, body, err := gw.send(http.MethodPost, "/safe/", "body", append(hTimeoutOf(callerTime), hPrompt, "5000")...)
+	gw.wantRefusal(reply{r, body, err}, http.StatusServiceUnavailable, ReasonNoServer)
+	if took := time.Since(begun); took >= refusedAtOnce {
+		t.Errorf("refused after %v", took)
+	}
+}
+
 // tooLatePlacer reports for every request that its response would come after the
 // deadline.
 type tooLatePlacer struct{ calls atomic.Int64 }
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -44,6 +44,8 @@
 			return attempt, true
 		case e.hasNoServer():
 			return nil, false
+		case decision == placement.NeverFits:
+			return nil, false
 		case decision == placement.DeadlineUnmeetable:
 			e.lateForecast = placed.Forecast
 			return nil, false
--- a/placement/apart.go
+++ b/placement/apart.go
@@ -45,6 +45,13 @@
 // holderTokens returns the number of tokens that each of n holders keeps.
 func (q Query) holderTokens(n int) int { return int(math.Ceil(float64(q.totalTokens()) / float64(n))) }
 
+// exceedsMemoryOf reports whether so many servers hold the prompt not even while nothing else is on
+// them.
+func (q Query) exceedsMemoryOf(servers int) bool {
+	holders := min(servers, maxHolders)
+	return float64(q.holderTokens(holders)) > float64(q.Engine.MemoryTokens)*(1-memoryMargin)
+}
+
 // chooseHolders chooses servers that hold a prompt together, and possibly more servers that
 // only prefill. It returns the choice with the least loss over all numbers of both. The
 // loss is infinite if the servers together have no room now.
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -65,6 +65,7 @@
 	Deferred                    // the cost for other requests exceeds the gain for now; retry soon
 	DeadlineUnmeetable          // the answer would come after the deadline; Forecast is the time to the first token
 	NoRoom                      // the query may wait, and the servers have no room for it now; retry when a slot is free
+	NeverFits                   // all memory of the candidates together holds no such prompt
 )
 
 // Place chooses the servers of a query and, if the decision is Placed, records the attempt
@@ -87,6 +88,8 @@
 	}
 	best := p.bestChoice(q, options, p.ledger.peerChoices.costTolerance(now), now)
 	switch {
+	case math.IsInf(best.loss, 1) && q.exceedsMemoryOf(len(options)):
+		return Placement{}, NeverFits
 	case math.IsInf(best.loss, 1):
 		return Placement{}, NoCapacity
 	case !q.MayWait && q.missesDeadline(best.firstToken):
--- a/placement/room_test.go
+++ b/placement/room_test.go
@@ -308,6 +308,26 @@
 	f.wantDecision(t, "deadline about to pass", f.query, DeadlineUnmeetable)
 }
 
+// Guards against a caller that is held for memory to the end of its time, though all servers together
+// don't have as much.
+func TestPromptThatNeverFitsIsTold(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		tokens int
+		want   Decision
+	}{{"of three servers", 600_000, NoCapacity}, {"of four", 800_000, NeverFits}} {
+		f := newFleet(3)
+		for i, s := range f.candidates {
+			f.ledger.Begin(Attempt{ID: AttemptID{Owner: 4, Seq: uint64(i)}, Server: ServerKey(s.Instance), MemoryTokens: engine.MemoryTokens}, f.now)
+		}
+		q := review(c.tokens)
+		q.Engine, q.MayWait, q.TimeLeft = engine, true, 15*time.Second
+		if _, got := f.planner.Place(q, slices.Clone(f.candidates)); got != c.want {
+			t.Errorf("memory %s: decision %d, want %d", c.name, got, c.want)
+		}
+	}
+}
+
 // Guards against all entries placing as many requests as there are free slots before they know of
 // each other's placements.
 func TestEntryTakesItsShareOfFreeSlotsAtOnce(t *testing.T) {
