Name losses by promises, and share what tests of room repeat

Comments and a name in placement spoke of what an answer is worth; they say what a caller keeps or misses. Tests of room freed a slot and waited for a response in the same four lines: freeRoom and wantServed.

--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -102,6 +102,20 @@
 	return out
 }
 
+// freeRoom frees a slot and says so, as the end of an attempt of this entry does.
+func (gw *roomGateway) freeRoom() {
+	gw.placer.free(1)
+	gw.gateway.cfg.Room.AttemptEnded("s", true)
+}
+
+// wantServed waits for the response of a waiting request.
+func (gw *roomGateway) wantServed(waiting <-chan reply) reply {
+	gw.t.Helper()
+	got := <-waiting
+	wantStatus(gw.test, got.response, got.err, http.StatusOK)
+	return got
+}
+
 func (gw *roomGateway) wantRefusal(r reply, status int, reason Reason) {
 	gw.t.Helper()
 	wantStatus(gw.test, r.response, r.err, status)
@@ -116,10 +130,8 @@
 	gw := newRoomGateway(t, 0)
 	waiting := gw.sendWaiting("/safe/")
 	gw.wantArrivals("")
-	gw.placer.free(1)
-	gw.gateway.cfg.Room.AttemptEnded("s", true)
-	got := <-waiting
-	wantStatus(t, got.response, got.err, http.StatusOK)
+	gw.freeRoom()
+	gw.wantServed(waiting)
 	gw.wantArrivals("s1 id-1")
 	if gw.gateway.cfg.Room.Pending() {
 		t.Error("a request is still waiting")
@@ -136,12 +148,10 @@
 	waiting := gw.sendWaiting("/safe/")
 	gw.placer.free(1)
 	gw.gateway.cfg.Room.AttemptEnded("s", false)
-	got := <-waiting
-	wantStatus(t, got.response, got.err, http.StatusOK)
+	gw.wantServed(waiting)
 	waiting = gw.sendWaiting("/safe/", hID, "id-2")
 	gw.placer.free(1) // no news of it
-	got = <-waiting
-	wantStatus(t, got.response, got.err, http.StatusOK)
+	gw.wantServed(waiting)
 }
 
 // Guards against a key that is removed while its request waits, and works all the same.
@@ -180,10 +190,8 @@
 	waiting := gw.sendWaiting("/safe/", hTimeout, strconv.FormatInt(shutdownTime.Milliseconds(), 10))
 	gw.gateway.BeginShutdown(time.Now().Add(2 * shutdownTime))
 	gw.gateway.RefuseLate()
-	gw.placer.free(1)
-	gw.gateway.cfg.Room.AttemptEnded("s", true)
-	got := <-waiting
-	wantStatus(t, got.response, got.err, http.StatusOK)
+	gw.freeRoom()
+	gw.wantServed(waiting)
 	gw.wantArrivals("s1 id-1")
 }
 
--- a/gateway/roomtime_test.go
+++ b/gateway/roomtime_test.go
@@ -31,10 +31,8 @@
 			gw := newRoomGateway(t, 0)
 			waiting := gw.sendWaiting("/safe/", hTimeoutOf(callerTime)...)
 			time.Sleep(callerTime * time.Duration(tenths) / 10)
-			gw.placer.free(1)
-			gw.gateway.cfg.Room.AttemptEnded("s", true)
-			got := <-waiting
-			wantStatus(t, got.response, got.err, http.StatusOK)
+			gw.freeRoom()
+			gw.wantServed(waiting)
 			gw.wantArrivals("s1 id-1")
 		})
 	}
@@ -79,13 +77,11 @@
 	first := gw.sendWaiting("/safe/", hID, "first")
 	second := gw.sendWaiting("/safe/", append(hTimeoutOf(10*time.Second), hID, "second")...)
 	for range 2 {
-		gw.placer.free(1)
-		gw.gateway.cfg.Room.AttemptEnded("s", true)
+		gw.freeRoom()
 		time.Sleep(roomPollInterval)
 	}
 	for _, waiting := range []<-chan reply{first, second} {
-		got := <-waiting
-		wantStatus(t, got.response, got.err, http.StatusOK)
+		gw.wantServed(waiting)
 	}
 	gw.wantArrivals("s1 first, s1 second")
 }
@@ -116,8 +112,7 @@
 				t.Errorf("sent %d times without room, want 1", n)
 			}
 			gw.placer.free(1)
-			got := <-waiting
-			wantStatus(t, got.response, got.err, http.StatusOK)
+			gw.wantServed(waiting)
 			if n := gw.timesSent(); n != 2 {
 				t.Errorf("sent %d times, want 2", n)
 			}
@@ -174,8 +169,7 @@
 	waiting := gw.sendWaiting("/stream/")
 	time.Sleep(6 * pause)
 	gw.placer.free(1)
-	got := <-waiting
-	wantStatus(t, got.response, got.err, http.StatusOK)
+	got := gw.wantServed(waiting)
 	if got.body != eventText(1, 8) {
 		t.Errorf("stream %q", got.body)
 	}
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -32,7 +32,7 @@
 		return false
 	}
 	weight := q.weight()
-	gain := q.timeBudget().value(c.firstToken, weight)
+	gain := q.timeBudget().kept(c.firstToken, weight)
 	waitedShare := float64(q.Waited) / float64(q.Waited+q.TimeLeft)
 	return c.interference+congestion > gain+weight*(deferMargin+deferMarginSlope*waitedShare)
 }
--- a/placement/due.go
+++ b/placement/due.go
@@ -15,7 +15,7 @@
 	// to which this cost grows.
 	maxObjectiveRatio = 10
 	// deadlineRampStart and deadlineRampEnd are fractions of the cutoff between which the
-	// second promise is lost. After the cutoff an answer is worth nothing.
+	// second promise is missed. After the cutoff an answer is of no use to its caller.
 	deadlineRampStart, deadlineRampEnd = 0.8, 1.2
 	// unmeetableFactor is the forecast, as a multiple of the time left, above which a
 	// request counts as impossible to serve in time. Forecasts of long prompts are off by
@@ -61,7 +61,7 @@
 	return weight * ramp(after, scale(d.cutoff, deadlineRampStart), scale(d.cutoff, deadlineRampEnd))
 }
 
-// value returns what a first token after the given time is worth, compared with no answer.
-func (d timeBudget) value(after time.Duration, weight float64) float64 {
+// kept returns the loss that a first token after the given time avoids, compared with no answer.
+func (d timeBudget) kept(after time.Duration, weight float64) float64 {
 	return max(promises*weight-d.loss(after, weight), 0)
 }
--- a/placement/due_test.go
+++ b/placement/due_test.go
@@ -10,12 +10,12 @@
 // A prompt whose answer could not arrive by its caller's deadline stopped every stream of
 // the servers that prefilled it, and its caller got nothing. Past the objective the loss
 // rose with a constant slope, before the deadline as after it.
-func TestNoValueAfterCutoff(t *testing.T) {
+func TestNothingIsKeptAfterCutoff(t *testing.T) {
 	const weight = 20.0
 	d := timeBudget{objective: 4 * time.Second, cutoff: 15 * time.Second}
-	onTime, late, afterCutoff := d.value(time.Second, weight), d.value(8*time.Second, weight), d.value(20*time.Second, weight)
+	onTime, late, afterCutoff := d.kept(time.Second, weight), d.kept(8*time.Second, weight), d.kept(20*time.Second, weight)
 	if onTime <= late || afterCutoff != 0 {
-		t.Errorf("values %.2f on time, %.2f late, %.2f after the cutoff", onTime, late, afterCutoff)
+		t.Errorf("%.2f kept on time, %.2f late, %.2f after the cutoff", onTime, late, afterCutoff)
 	}
 	if d.loss(20*time.Second, weight)-d.loss(8*time.Second, weight) < weight {
 		t.Error("an answer after the deadline costs no more than a late one")
--- a/placement/work.go
+++ b/placement/work.go
@@ -45,8 +45,8 @@
 	return uint32(xxhash.Sum64String(name))
 }
 
-// Weight returns the weight of a request against others of the service: one for its caller, and
-// one for each usual prompt's worth of tokens that it asks to be read. Operators declare how long
+// Weight returns the weight of a request against others of the service: one for its caller, and its
+// work, which is the length of its prompt against that of the usual one. Operators declare how long
 // the usual prompt is; without it all callers weigh the same.
 func (e *EngineProfile) Weight(promptTokens int) float64 {
 	const caller = 1
