Take idempotent requests on in a shutdown while their route promises a response before its end

What callers saw: late in a shutdown an idempotent request with a deadline after the end was taken on up to 2 s before it, whether its route promises a response within 0.1 or 4 s: the former was refused though it would have been answered, the latter taken on and cut off. Cause: minTimeOfRepeatable, a chosen figure. Change: it is taken on while now plus its route's objective is before the end; a route without one is treated like all others. That idempotent requests may be repeated is the protocol's word.

--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -27,10 +27,6 @@
 	errRefusedLate = errors.ConstError("might outlast the shutdown")
 )
 
-// minTimeOfRepeatable is the time left with which a plain idempotent request is taken on although
-// its deadline passes after the end of the shutdown. Few take as long, and callers may repeat them.
-const minTimeOfRepeatable = 2 * time.Second
-
 // shutdown is the progress of a gateway's shutdown. It is safe for concurrent use.
 type shutdown struct {
 	phase    atomic.Int32
@@ -95,13 +91,15 @@
 
 // latestSend returns the time until which the request may be sent to a server, once the shutdown
 // refuses requests that might outlast it. It is in the past if a response might come after the end.
+// A plain idempotent request is taken on as long as its route promises a response before the end:
+// its caller may repeat it if the promise isn't kept.
 func (e *exchange) latestSend() time.Time {
 	end := *e.gateway.shutdown.end.Load()
 	switch {
 	case !e.deadline.After(end):
 		return e.deadline
-	case e.isPlainRepeatable():
-		return end.Add(-minTimeOfRepeatable)
+	case e.isPlainRepeatable() && e.route.Objective > 0:
+		return end.Add(-e.route.Objective)
 	}
 	return e.startedAt
 }
