--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync/atomic"
@@ -27,6 +28,10 @@
 	errRefusedLate = errors.ConstError("might outlast the shutdown")
 )
 
+// presumedObjective is the time within which a plain idempotent request is presumed to be answered
+// if its route names no objective. Few take as long, and callers may repeat them.
+const presumedObjective = 2 * time.Second
+
 // shutdown is the progress of a gateway's shutdown. It is safe for concurrent use.
 type shutdown struct {
 	phase    atomic.Int32
@@ -98,8 +103,8 @@
 	switch {
 	case !e.deadline.After(end):
 		return e.deadline
-	case e.isPlainRepeatable() && e.route.Objective > 0:
-		return end.Add(-e.route.Objective)
+	case e.isPlainRepeatable():
+		return end.Add(-cmp.Or(e.route.Objective, presumedObjective))
 	}
 	return e.startedAt
 }
