Entry: place a request while its work fits into its caller's time, not for half of that time

What callers saw: in the entry role a request that no agent had admitted was refused after half of its caller's time, though a server had room later and the work still fitted. One that had been admitted before wasn't: first tries and repeats differed. Cause: PlacementTimeFraction, a share of the caller's time. Change: all attempts go on until the deadline less the request's own work: the forecast of its first token without the wait in the server's queue. The limit is gone; no setting named it. Tests: TestHoldsAreRequestedWhileTheWorkFits failed (503 after 10 s; memory is free after 14 s of 20, and the work takes 4). TestUngrantableHoldsFailAsNotRun took its bounds (10 to 12 s of 20) from the share; they are 16 to 18 s with work of 4 s, as wide as before (10.4 s before: failed). TestRefusedByAllServersFailsAsNotRunBeforeDeadline keeps its bound of 7 s with work of 4 s of 10, and checks that it isn't refused before 6 s (5.3 s before: failed).

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -69,6 +69,7 @@
 	partsRunning     bool              // startParts admitted the attempt, and stopParts was not called
 	runAlone         bool              // the quarantine requires it to run alone on its engine
 	expectedTTFT     time.Duration     // estimate made at admission
+	ownWork          time.Duration     // part of expectedTTFT that remains if nothing else runs
 	ticket           workspace.Ticket
 	outputTokens     int64     // charged to the workspace with the ticket
 	attemptStart     time.Time // start of the current attempt
@@ -182,7 +183,7 @@
 	best, ok := c.chooseServer(now)
 	left := c.spec.Deadline.Sub(now)
 	if !ok || best.ExpectedTTFT <= left {
-		c.expectedTTFT = best.ExpectedTTFT
+		c.expect(best)
 		return nil
 	}
 	return notRun(http.StatusServiceUnavailable, reasonDeadline, "admission",
@@ -190,6 +191,12 @@
 		max(best.ExpectedTTFT-left, retrySoon))
 }
 
+// expect records how long the request takes to its first token on a server.
+func (c *call) expect(best routing.Choice) {
+	c.expectedTTFT = best.ExpectedTTFT
+	c.ownWork = max(best.ExpectedTTFT-best.QueueWait, 0)
+}
+
 // checkQuarantine checks whether the quarantine allows the request to run, and
 // whether only alone.
 func (c *call) checkQuarantine(now time.Time) *request.Failure {
@@ -306,17 +313,15 @@
 }
 
 // shouldGiveUp reports whether the request fails now: it was refused too
-// often, or no agent has admitted it within PlacementTimeFraction of its time
-// limit, so that its answer would come too late.
+// often, or its work doesn't fit into the rest of its caller's time any more.
 func (c *call) shouldGiveUp() bool {
-	if c.refusals >= c.e.limits.MaxRefusals {
-		return true
-	}
-	limit := c.spec.Deadline.Sub(c.spec.Arrived)
-	share := time.Duration(float64(limit) * c.e.limits.PlacementTimeFraction)
-	return c.admittedAttempts == 0 && time.Since(c.spec.Arrived) > share
+	return c.refusals >= c.e.limits.MaxRefusals || time.Now().After(c.latestStart())
 }
 
+// latestStart returns the latest time at which the prefill may begin for the
+// first token to come before the deadline.
+func (c *call) latestStart() time.Time { return c.spec.Deadline.Add(-c.ownWork) }
+
 func (c *call) backoffDelay() time.Duration {
 	d := min(minBackoff<<min(c.rounds, 10), maxBackoff)
 	return d/2 + time.Duration(c.rnd.Int64N(int64(d/2)+1))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -191,10 +191,6 @@
 	MaxRefusals          int           // refusals after which a request fails, 64
 	MaxAttempts          uint32        // attempts of a request that agents admitted, 4
 	HoldTTL              time.Duration // lifetime of a group's memory holds unless extended, 10 s
-	// PlacementTimeFraction is the fraction of the time limit within which an
-	// agent must have admitted the request, or all holds of a group must have
-	// been granted, 0.5.
-	PlacementTimeFraction float64
 	// GroupMemoryFraction is the fraction of an engine's memory that a group
 	// segment may use, 0.8. The rest remains free for short requests.
 	GroupMemoryFraction float64
@@ -225,7 +221,6 @@
 	l.MaxRefusals = cmp.Or(l.MaxRefusals, 64)
 	l.MaxAttempts = cmp.Or(l.MaxAttempts, 4)
 	l.HoldTTL = cmp.Or(l.HoldTTL, 10*time.Second)
-	l.PlacementTimeFraction = cmp.Or(l.PlacementTimeFraction, 0.5)
 	l.GroupMemoryFraction = cmp.Or(l.GroupMemoryFraction, 0.8)
 	l.TokensPerGroupMember = cmp.Or(l.TokensPerGroupMember, 128_000)
 	l.MaxGroupMembers = cmp.Or(l.MaxGroupMembers, 16)
--- a/entry/group_size.go
+++ b/entry/group_size.go
@@ -92,7 +92,7 @@
 func (c *call) estimateGroupTTFT(n int) {
 	share := c.spec.PromptTokens / int64(n)
 	if best := c.chooseServers(time.Now(), share, 0, 1); len(best) > 0 {
-		c.expectedTTFT = best[0].ExpectedTTFT
+		c.expect(best[0])
 	}
 }
 
