Let a request whose parts are suspected wait for its turn while its work fits

What callers saw: while requests with a suspected part run one at a time, all others with it were refused after 500 ms, whatever time their callers had. Cause: partWait, a chosen figure, in the gateway and in the entry role. Change: they wait until their work doesn't fit into the rest of their callers' time. A part that comes to be refused ends the wait at once, as before. Test: TestSuspectPartRunsAlone failed (6 refused, want the 3 whose callers have 500 ms; 1 answered, want 4). Its check of one request at a time and of three refusals stays; the three name their time now, as the request of TestPlacedRequestTakesItsTurn does.

--- a/entry/parts.go
+++ b/entry/parts.go
@@ -17,10 +17,6 @@
 // answer one of them, though no two prompts are alike. quarantine.PartTracker finds what they
 // share.
 
-// partWait is how long a request waits for its turn while prompts with one of its parts run one at a
-// time.
-const partWait = 500 * time.Millisecond
-
 // sharedParts returns hashes of what other prompts may share: each message but the last, and the text up
 // to the end of each leading block.
 func (b *requestBody) sharedParts(prefixHashes []uint64) []uint64 {
@@ -43,12 +39,13 @@
 	return scope.Parts(body.sharedParts(spec.PrefixHashes))
 }
 
-// startParts admits the next attempt to run with its parts, and returns the reason if it is refused.
+// startParts admits the next attempt to run with its parts, and returns the reason if it is refused. It
+// waits for its turn, if it may only run alone, while its work fits into the rest of its caller's time.
 func (c *call) startParts(ctx context.Context) *request.Failure {
 	if len(c.parts) == 0 {
 		return nil
 	}
-	v := c.e.cfg.Parts.Await(ctx, c.parts, partWait)
+	v := c.e.cfg.Parts.Await(ctx, c.parts, time.Until(c.latestStart()))
 	switch {
 	case v.Verdict == quarantine.Refuse:
 		return c.refusePart()
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -11,10 +11,6 @@
 // A part of prompts may crash every server that begins to respond to a request with it, and the
 // requests with it are no two alike. quarantine.PartTracker finds such parts.
 
-// partWait is how long a request waits for its turn while requests with one of its parts run one at
-// a time.
-const partWait = 500 * time.Millisecond
-
 // sharedParts returns the parts of a request's prompt with the scope in which their IDs are unique.
 func (e *exchange) sharedParts() []quarantine.Part {
 	if len(e.info.Prompt.SharedParts) == 0 {
@@ -66,12 +62,13 @@
 }
 
 // startParts admits the attempt to run with its parts. It waits for its turn if it may only run
-// alone, and returns the reason for a refusal if that doesn't come soon.
+// alone, and returns the reason for a refusal if that doesn't come while its work still fits into its
+// caller's time.
 func (e *exchange) startParts(ctx context.Context) Reason {
 	if len(e.parts) == 0 {
 		return ""
 	}
-	v := e.gateway.cfg.Parts.Await(ctx, e.parts, partWait)
+	v := e.gateway.cfg.Parts.Await(ctx, e.parts, time.Until(e.latestStart()))
 	e.partRetryAt = v.RetryAt
 	switch {
 	case v.Verdict == quarantine.Refuse:
