--- a/entry/parts_test.go
+++ b/entry/parts_test.go
@@ -4,11 +4,13 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/briarturn/briarturn/quarantine"
 	"github.com/briarturn/briarturn/request"
 	"github.com/briarturn/briarturn/wire/wirepb"
 )
@@ -99,3 +101,32 @@
 		}
 	})
 }
+
+// Guards against refusing a request with a suspected part although its caller has the time to wait for
+// its turn.
+func TestSuspectPartWaitsForItsTurn(t *testing.T) {
+	const runs = 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		var deaths atomic.Uint64
+		script := func(r *fakeRun) error {
+			r.admit()
+			time.Sleep(100 * time.Millisecond)
+			return r.end(&wirepb.End{Code: wirepb.EndCode_END_ENGINE_DIED, Began: true, Death: deaths.Add(1)})
+		}
+		b := newTestEntry(t, newFakeFleet(&fakeAgent{script: func(r *fakeRun) error { return script(r) }}), Limits{MaxAttempts: 1})
+		for i := range quarantine.DefaultPartOptions.HoldThreshold {
+			chat(b, chatOf("bad", fmt.Sprint("last ", i)))
+		}
+		script = func(r *fakeRun) error {
+			r.admit()
+			time.Sleep(runs)
+			r.sendTokens(0, 1)
+			return r.end(endOK(1))
+		}
+		var callers sync.WaitGroup
+		for i := range 2 {
+			callers.Go(func() { assertText(t, chat(b, chatOf("bad", fmt.Sprint("sound ", i))), tokenText(1)) })
+		}
+		callers.Wait()
+	})
+}
