Entry: a last round before the latest start, and a refusal that says when to come back

What callers saw: where all servers refuse, a caller whose request has no forecast of its work was held to its deadline and got 504 without Retry-After; others were refused up to a second after their work had ceased to fit. Cause: let a pause between rounds, of a second at most, run past the latest start. Change: the pause ends in time for one more round (minBackoff, the shortest pause), after which the request is refused with 503 and Retry-After. Tests: TestRefusedByAllServersFailsAsNotRunBeforeDeadline has the case without forecast: 504 before, want 503 before the deadline.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -313,16 +313,19 @@
 }
 
 // shouldGiveUp reports whether the request fails now: it was refused too
-// often, or its work doesn't fit into the rest of its caller's time any more.
+// often, or no other round fits before its work doesn't fit into the rest of its
+// caller's time any more.
 func (c *call) shouldGiveUp() bool {
-	return c.refusals >= c.e.limits.MaxRefusals || time.Now().After(c.latestStart())
+	return c.refusals >= c.e.limits.MaxRefusals || time.Until(c.latestStart()) <= minBackoff
 }
 
 // latestStart returns the latest time at which the prefill may begin for the
 // first token to come before the deadline.
 func (c *call) latestStart() time.Time { return c.spec.Deadline.Add(-c.ownWork) }
 
+// backoffDelay returns the delay until the next round. It leaves time for a last one.
 func (c *call) backoffDelay() time.Duration {
 	d := min(minBackoff<<min(c.rounds, 10), maxBackoff)
-	return d/2 + time.Duration(c.rnd.Int64N(int64(d/2)+1))
+	d = d/2 + time.Duration(c.rnd.Int64N(int64(d/2)+1))
+	return min(d, time.Until(c.latestStart())-minBackoff)
 }
