--- a/eligible/condition.go
+++ b/eligible/condition.go
@@ -45,6 +45,6 @@
 	return servers, None
 }
 
-// Lasts reports whether waiting for a fraction of a second can't help, so that a request is
-// refused at once.
+// Lasts reports whether it ends with a word of operators or servers only, or at a time that is known, so
+// that a request is refused at once and told when to come back.
 func (c Cause) Lasts() bool { return c != None && c != ColdLimitReached }
--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -15,13 +15,15 @@
 // refusedAtOnce is the longest time that a refusal which needs no waiting may take in these tests.
 const refusedAtOnce = 150 * time.Millisecond
 
-// fullPlacer reports no capacity until a time.
+// fullPlacer reports no capacity until a time, and counts its calls.
 type fullPlacer struct {
 	Placer
 	until time.Time
+	calls atomic.Int64
 }
 
 func (p *fullPlacer) Place(q placement.Query, candidates []placement.Candidate) (placement.Placement, placement.Decision) {
+	p.calls.Add(1)
 	if time.Now().Before(p.until) {
 		return placement.Placement{}, placement.NoCapacity
 	}
@@ -44,7 +46,8 @@
 			t.Parallel()
 			gw := newTestGateway(t, respondWith("ok")).withSampleConfig()
 			begun := time.Now()
-			gw.gateway.cfg.Placer = &fullPlacer{Placer: gw.gateway.cfg.Placer, until: begun.Add(c.fullTo)}
+			placer := &fullPlacer{Placer: gw.gateway.cfg.Placer, until: begun.Add(c.fullTo)}
+			gw.gateway.cfg.Placer = placer
 			r, _, err := gw.send(http.MethodPost, "/safe/", "body", append(hTimeoutOf(callerTime), hPrompt, "300000")...)
 			wantStatus(t, r, err, c.status)
 			if c.status != http.StatusOK && r.Header.Get("Retry-After") == "" {
@@ -53,6 +56,10 @@
 			if took := time.Since(begun); took > callerTime+refusedAtOnce {
 				t.Errorf("the caller waited for %v", took)
 			}
+			const maxCalls = callerTime/memoryRetryInterval + 2
+			if n := placer.calls.Load(); n > int64(maxCalls) {
+				t.Errorf("the placer was called %d times, want %d at most", n, maxCalls)
+			}
 		})
 	}
 }
