Placement: tell short prompts and long parts by their work, not by figures of routes' pauses

What callers saw: a prompt with little work was placed apart from others like it, on servers whose streams long prompts stop, if its route allows pauses of more than 400 ms; a long one counted as short where its route allows less. And a part was long from 120 ms on, whatever the engine, 'for streams whose pauses may last a quarter of a second'. Both figures are the aims of one deployment's routes. Cause: shortStreamPause and longPartTime in the costs that keep short prompts together. Change: prefill is long if it more than doubles the pass of an engine that decodes as many streams as it can, by the profile that operators declare (EngineProfile.isLong); short prompts are those whose whole prefill isn't. How well a stream bears a pass still follows from its pause objective (pauseLoss). Test: TestServersAreChosenByThePromptsWork failed before (a short prompt with pauses of 5 s is placed apart). go test ./placement passes.

--- a/placement/cost.go
+++ b/placement/cost.go
@@ -36,8 +36,8 @@
 	// minPartTime is the shortest part that is given to a helper. Shorter parts gain
 	// nothing, and the first token waits for the slowest of more servers.
 	minPartTime = 30 * time.Millisecond
-	// colocationBonus is the benefit for a short stream of a server that decodes other
-	// short streams. It is a cost for long parts, which keeps them away from such servers.
+	// colocationBonus is the benefit for a short prompt of a server that decodes streams of
+	// other short prompts. It is a cost for long prompts, which keeps them away from such servers.
 	colocationBonus = 0.48
 	// fullBonusStreams is the number of short streams that gives the full bonus.
 	fullBonusStreams = 6
@@ -48,11 +48,9 @@
 	// necessary, and each long prompt would stop some of them.
 	occupancyCost     = 0.72
 	occupancyExponent = 12
-	// longPrefillCost is the cost for a short stream of a server that spends all of its
+	// longPrefillCost is the cost for a short prompt of a server that spends all of its
 	// time on long parts.
 	longPrefillCost = 0.6
-	// shortStreamPause is the pause limit up to which a stream counts as short.
-	shortStreamPause = 400 * time.Millisecond
 	// noMemoryCost is the cost, as a multiple of the weight, of a server without free
 	// memory. The request waits there for as long as another whole request takes.
 	noMemoryCost = 3.6
@@ -129,11 +127,11 @@
 	return d.loss(ready+f.delay, p.attempt.Weight) - d.loss(ready, p.attempt.Weight)
 }
 
-// shortStreams returns the number of short streams that the server answers on time.
-func (s *serverState) shortStreams() int {
+// shortStreams returns the number of streams of short prompts that the server answers on time.
+func (s *serverState) shortStreams(e *EngineProfile) int {
 	n := 0
 	for _, a := range s.attempts {
-		if a.PauseObjective > 0 && a.PauseObjective <= shortStreamPause && !a.pauseExceeded {
+		if a.PauseObjective > 0 && !e.isLong(a.prefillTime) && !a.pauseExceeded {
 			n++
 		}
 	}
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -50,6 +50,12 @@
 	return time.Duration(step * float64(max(1, e.Stride)))
 }
 
+// isLong reports whether prefill of the given length more than doubles a pass of an engine that
+// decodes as many streams as it can, so that all of them pause for longer than they do by themselves.
+func (e *EngineProfile) isLong(prefill time.Duration) bool {
+	return prefill > e.DecodePassTime(e.Capacity, e.Capacity*e.UsualPrompt)
+}
+
 // Chunks returns the number of steps that prefill the given number of tokens.
 func (e *EngineProfile) Chunks(tokens int) int {
 	return int(math.Ceil(float64(tokens) / float64(max(1, e.Chunk))))
--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -33,8 +33,9 @@
 
 type activeAttempt struct {
 	Attempt
-	pauseExceeded bool      // a pause was over the limit; further long pauses cost nothing
-	expectedReady time.Time // expected time of the first token
+	prefillTime   time.Duration // of the whole prompt on one idle server
+	pauseExceeded bool          // a pause was over the limit; further long pauses cost nothing
+	expectedReady time.Time     // expected time of the first token
 	changedAt     time.Time
 	begunAt       time.Time
 	parts         []*part    // while the prompt isn't prefilled
@@ -100,7 +101,7 @@
 	if _, known := l.attempts[attempt.ID]; known {
 		return
 	}
-	a := &activeAttempt{Attempt: attempt, changedAt: now, begunAt: now}
+	a := &activeAttempt{Attempt: attempt, prefillTime: attempt.PartTime * time.Duration(1+len(attempt.Helpers)), changedAt: now, begunAt: now}
 	l.attempts[attempt.ID] = a
 	for _, key := range attempt.Holders {
 		l.serverLocked(key).hold(attempt.ID, attempt.HolderTokens)
--- a/placement/packing_test.go
+++ b/placement/packing_test.go
@@ -86,3 +86,29 @@
 		t.Errorf("placed on %s, which has one of %d slots free", p.Server.Instance, full.Capacity)
 	}
 }
+
+// Guards against prompts of the same work that choose other servers because their routes allow
+// shorter pauses. One of two servers decodes the streams of eight short prompts.
+func TestServersAreChosenByThePromptsWork(t *testing.T) {
+	const streams = 8
+	for _, pause := range []time.Duration{250 * time.Millisecond, 5 * time.Second} {
+		f := newFleet(2)
+		packed, idle := f.candidates[0], f.candidates[1]
+		for i := range uint64(streams) {
+			f.ledger.Begin(Attempt{
+				ID: AttemptID{Owner: 1, Seq: i + 1}, Server: ServerKey(packed.Instance),
+				MemoryTokens: 6_400, PauseObjective: pause, Weight: 1.4, Decoding: true,
+			}, f.now)
+		}
+		short := notice()
+		short.PauseObjective = pause
+		if p := f.place(t, short); p.Server != packed {
+			t.Errorf("pauses of %v: a short prompt is placed apart from the others", pause)
+		}
+		long := review(45_000)
+		long.PauseObjective = pause
+		if p := f.place(t, long); p.Server != idle {
+			t.Errorf("pauses of %v: a long prompt is placed with short ones", pause)
+		}
+	}
+}
--- a/placement/passes.go
+++ b/placement/passes.go
@@ -7,9 +7,6 @@
 )
 
 const (
-	// longPartTime is the prefill time from which a part counts as long. One such part
-	// makes a pass too long for a stream whose pauses may last a quarter of a second.
-	longPartTime = 120 * time.Millisecond
 	// longLoadDecay is the time constant with which the long prefill load decays.
 	longLoadDecay = 3 * time.Second
 	// idlePassSteps is the number of steps in a pass that decodes no streams. It is small
@@ -119,7 +116,7 @@
 
 // enqueue queues a part. Call advance first.
 func (s *serverState) enqueue(p *part, e *EngineProfile, now time.Time) {
-	s.recordLongPart(p.timeLeft, now)
+	s.recordLongPart(p.timeLeft, e, now)
 	if !now.Before(s.passEnd) { // no prefill is in progress
 		s.passEnd = now.Add(s.decodePassTime(e) / 2)
 	}
@@ -136,9 +133,9 @@
 	s.unconfirmed = slices.DeleteFunc(s.unconfirmed, func(p *part) bool { return p.attempt.ID == id })
 }
 
-func (s *serverState) recordLongPart(part time.Duration, now time.Time) {
+func (s *serverState) recordLongPart(part time.Duration, e *EngineProfile, now time.Time) {
 	s.decayLongLoad(now)
-	if part >= longPartTime {
+	if e.isLong(part) {
 		s.longPrefillLoad += float64(part) / float64(longLoadDecay)
 	}
 }
--- a/placement/room_test.go
+++ b/placement/room_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/briarturn/briarturn/request"
 )
 
 // simQueue is the queue of one entry for requests of one length class.
@@ -54,7 +56,7 @@
 
 // queueOf returns the queue of a caller's length class.
 func (e *simEntry) queueOf(c *simCaller) *simQueue {
-	if c.query.PauseObjective <= shortStreamPause {
+	if c.query.InputTokens < request.LargeTokens {
 		return &e.queues[0]
 	}
 	return &e.queues[1]
--- a/placement/spread.go
+++ b/placement/spread.go
@@ -125,11 +125,9 @@
 	if o.candidate.Cold {
 		total += coldServerCost * weight
 	}
-	if q.PauseObjective > 0 && q.PauseObjective <= shortStreamPause {
-		total += longPrefillCost * s.longPrefillLoad
-		total -= colocationBonus * float64(min(s.shortStreams(), fullBonusStreams)) / fullBonusStreams
-	} else {
-		total += colocationBonus * float64(min(s.shortStreams(), fullBonusStreams)) / fullBonusStreams
+	colocation := colocationBonus * float64(min(s.shortStreams(q.Engine), fullBonusStreams)) / fullBonusStreams
+	if q.Engine.isLong(q.Engine.PrefillTime(q.InputTokens, q.InputTokens)) {
+		return total + colocation
 	}
-	return total
+	return total + longPrefillCost*s.longPrefillLoad - colocation
 }
