--- a/placement/burst_test.go
+++ b/placement/burst_test.go
@@ -221,3 +221,31 @@
 		t.Errorf("decision %d, want Deferred", answer)
 	}
 }
+
+// Guards against a long prompt that is deferred for requests which its prefill doesn't make late, by
+// a price of prefill that knows nothing of them. Three prompts of 45,000 tokens wait on each server.
+func TestLongPromptIsDeferredForThoseThatItMakesLate(t *testing.T) {
+	const servers, queuedEach = 14, 3
+	decisionBehind := func(objective time.Duration) Decision {
+		f := newFleet(servers)
+		for i, c := range f.candidates {
+			for n := range queuedEach {
+				f.ledger.Begin(Attempt{
+					ID: AttemptID{Owner: uint64(i) + 1, Seq: uint64(n) + 1}, Server: ServerKey(c.Instance),
+					PartTime: engine.PrefillTime(45_000, 45_000), PartTokens: 45_000, MemoryTokens: 46_000,
+					FirstTokenDeadline: f.now.Add(objective), Weight: engine.Weight(45_000),
+				}, f.now)
+			}
+		}
+		q := review(440_000)
+		q.Engine, q.FirstTokenObjective, q.TimeLeft = engine, 30*time.Second, time.Minute
+		_, decision := f.planner.Place(q, slices.Clone(f.candidates))
+		return decision
+	}
+	if got := decisionBehind(30 * time.Second); got != Placed {
+		t.Errorf("those that come have 30 s until their first token: decision %d, want Placed", got)
+	}
+	if got := decisionBehind(1500 * time.Millisecond); got != Deferred {
+		t.Errorf("those that come have 1.5 s until their first token: decision %d, want Deferred", got)
+	}
+}
