New gateways compare their configuration with that of a peer after the store came back

Cause: RecoverySink confirms what the store says a time after the return, or when a peer has known the era for that time. Neither shows that the operators have written again, and a new process holds nothing newer. Change: entries exchange the configuration that each has in force (inForce, a replica of its own beside the store's kinds). A process whose first listing is of a restored store confirms none until a peer has told its own; a newer one of the peer comes into force. Tests: TestNewEntryTakesTheConfigurationOfItsPeers failed before (configuration 4 confirmed, 5 at the peer).

--- a/internal/gatewaynode/node.go
+++ b/internal/gatewaynode/node.go
@@ -144,6 +144,7 @@
 	serversListed listedFlag
 	incarnation   uint64
 	configVersion uint64 // object version of the configuration in force; only sink uses it
+	inForce       *inForce
 	ledger        *placement.Ledger
 	exchange      *peering.Exchange
 	replica       *replica.Replica
@@ -177,6 +178,7 @@
 	n.ledger.OnEnded(n.attemptEnded)
 	eras := objectapi.NewRecoverySink(objectapi.RecoverySinkConfig{Next: (*sink)(n), Log: cfg.Log, Metrics: cfg.Metrics})
 	n.replica = replica.New(eras, boottime.Now)
+	n.inForce = newInForce((*inForceSink)(n), boottime.Now)
 	n.replica.SetEras(eras)
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
--- a/internal/gatewaynode/peers.go
+++ b/internal/gatewaynode/peers.go
@@ -182,7 +182,7 @@
 	if err != nil {
 		return "", errors.Annotatef(err, "step listen for peers, address %s", n.cfg.RPC)
 	}
-	services := wire.Services{Entry: replica.NewService(n.replica, boottime.Now)}
+	services := wire.Services{Entry: replica.NewService(boottime.Now, n.replica, n.inForce.replica)}
 	go func() {
 		err := wire.Serve(ctx, lis, services, wire.Options{Log: n.cfg.Log, Metrics: n.cfg.Metrics})
 		if err != nil {
@@ -202,6 +202,7 @@
 	}
 	dialer := wire.NewDialer(wire.Options{Log: n.cfg.Log, Metrics: n.cfg.Metrics})
 	puller := follow.puller(dialer, n.observeEra, n.cfg.Metrics)
+	go n.inForce.puller(follow, dialer, n.cfg.Metrics).Run(ctx)
 	go func() {
 		puller.Run(ctx)
 		if err := dialer.Close(); err != nil {
--- a/internal/gatewaynode/peers_test.go
+++ b/internal/gatewaynode/peers_test.go
@@ -84,7 +84,7 @@
 func (z *peerNetwork) joinAs(ctx context.Context, name string, store objectapi.Store, firstStart bool, readers func() peering.Readers) *recordingSink {
 	h := &recordingSink{at: map[string]time.Time{}}
 	r := replica.New(h, z.clock)
-	z.services[name] = replica.NewService(r, z.clock)
+	z.services[name] = replica.NewService(z.clock, r)
 	pace := serversPace(z.within)
 	if z.config {
 		pace = configPace(z.within)
--- a/internal/gatewaynode/recovery_test.go
+++ b/internal/gatewaynode/recovery_test.go
@@ -1,16 +1,21 @@
 package gatewaynode
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/briarturn/briarturn/evacuation"
 	"github.com/briarturn/briarturn/internal/boottime"
 	"github.com/briarturn/briarturn/internal/quiet"
 	"github.com/briarturn/briarturn/objectapi"
+	"github.com/briarturn/briarturn/peering"
 	"github.com/briarturn/briarturn/platform"
+	"github.com/briarturn/briarturn/replica"
 	"github.com/briarturn/briarturn/routetable"
 	"github.com/briarturn/briarturn/upstream"
 )
@@ -31,6 +36,7 @@
 		}, Log: quiet.Logger()},
 		routes: routetable.NewHolder(clock), zones: evacuation.NewZones(clock),
 	}
+	n.inForce = newInForce((*inForceSink)(n.Node), clock)
 	n.list(1, 50, 5, 48, objectapi.Recovered)
 	n.now = n.now.Add(10 * time.Second)
 	return n
@@ -101,7 +107,32 @@
 		t.Errorf("age %v, %v", age, ok)
 	}
 	n.list(2, 45, 4, 40, objectapi.JustRecovered)
-	n.want(t, "recovered", 4, true)
+	if _, age, _ := n.routes.Table(); age < time.Hour {
+		t.Errorf("recovered, not compared with peers: age %v", age)
+	}
+	n.now = n.now.Add(maxPeerWait)
+	n.list(2, 45, 4, 40, objectapi.Recovered)
+	n.want(t, "recovered, no peer", 4, true)
+}
+
+// Guards against an entry that starts just after the return, when the operators have not written again
+// yet, and serves with a key that the configuration of its peers lacks.
+func TestNewEntryTakesTheConfigurationOfItsPeers(t *testing.T) {
+	peer, n := newRecoveringNode(), newRecoveringNode()
+	n.routes = routetable.NewHolder(func() boottime.Instant { return n.now })
+	n.inForce = newInForce((*inForceSink)(n.Node), func() boottime.Instant { return n.now })
+	n.list(2, 44, 4, 40, objectapi.Recovering)
+	n.list(2, 45, 4, 40, objectapi.JustRecovered)
+	z := &peerNetwork{services: map[string]*replica.Service{"peer": replica.NewService(boottime.Now, peer.inForce.replica)}}
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	f := newFollower(n.replica, nil, func() peering.Readers { return peering.Readers{Others: []string{"peer"}} }, boottime.Now)
+	go n.inForce.puller(f, z, metrics.NewRegistry()).Run(ctx)
+	for deadline := time.Now().Add(10 * time.Second); n.inForce.waits() && time.Now().Before(deadline); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	n.events(0, 46, objectapi.Recovered)
+	n.want(t, "compared with a peer", 5, true)
 }
 
 // Guards against servers of a restored zone that count as warm by a list that may lack what they said.
--- a/internal/gatewaynode/sink.go
+++ b/internal/gatewaynode/sink.go
@@ -56,13 +56,16 @@
 func (s *sink) listConfig(l objectapi.Listing) {
 	switch l.Recovery {
 	case objectapi.Recovering:
+		if _, _, ok := s.routes.Table(); !ok {
+			s.inForce.awaitPeer()
+		}
 		if !s.writtenSince(l) {
 			l.CurrentAsOf = unconfirmed
 		}
 		s.applyConfig(l)
 	case objectapi.JustRecovered:
 		s.applyConfig(l)
-		s.routes.MarkCurrent(l.CurrentAsOf)
+		s.routes.MarkCurrent(s.inForce.confirmable(l.CurrentAsOf))
 	default:
 		s.applyConfig(l)
 	}
@@ -99,6 +102,7 @@
 // applyConfig applies the newest configuration of a listing or of events. If it can't be
 // decoded, the last valid one stays in force and its confirmation isn't renewed.
 func (s *sink) applyConfig(l objectapi.Listing) {
+	asOf := s.inForce.confirmable(l.CurrentAsOf)
 	for i := len(l.Objects) - 1; i >= 0; i-- {
 		table, ok, err := s.cfg.Decoder.Config(l.Objects[i])
 		if err != nil {
@@ -111,13 +115,14 @@
 		if held, _, ok := s.routes.Table(); !ok || table.Revision() >= held.Revision() {
 			s.configVersion = l.Objects[i].Version
 		}
-		if s.routes.Offer(table, l.CurrentAsOf) {
+		if s.routes.Offer(table, asOf) {
+			s.inForce.publish(l.Objects[i], table.Revision())
 			s.cfg.Log.WithFields(logrus.Fields{"revision": table.Revision(), "object_revision": objectapi.NumberOf(l.Objects[i].Version), "store_era": objectapi.EraOf(l.Objects[i].Version)}).
 				Info("configuration in force")
 		}
 		return
 	}
-	s.routes.MarkCurrent(l.CurrentAsOf)
+	s.routes.MarkCurrent(asOf)
 }
 
 func (s *sink) replaceServers(l objectapi.Listing) {
--- a/internal/gatewaynode/sink_test.go
+++ b/internal/gatewaynode/sink_test.go
@@ -14,7 +14,7 @@
 // Guards against taking an invalid configuration, or one that is older than the one in force.
 func TestInvalidAndOlderConfigurationsAreIgnored(t *testing.T) {
 	n := &Node{cfg: Config{Decoder: Decoder{ConfigKind: platform.KindConfig, Config: platform.DecodeConfig}, Log: quiet.Logger()}}
-	n.routes = routetable.NewHolder(boottime.Now)
+	n.routes, n.inForce = routetable.NewHolder(boottime.Now), newInForce((*inForceSink)(n), boottime.Now)
 	for _, c := range []struct {
 		data string
 		want uint64 // revision in force afterwards
--- a/replica/puller.go
+++ b/replica/puller.go
@@ -69,8 +69,10 @@
 	Sources func() Sources
 	Clock   boottime.Clock
 	// OnEra, if set, is called with the era of each state of a peer.
-	OnEra   func(era uint64)
-	Metrics metrics.Registry
+	OnEra func(era uint64)
+	// OnApplied, if set, is called after each state of a peer that was applied.
+	OnApplied func()
+	Metrics   metrics.Registry
 }
 
 // Puller keeps a Replica current from peers when the object API doesn't.
@@ -227,6 +229,9 @@
 		case !s.GetLeftOut():
 			offset := ConfirmedOffset(time.Duration(s.GetProvedUs()) * time.Microsecond)
 			p.apply(s, offset.localInstant(r.sent, r.received))
+			if p.cfg.OnApplied != nil {
+				p.cfg.OnApplied()
+			}
 		case s.GetRevision() > p.cfg.Replica.Revision(s.GetKind()): // otherwise the peer lags behind
 			omitted = append(omitted, omittedState{kind: s.GetKind(), revision: s.GetRevision()})
 		}
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -37,7 +37,7 @@
 func newEntry(now boottime.Instant) *entry {
 	e := &entry{now: now}
 	e.replica = New(&e.sink, e.clock)
-	e.service = NewService(e.replica, e.clock)
+	e.service = NewService(e.clock, e.replica)
 	return e
 }
 
--- a/replica/service.go
+++ b/replica/service.go
@@ -15,18 +15,20 @@
 // transfer would be aborted and requested again 300 ms later.
 const maxInlineBytes = 64 << 10
 
-// Service serves the states of a Replica to peers. Of the calls between entries it implements
+// Service serves the states of Replicas to peers. Of the calls between entries it implements
 // only PullStates.
 type Service struct {
 	wirepb.DRPCEntryUnimplementedServer
-	replica *Replica
-	clock   boottime.Clock
+	replicas []*Replica
+	clock    boottime.Clock
 }
 
 var _ wirepb.DRPCEntryServer = (*Service)(nil)
 
-// NewService returns a Service that serves a Replica.
-func NewService(r *Replica, clock boottime.Clock) *Service { return &Service{replica: r, clock: clock} }
+// NewService returns a Service that serves Replicas of different kinds.
+func NewService(clock boottime.Clock, replicas ...*Replica) *Service {
+	return &Service{replicas: replicas, clock: clock}
+}
 
 // PullStates implements wirepb.DRPCEntryServer. For each requested kind it returns when the
 // state was last confirmed and, if the peer has other objects, the changes since the peer's
@@ -35,8 +37,10 @@
 	arrived := s.clock()
 	out := &wirepb.States{}
 	for _, held := range in.GetHeld() {
-		if c, ok := s.replica.copyState(held.GetKind(), held.GetDigest(), held.GetRevision(), arrived); ok {
-			out.States = append(out.States, encodeState(held, c))
+		for _, r := range s.replicas {
+			if c, ok := r.copyState(held.GetKind(), held.GetDigest(), held.GetRevision(), arrived); ok {
+				out.States = append(out.States, encodeState(held, c))
+			}
 		}
 	}
 	return out, nil
