Notice a server that ends before its listener has closed

Cause: at the end of such a response confirmEnd asks whether the server accepts connections, some 0.1 ms after the connection ended. The kernel closes a killed process's sockets one after the other, its listener perhaps last, so that it still accepts. Change: the connection that is opened to ask must stay open for 25 ms (Pool.ProbeFor); the kernel resets it when the listener closes. Only the end of a response without length and chunks is later by that.

--- a/gateway/deaths_test.go
+++ b/gateway/deaths_test.go
@@ -23,6 +23,8 @@
 	listener net.Listener
 	arrived  chan struct{} // closed when the request has arrived
 	die      chan struct{} // the server ends when this is closed
+	// listenerDelay is how long the listener outlives the connection; 0: it closes first.
+	listenerDelay time.Duration
 }
 
 // startMortalServer starts a server that reads a request, sends partial, with %s replaced
@@ -51,11 +53,18 @@
 	}
 	close(m.arrived)
 	<-m.die
-	_ = m.listener.Close() // first, so that the address refuses when the connection breaks
+	if m.listenerDelay == 0 {
+		_ = m.listener.Close() // first, so that the address refuses when the connection breaks
+	}
 	if strings.Contains(partial, "%s") {
 		partial = fmt.Sprintf(partial, r.Header.Get(hID))
 	}
 	_, _ = conn.Write([]byte(partial))
+	if m.listenerDelay > 0 {
+		_ = conn.Close()
+		time.Sleep(m.listenerDelay)
+		_ = m.listener.Close()
+	}
 }
 
 func (m *mortalServer) reached() bool {
--- a/gateway/unframed.go
+++ b/gateway/unframed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -14,6 +15,10 @@
 // has ended, too.
 const errServerEnded = errors.ConstError("response ended together with its server")
 
+// listenerCloseTime is how long the listener of a server that ends may outlive its other
+// connections. The kernel closes them one after the other.
+const listenerCloseTime = 25 * time.Millisecond
+
 // confirmEnd returns an error if the end of a response is no proof that the response is whole.
 // Where neither a length nor chunks mark the end, the connection of a server that crashes ends
 // in the same way. A server that leaves may end right after a whole response.
@@ -23,7 +28,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	if e.gateway.cfg.Pool.Probe(ctx, attempt.Server.Address) == upstream.ProbeRefused {
+	if e.gateway.cfg.Pool.ProbeFor(ctx, attempt.Server.Address, listenerCloseTime) == upstream.ProbeRefused {
 		return errServerEnded
 	}
 	return nil
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -128,6 +128,24 @@
 	}
 }
 
+// Guards against taking a response for whole whose server ends, while its listener outlives the
+// connection by a moment.
+func TestEndOfServerIsNoticedBeforeItsListenerCloses(t *testing.T) {
+	const moment = 5 * time.Millisecond
+	gw := newTestGateway(t).withSampleConfig()
+	m := startMortalServer(t, unframedStream+eventText(1, 1), make(chan struct{}))
+	m.listenerDelay = moment
+	gw.put("s1", m.listener.Addr().String())
+	close(m.die)
+	other, _ := startUnframedServer(t, unframedStream+eventText(2, 2))
+	gw.put("s2", other)
+	r, body, err := gw.send(http.MethodPost, "/stream/", "q")
+	wantStatus(t, r, err, http.StatusOK)
+	if body != eventText(1, 2) {
+		t.Errorf("body %q", body)
+	}
+}
+
 // Guards against breaking off a whole response whose server ends right after it, since it leaves.
 func TestLastResponseOfLeavingServerIsWhole(t *testing.T) {
 	for _, c := range []struct {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -8,6 +8,8 @@
 
 	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/briarturn/briarturn/internal/sleep"
 )
 
 const (
@@ -97,6 +99,27 @@
 	return found
 }
 
+// ProbeFor is Probe for a server that may just have ended: a connection that its listener took, but
+// that is closed within a time, counts as refused.
+func (p *Pool) ProbeFor(ctx context.Context, address string, within time.Duration) ProbeResult {
+	c, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return probeFailure(ctx, err)
+	}
+	p.opened.Inc(1)
+	held := newConn(c, address)
+	if !sleep.For(ctx, within) {
+		_ = held.Close()
+		return ProbeSilent
+	}
+	if !held.reusable() {
+		_ = held.Close()
+		return ProbeRefused
+	}
+	p.put(address, held, defaultMaxIdle)
+	return ProbeAccepted
+}
+
 // ProbeWithCause is Probe. It also returns why no connection was opened, for DialFailureOf.
 func (p *Pool) ProbeWithCause(ctx context.Context, address string) (ProbeResult, error) {
 	c, err := p.dialer.DialContext(ctx, "tcp", address)
@@ -105,10 +128,15 @@
 		p.put(address, newConn(c, address), defaultMaxIdle)
 		return ProbeAccepted, nil
 	}
+	return probeFailure(ctx, err), errors.Trace(err)
+}
+
+// probeFailure returns what a failed dial says of the server.
+func probeFailure(ctx context.Context, err error) ProbeResult {
 	if timeout := net.Error(nil); ctx.Err() != nil || errors.As(err, &timeout) && timeout.Timeout() {
-		return ProbeSilent, errors.Trace(err)
+		return ProbeSilent
 	}
-	return ProbeRefused, errors.Trace(err)
+	return ProbeRefused
 }
 
 // pop takes the most recently used idle connection out of the pool. It returns nil
