Repeat a request whose leaving server ends with the response

Cause: confirmEnd took the end of each response of a leaving server for whole, since such a server may end right after one. Change: where the request can be repeated the server is asked all the same. If it refuses, an idempotent request is sent to another one, and a stream resumed there, which ends it if there is no more. Where nobody can tell, the response still counts as whole (TestLastResponseOfLeavingServerIsWhole).

--- a/gateway/response.go
+++ b/gateway/response.go
@@ -26,7 +26,7 @@
 func (e *exchange) relayResponse(ctx context.Context, attempt *placedAttempt, r *upstream.Response) (nextStep, Reason) {
 	body, whole, err := e.readBuffered(r.Body)
 	if whole {
-		err = e.confirmEnd(ctx, attempt, r)
+		err = e.confirmEnd(ctx, attempt, r, e.route.Repeatable())
 	}
 	if err != nil {
 		e.logFailedResponse(r.Status, "answer broke")
@@ -91,7 +91,8 @@
 	e.held.resize(0)
 	_, err := io.Copy(e.writer, r.Body)
 	if err == nil {
-		err = e.confirmEnd(ctx, attempt, r)
+		const repeatable = false // the caller has a part of the response
+		err = e.confirmEnd(ctx, attempt, r, repeatable)
 	}
 	if err != nil {
 		if errors.Is(err, upstream.ErrBroken) || errors.Is(err, errServerEnded) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -77,7 +77,7 @@
 			continue
 		}
 		if err == io.EOF && len(s.pending) == 0 {
-			err = e.confirmEnd(ctx, attempt, r)
+			err = e.confirmEnd(ctx, attempt, r, e.route.Repeatable())
 		}
 		if err != nil {
 			return e.handleBrokenStream(ctx, attempt, err)
--- a/gateway/unframed.go
+++ b/gateway/unframed.go
@@ -21,9 +21,10 @@
 
 // confirmEnd returns an error if the end of a response is no proof that the response is whole.
 // Where neither a length nor chunks mark the end, the connection of a server that crashes ends
-// in the same way. A server that leaves may end right after a whole response.
-func (e *exchange) confirmEnd(ctx context.Context, attempt *placedAttempt, r *upstream.Response) error {
-	if !r.EndsWithConnection || e.isLeaving(attempt.Server) {
+// in the same way. A server that leaves may end right after a whole response, so that it is asked
+// only if another server can tell whether there is more: the request can be repeated.
+func (e *exchange) confirmEnd(ctx context.Context, attempt *placedAttempt, r *upstream.Response, repeatable bool) error {
+	if !r.EndsWithConnection || !repeatable && e.isLeaving(attempt.Server) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -146,6 +146,34 @@
 	}
 }
 
+// Guards against taking a part of a response for the whole because its server, which ends, had said
+// that it leaves: another one can tell whether there is more.
+func TestResponseOfLeavingServerIsRepeated(t *testing.T) {
+	for _, c := range []struct{ path, partial, other, want string }{
+		{"/safe/", unframedBody, unframedHead + "of the other", "of the other"},
+		{"/stream/", unframedStream + eventText(1, 1), unframedStream + eventText(2, 2), eventText(1, 2)},
+		{"/stream/", unframedStream + eventText(1, 2), unframedStream, eventText(1, 2)}, // there is no more
+	} {
+		gw := newTestGateway(t).withSampleConfig()
+		end := make(chan struct{})
+		m := startMortalServer(t, c.partial, end)
+		address := m.listener.Addr().String()
+		gw.put("s1", address)
+		other, _ := startUnframedServer(t, c.other)
+		go func() {
+			<-m.arrived
+			gw.directory.Put(upstream.Server{Instance: "s1", Service: "s", Address: address, Capacity: 4, Draining: true})
+			gw.put("s2", other)
+			close(end)
+		}()
+		r, body, err := gw.send(http.MethodPost, c.path, "q")
+		wantStatus(t, r, err, http.StatusOK)
+		if body != c.want {
+			t.Errorf("%s: body %q, want %q", c.path, body, c.want)
+		}
+	}
+}
+
 // Guards against breaking off a whole response whose server ends right after it, since it leaves.
 func TestLastResponseOfLeavingServerIsWhole(t *testing.T) {
 	for _, c := range []struct {
