Placement: only prompts that wait behind a long one count in the price of its prefill

Cause: the price counted all prompts that servers prefill. Engines rank prompts under 32,000 tokens first (queuePriority), so that they don't wait for a long one, and their value per second is five times as high. And it took those for late whose objective is shorter than the mean backlog, which says little where others are idle. Change: the price is what the prompts that wait for the query, of its rank or a later one, lose per second of their prefill as far as the ledger forecasts them late.

--- a/placement/due.go
+++ b/placement/due.go
@@ -49,12 +49,7 @@
 		return weight * (1 + onTimeLatencyCost*after.Seconds())
 	}
 	latencyCost := onTimeLatencyCost * min(float64(after)/float64(d.objective), maxObjectiveRatio)
-	return d.lateLoss(after, weight) + weight*latencyCost
-}
-
-// lateLoss returns the loss from missing an objective that can still be met.
-func (d timeBudget) lateLoss(after time.Duration, weight float64) float64 {
-	return weight * ramp(after, scale(d.objective, firstTokenRampStart), scale(d.objective, firstTokenRampEnd))
+	return weight * (ramp(after, scale(d.objective, firstTokenRampStart), scale(d.objective, firstTokenRampEnd)) + latencyCost)
 }
 
 // missedDeadlineLoss returns the rest of the loss: a late answer keeps one promise until the
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -94,7 +94,7 @@
 		return Placement{}, NoCapacity
 	case !q.MayWait && q.missesDeadline(best.firstToken):
 		return Placement{Forecast: best.firstToken}, DeadlineUnmeetable
-	case best.shouldDefer(q, congestionCost(q, options, now), len(options)):
+	case best.shouldDefer(q, congestionCost(q, options), len(options)):
 		return Placement{}, Deferred
 	}
 	if decision := p.decideRoom(q, best, options, now); decision != Placed {
--- a/placement/query.go
+++ b/placement/query.go
@@ -93,11 +93,15 @@
 	if q.Engine == nil || q.InputTokens == 0 {
 		return noPriority
 	}
-	level := priorityLong
-	if q.InputTokens < request.LargeTokens {
-		level = priorityShort
+	return rankOf(q.InputTokens) + min(max(q.Priority, 0), maxPriorityOffset)
+}
+
+// rankOf returns the priority of a prompt by its length.
+func rankOf(promptTokens int) int {
+	if promptTokens < request.LargeTokens {
+		return priorityShort
 	}
-	return level + min(max(q.Priority, 0), maxPriorityOffset)
+	return priorityLong
 }
 
 // Placement is the set of servers chosen for an attempt.
