Keep a server that reads a long body late, and end one that has disappeared

Cause: TCP_USER_TIMEOUT, meant for a VM that is gone, also ends the connection of a peer that answers each probe but has no room. Change: where a body over 4 kB isn't acknowledged after 0.6 s, the kernel's timeout is off and the gateway checks the connection itself (watchUnread): it closes it once probes or retransmissions have been unanswered for the same 1.2 s, twice in a row, and sets the timeout again when the body is acknowledged. Tests: TestServerThatReadsBodyLateIsKept failed before (unexpected EOF); TestSilentPeerIsTold.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -46,13 +46,7 @@
 // without closing it. Errors are ignored: the request's own timeout still applies.
 func setPeerTimeouts(c *net.TCPConn) {
 	_ = c.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount})
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-	})
+	setUserTimeout(c, unackedTimeout)
 }
 
 // reusable reports whether an idle connection is open and has received no data.
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -63,6 +64,7 @@
 	conn             *conn
 	stopContextWatch func() bool // stops closing the connection when the context ends
 	bodyResult       chan error  // result of writeBodyAsync; nil if the body was written inline
+	unreadWatch      *time.Timer // starts watchUnread; nil if the body was written inline
 	reusable         bool        // nothing unexpected happened on the connection
 	raw              *http.Response
 }
@@ -142,6 +144,9 @@
 // connection is closed.
 func (x *exchange) writeBodyAsync(body []byte) {
 	x.bodyResult = make(chan error, 1)
+	if tcp, ok := x.conn.Conn.(*net.TCPConn); ok {
+		x.unreadWatch = time.AfterFunc(unreadCheckDelay, func() { watchUnread(tcp) })
+	}
 	go func() {
 		_, err := x.conn.Write(body)
 		x.bodyResult <- err
@@ -227,6 +232,9 @@
 
 func (x *exchange) finish(fullyRead bool) {
 	interrupted := !x.stopContextWatch()
+	if x.unreadWatch != nil {
+		x.unreadWatch.Stop()
+	}
 	keep := fullyRead && !interrupted && x.reusable && x.bodyFullyWritten() && x.raw != nil && !x.raw.Close && x.selfDelimited()
 	if !keep || x.conn.reader.Buffered() > 0 {
 		_ = x.conn.Close() // unread data belongs to no request
