--- a/placement/burst_test.go
+++ b/placement/burst_test.go
@@ -249,3 +249,22 @@
 		t.Errorf("those that come have 1.5 s until their first token: decision %d, want Deferred", got)
 	}
 }
+
+// Guards against a long prompt that is deferred for late short ones, which the engines serve first.
+func TestShortPromptsDoNotRaiseThePriceOfALongOne(t *testing.T) {
+	f := newFleet(2)
+	for i, c := range f.candidates {
+		f.ledger.Begin(Attempt{
+			ID: AttemptID{Owner: uint64(i) + 1, Seq: 1}, Server: ServerKey(c.Instance),
+			PartTime: time.Second, PartTokens: 5_000, Weight: engine.Weight(5_000), FirstTokenDeadline: f.now,
+		}, f.now)
+	}
+	price := func(tokens int) float64 {
+		q := review(tokens)
+		q.Engine = engine
+		return prefillPrice(q, f.planner.optionsLocked(f.candidates))
+	}
+	if long, short := price(133_000), price(5_000); long != 0 || short == 0 {
+		t.Errorf("price of a second %.2f for a long prompt, want 0; %.2f for a short one, want more", long, short)
+	}
+}
