A reset that only a write got is no end of a response

What callers saw: a server answered a long upload early with a 200 that had no length, sent a part and reset the connection while the upload was being written.

Cause: the kernel reports the error of a socket once (tcp_reset sets sk_err, the next call takes it). A large body is written beside the read, in upstream by writeBodyAsync, in engine by net/http's transport. If the write takes ECONNRESET, the read returns 0 bytes, which is the regular end of a response with neither a length nor chunks. The probe behind it (confirmEnd) finds a server that still accepts connections.

Change: internal/serverconn is the connection that upstream and engine read and write. Where a read sees the end, it makes the write in progress return (a write deadline in the past) and returns the error that a write got. Any error counts but a deadline, a close of our own, and EPIPE: the kernel reports a reset that follows the end of the stream so. After an end no response can follow, so that ending the writes costs nothing: both clients close such a connection. The wait is for one write that can't block any more.

The line "server of broken attempt checked" now names the cause (TestLogLineOfBrokenResponseHasItsCause, red before); attempts.broken counts them as before.

--- a/engine/client.go
+++ b/engine/client.go
@@ -24,6 +24,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/briarturn/briarturn/internal/serverconn"
 )
 
 // Defaults of Config.
@@ -75,7 +77,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countedConn{Conn: conn}, nil
+			return &countedConn{Conn: serverconn.New(conn)}, nil
 		},
 		MaxIdleConns:           cfg.MaxIdleConns,
 		MaxIdleConnsPerHost:    cfg.MaxIdleConns,
--- a/gateway/deaths.go
+++ b/gateway/deaths.go
@@ -162,7 +162,7 @@
 		e.observeProbe(ctx, attempt.Server, found, probeErr)
 	}
 	e.gateway.counters.brokenAttempts[found].Inc(1)
-	e.gateway.cfg.Log.WithFields(logrus.Fields{
+	e.gateway.cfg.Log.WithError(err).WithFields(logrus.Fields{
 		"request": e.info.ID, "server": attempt.Server.Address, "instance": attempt.Server.Instance,
 		"broke_in": stage, "server_state": found.String(), "ran_ms": time.Since(e.placedAt).Milliseconds(),
 		"deaths": e.gateway.cfg.Quarantine.DeathCount(e.fingerprint, time.Now()),
--- a/gateway/log_test.go
+++ b/gateway/log_test.go
@@ -1,16 +1,22 @@
 package gateway
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	logrustest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/briarturn/briarturn/internal/explain"
+	"github.com/briarturn/briarturn/internal/rawserver"
 	"github.com/briarturn/briarturn/routetable"
 )
 
@@ -148,6 +154,29 @@
 	}
 }
 
+// Guards against a broken response whose log lines don't name the cause.
+func TestLogLineOfBrokenResponseHasItsCause(t *testing.T) {
+	gw, hook := newHookedGateway(t)
+	gw.put("s1", rawserver.Start(t, func(conn net.Conn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nT-Id: id-1\r\nContent-Length: 9\r\n\r\npart")
+		}
+	}))
+	r, _, err := gw.send(http.MethodPost, "/once/", "body")
+	wantStatus(t, r, err, http.StatusBadGateway)
+	waitForRequestLine(t, hook, "id-1")
+	checked := logEntries(hook, "server of broken attempt checked", "id-1")
+	if len(checked) != 1 {
+		t.Fatalf("%d lines of the broken attempt", len(checked))
+	}
+	if cause, _ := checked[0][logrus.ErrorKey].(error); !errors.Is(cause, io.ErrUnexpectedEOF) {
+		t.Errorf("cause %v", cause)
+	}
+	if n := metrics.GetOrRegisterCounter("gateway.attempts.broken.accepts", gw.metrics).Count(); n != 1 {
+		t.Errorf("%d broken attempts counted, want 1", n)
+	}
+}
+
 func TestLogLineOfTimeout(t *testing.T) {
 	gw, hook := newHookedGateway(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
 	d := sampleConfig(2)
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/briarturn/briarturn/internal/serverconn"
 )
 
 const (
@@ -27,7 +29,8 @@
 
 // conn is one connection to a backend server. One exchange owns it at a time.
 type conn struct {
-	net.Conn
+	*serverconn.Conn
+	tcp       *net.TCPConn   // nil if it is another kind of connection
 	source    *boundedReader // of reader
 	reader    *bufio.Reader
 	idleSince time.Time     // when the connection entered the pool
@@ -35,11 +38,13 @@
 }
 
 func newConn(c net.Conn, address string) *conn {
-	if tcp, ok := c.(*net.TCPConn); ok {
+	tcp, _ := c.(*net.TCPConn)
+	if tcp != nil {
 		setPeerTimeouts(tcp)
 	}
-	source := &boundedReader{source: c, peer: address}
-	return &conn{Conn: c, source: source, reader: bufio.NewReaderSize(source, readBufferSize)}
+	server := serverconn.New(c)
+	source := &boundedReader{source: server, peer: address}
+	return &conn{Conn: server, tcp: tcp, source: source, reader: bufio.NewReaderSize(source, readBufferSize)}
 }
 
 // setPeerTimeouts makes the kernel close a connection whose peer disappeared
@@ -56,8 +61,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := c.Conn.(*net.TCPConn)
-	return !ok || receiveBufferEmpty(tcp)
+	return c.tcp == nil || receiveBufferEmpty(c.tcp)
 }
 
 // receiveBufferEmpty reports whether the connection is open and has no data to
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -144,7 +143,7 @@
 // connection is closed.
 func (x *exchange) writeBodyAsync(body []byte) {
 	x.bodyResult = make(chan error, 1)
-	if tcp, ok := x.conn.Conn.(*net.TCPConn); ok {
+	if tcp := x.conn.tcp; tcp != nil {
 		x.unreadWatch = time.AfterFunc(unreadCheckDelay, func() { watchUnread(tcp) })
 	}
 	go func() {
