Refuse a response whose status no final response has

Cause: net/http takes any three characters that are a number as a status: 000, 099, +20, 999. upstream took what lies under 200 for an interim response, skipped it, and read what came behind as the next head: also its own body, which was relayed if it looked like a response. The agent's client passed 0, 99 and 999 on; by reading, its health check takes a plain service with such a status for healthy.

Evidence, before: TestInvalidHeadIsNotRelayed: 20 of 28 cases were relayed or called not run (000, 099, +20 in front of a body that looks like a response; 600, 999, 101 always). TestInvalidHeadIsRepeated: 14 of 14. engine's TestInvalidStatusIsBroken: service passed them on; run, health, order and free segment said "answered with status 0".

Change: internal/responsehead says what a valid head is (RFC 9110, 15: a final status is 200 to 599). upstream asks it behind each head that isn't an interim one (100 to 199 but 101); its Transport does so for net/http's clients, and closes the connection. Such a response is a broken connection: repeated where the route allows it, else outcome_unknown, never not run, also if the head says so. The cause is in "attempt failed", counted in attempts.broken and engine.broken.

Valid heads in an unusual form stay answers: interim responses before them, 599, no reason, folded values, lines without CR (TestUnusualHeadIsRelayed, TestInterimResponsesAreSkipped, green before and after).

internal/admin refused these statuses already: TestInvalidStatusIsAnError passes before and after, nothing is changed there. The entry refuses heads outside of 200 to 599 from agents already (serviceSink.head).

--- a/engine/client.go
+++ b/engine/client.go
@@ -25,6 +25,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/briarturn/briarturn/internal/responsehead"
 	"github.com/briarturn/briarturn/internal/serverconn"
 )
 
@@ -86,7 +87,7 @@
 		DisableCompression:     true,
 	}
 	c.http = &http.Client{
-		Transport:     c.transport,
+		Transport:     responsehead.Transport{Base: c.transport},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	return c
--- a/engine/upload_test.go
+++ b/engine/upload_test.go
@@ -44,6 +44,8 @@
 
 func resetConnection(conn *net.TCPConn, _ io.Reader) { _ = conn.SetLinger(0) }
 
+func readBody(_ *net.TCPConn, body io.Reader) { _, _ = io.Copy(io.Discard, body) }
+
 // callService calls a service with a body of n bytes and returns its status and body.
 func callService(t *testing.T, c *Client, n int) (int, string, error) {
 	t.Helper()
@@ -89,7 +91,6 @@
 		unframed = "HTTP/1.1 200 OK\r\n\r\nwhole"
 		framed   = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\nwhole"
 	)
-	readBody := func(_ *net.TCPConn, body io.Reader) { _, _ = io.Copy(io.Discard, body) }
 	leave := func(*net.TCPConn, io.Reader) {}
 	halfCloseThen := func(next func(*net.TCPConn, io.Reader)) func(*net.TCPConn, io.Reader) {
 		return func(conn *net.TCPConn, body io.Reader) {
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -20,7 +20,7 @@
 // embeddablePackages lists the other packages that can be used without this project's
 // daemons, development mode and roles.
 var embeddablePackages = []string{
-	"claim", "config", "declared", "engine", "internal/boottime", "internal/quiet", "internal/serverconn", "internal/sleep", "lease", "membership", "objectapi", "replica", "retrybudget", "wire", "wire/wirepb",
+	"claim", "config", "declared", "engine", "internal/boottime", "internal/quiet", "internal/responsehead", "internal/serverconn", "internal/sleep", "lease", "membership", "objectapi", "replica", "retrybudget", "wire", "wire/wirepb",
 }
 
 // ioPackages lists the packages that no decision package may import.
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/briarturn/briarturn/internal/responsehead"
 )
 
 // Errors of an exchange. Test with errors.Is.
@@ -167,8 +169,8 @@
 	return nil
 }
 
-// readHead reads a response head and the interim (1xx) responses before it other than 101.
-// What follows the head has no limit.
+// readHead reads the head of a final response and the interim responses before it. What follows the
+// head has no limit.
 func (x *exchange) readHead(method string) (*http.Response, error) {
 	quota := &Quota{MaxBytes: maxHeadBytes, MaxTime: maxUselessTime}
 	x.conn.source.bound(LimitHead, quota)
@@ -181,9 +183,8 @@
 		if err != nil {
 			return nil, err
 		}
-		interim := raw.StatusCode < http.StatusOK && raw.StatusCode != http.StatusSwitchingProtocols
-		if !interim {
-			return raw, nil
+		if !responsehead.IsInterim(raw.StatusCode) {
+			return raw, responsehead.Check(raw.StatusCode, raw.Header)
 		}
 		x.conn.source.bound(LimitInterim, quota)
 	}
