Refuse a response in whose head the name of a field holds a blank

What callers saw: an engine in trouble sent an answer in whose head the name of a field held a blank.

Cause: net/http keeps a name with a blank as it is ("X Bad", "Content-Length "). A blank before the colon hides the length or the encoding of the body: all that followed, up to the end of the connection, became the body, the bytes of chunks too. Other faults in a line net/http refuses: a control byte, DEL, a tab or CR in a name, no name, no colon, a blank at the start of the first line, NUL or CR in a value.

The names of trailers aren't checked: nothing passes trailers on.

--- a/gateway/responsehead_test.go
+++ b/gateway/responsehead_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -20,13 +21,30 @@
 	{"status 101 without an upgrade", "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\nT-Id: %s\r\n\r\n"},
 }
 
+// invalidFields are heads with a line that is no field.
+var invalidFields = []testHead{
+	{"blank in a name", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX Bad: 1\r\nT-Id: %s\r\n\r\n"},
+	{"blank before the colon", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Bad : 1\r\nT-Id: %s\r\n\r\n"},
+	{"blank before the colon of the length", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\nT-Id: %s\r\n\r\n"},
+	{"blank before the colon of the encoding", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\nT-Id: %s\r\n\r\n"},
+	{"control byte in a name", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-\x01Bad: 1\r\nT-Id: %s\r\n\r\n"},
+	{"DEL in a name", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-\x7fBad: 1\r\nT-Id: %s\r\n\r\n"},
+	{"tab in a name", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-\tBad: 1\r\nT-Id: %s\r\n\r\n"},
+	{"CR in a name", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-\rBad: 1\r\nT-Id: %s\r\n\r\n"},
+	{"no name", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n: 1\r\nT-Id: %s\r\n\r\n"},
+	{"no colon", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Bad\r\nT-Id: %s\r\n\r\n"},
+	{"blank at the start of the first line", "HTTP/1.1 200 OK\r\n X-Bad: 1\r\nContent-Length: 4\r\nT-Id: %s\r\n\r\n"},
+	{"NUL in a value", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Bad: \x00\r\nT-Id: %s\r\n\r\n"},
+	{"CR in a value", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Bad: 1\r2\r\nT-Id: %s\r\n\r\n"},
+}
+
 // responseLikeBody looks like a response of its own to a reader that skips the head before it.
 const responseLikeBody = "HTTP/1.1 200 OK\r\nT-Id: id-1\r\nContent-Length: 5\r\n\r\nfalse"
 
 // Guards against a response with an invalid head that reaches the caller, or whose body is taken for
 // another response, or for a proof that the request did not run.
 func TestInvalidHeadIsNotRelayed(t *testing.T) {
-	for _, c := range invalidStatuses {
+	for _, c := range slices.Concat(invalidStatuses, invalidFields) {
 		for _, extra := range []string{"", hNotRun + ": 1\r\n"} {
 			for _, content := range []string{"body", responseLikeBody} {
 				gw := newTestGateway(t).withSampleConfig()
@@ -53,7 +71,7 @@
 // Guards against an idempotent request that fails because of a response with an invalid head, while
 // another server answers.
 func TestInvalidHeadIsRepeated(t *testing.T) {
-	for _, c := range invalidStatuses {
+	for _, c := range slices.Concat(invalidStatuses, invalidFields) {
 		for path, want := range map[string]string{"/safe/": "of the other", "/stream/": eventText(1, 1)} {
 			gw := newTestGateway(t).withSampleConfig()
 			broken, _ := startUnframedServer(t, c.head+responseLikeBody)
--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/briarturn/briarturn/internal/responsehead"
 	"github.com/briarturn/briarturn/slo"
 )
 
@@ -26,6 +27,9 @@
 	http *http.Client
 }
 
+// transport is shared by all Clients.
+var transport = http.DefaultTransport.(*http.Transport)
+
 // NewClient returns a client for an address, given as ip:port or as a URL.
 func NewClient(address string) *Client {
 	if !strings.Contains(address, "://") {
@@ -33,7 +37,7 @@
 	}
 	return &Client{
 		base: strings.TrimSuffix(address, "/"),
-		http: &http.Client{Timeout: clientTimeout},
+		http: &http.Client{Transport: responsehead.Transport{Base: transport}, Timeout: clientTimeout},
 	}
 }
 
--- a/internal/admin/client_test.go
+++ b/internal/admin/client_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 
 	"github.com/juju/errors"
@@ -19,9 +20,17 @@
 	"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n",
 }
 
-// Guards against an invalid status taken for the state of a process.
-func TestInvalidStatusIsAnError(t *testing.T) {
-	for _, head := range invalidStatuses {
+// invalidFields are heads with a line that is no field.
+var invalidFields = []string{
+	"HTTP/1.1 200 OK\r\nX Bad: 1\r\n",
+	"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n",
+	"HTTP/1.1 200 OK\r\nX-\x01Bad: 1\r\n",
+	"HTTP/1.1 404 Not Found\r\nX Bad: 1\r\n",
+}
+
+// Guards against an invalid head taken for the state of a process.
+func TestInvalidHeadIsAnError(t *testing.T) {
+	for _, head := range slices.Concat(invalidStatuses, invalidFields) {
 		wantNoStatus(t, head+"\r\n{}")
 	}
 }
--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/juju/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrInvalid means that a response's head is invalid. The request may have run.
@@ -18,11 +19,17 @@
 	maxFinal = 599
 )
 
-// Check returns ErrInvalid, with the fault, unless a head is that of a final response.
-func Check(status int, _ http.Header) error {
+// Check returns ErrInvalid, with the fault, unless a head is that of a final response. What is wrong
+// with a name may hide a field that says where the body ends (RFC 9112, 5.1 and 6.3).
+func Check(status int, h http.Header) error {
 	if status < minFinal || status > maxFinal {
 		return errors.Annotatef(ErrInvalid, "status %03d", status)
 	}
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Annotatef(ErrInvalid, "field name %q", name)
+		}
+	}
 	return nil
 }
 
--- a/internal/responsehead/responsehead_test.go
+++ b/internal/responsehead/responsehead_test.go
@@ -29,3 +29,17 @@
 		}
 	}
 }
+
+// Guards against a line of the head that is no field, and against refusing an unusual name.
+func TestNamesOfFields(t *testing.T) {
+	for name, valid := range map[string]bool{
+		"X-A": true, "x": true, "!#$%&'*+-.^_`|~09azAZ": true,
+		"": false, "X A": false, "Content-Length ": false, " X": false, "X\x01": false, "X\x7f": false, "X\t": false,
+		"X:": false, "X(": false, "X\u00e9": false,
+	} {
+		err := Check(http.StatusOK, http.Header{"X-A": {"1"}, name: {"1"}})
+		if valid && err != nil || !valid && !errors.Is(err, ErrInvalid) {
+			t.Errorf("%q: %v", name, err)
+		}
+	}
+}
