Tests that a response whose head ends early is no response

It can't happen here: net/http needs the empty line behind a head. A head that is cut by a reset during an upload is a case of TestResetDuringUploadIsNotWhole.

--- a/engine/responsehead_test.go
+++ b/engine/responsehead_test.go
@@ -64,6 +64,16 @@
 	}
 }
 
+// Guards against an answer whose engine stopped inside its head, taken for one without a body.
+func TestHeadThatEndsEarlyIsBroken(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 10\r\n\r\n"
+	for n := range len(head) {
+		c := newRawClient(t, head[:n], readBody)
+		_, _, err := callService(t, c, 1)
+		wantBroken(t, head[:n], err)
+	}
+}
+
 // Guards against another request on the connection of an invalid head: what follows there is unknown.
 func TestConnectionOfInvalidHeadIsNotReused(t *testing.T) {
 	const calls = 3
--- a/gateway/responsehead_test.go
+++ b/gateway/responsehead_test.go
@@ -1,10 +1,16 @@
 package gateway
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
+
+	"github.com/briarturn/briarturn/internal/rawserver"
 )
 
 // testHead is a head of a response with the request's ID. A length, if any, is that of "body".
@@ -88,6 +94,25 @@
 	}
 }
 
+// Guards against a response whose server stopped inside its head, taken for one without a body.
+func TestHeadThatEndsEarlyIsNotRelayed(t *testing.T) {
+	const (
+		framed   = "HTTP/1.1 200 OK\r\nT-Id: id-1\r\nContent-Length: 10\r\n\r\n"
+		unframed = "HTTP/1.1 200 OK\r\nT-Id: id-1\r\nContent-Type: text/event-stream\r\n\r\n"
+	)
+	for _, c := range []struct{ path, head string }{{"/once/", framed}, {"/whole/", unframed}} {
+		for n := range len(c.head) {
+			gw := newTestGateway(t).withSampleConfig()
+			gw.put("s1", rawserver.Start(t, func(conn net.Conn, in *bufio.Reader) {
+				if _, err := http.ReadRequest(in); err == nil {
+					_, _ = io.WriteString(conn, c.head[:n])
+				}
+			}))
+			wantOutcomeUnknown(t, gw, c.path, strconv.Quote(c.head[:n]))
+		}
+	}
+}
+
 // Guards against refusing a valid head in an unusual form.
 func TestUnusualHeadIsRelayed(t *testing.T) {
 	for _, c := range []struct {
--- a/gateway/upload_test.go
+++ b/gateway/upload_test.go
@@ -68,6 +68,7 @@
 		{"long body", "/once/", unframedHead + long, 0},
 		{"error of the server", "/once/", strings.Replace(unframedBody, "200 OK", "404 Not Found", 1), http.StatusBadGateway},
 		{"stream that can't be resumed", "/whole/", unframedStream + eventText(1, 2), 0},
+		{"part of a head", "/once/", "HTTP/1.1 200 OK\r\nT-Id: %s\r\n", http.StatusBadGateway},
 		{"body with a length", "/once/", "HTTP/1.1 200 OK\r\nContent-Length: 20\r\nT-Id: %s\r\n\r\nwhole body", http.StatusBadGateway},
 		{"body in chunks", "/once/", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nT-Id: %s\r\n\r\na\r\nwhole body\r\n", http.StatusBadGateway},
 	} {
