Keep a server that reads a body late though its kernel skips an answer to a probe

Cause, by a trace of each check: a kernel answers at most one zero-window probe in 500 ms (tcp_invalid_ratelimit; TcpExtTCPACKSkippedSeq rises by one a run). The time between probes doubles: with a retransmission timeout of 212 ms the second probe, 424 ms behind the first, gets no answer, and the third comes some 1.3 s behind the last answer. Two checks at 1.2 and 1.3 s took that peer for one that has disappeared (probes 1, last answer 1200 and 1300 ms ago).

Change: an unanswered probe counts after three such intervals, 1.6 s with one check for the kernel's timers, which are late by up to an eighth. A shorter first interval gets its answer, and one of 500 ms or more isn't skipped, so that a peer that is there is never silent for longer. Data without an acknowledgement counts after 1.2 s as before. A peer that disappears while its window is closed is noticed 0.4 s later, within the two seconds that callers wait.

--- a/upstream/unread.go
+++ b/upstream/unread.go
@@ -13,6 +13,13 @@
 	unreadCheckDelay = unackedTimeout / 2
 	// unreadCheckInterval is the time between two checks of such a peer.
 	unreadCheckInterval = 100 * time.Millisecond
+	// probeAnswerInterval is the shortest time between two answers of a peer's kernel to probes
+	// (Linux, tcp_invalid_ratelimit).
+	probeAnswerInterval = 500 * time.Millisecond
+	// unansweredProbeTimeout is how long a peer that takes no data may be silent. The time between
+	// probes doubles, so that one without an answer makes up to three intervals of silence. The
+	// kernel's timers may be late.
+	unansweredProbeTimeout = 3*probeAnswerInterval + unreadCheckInterval
 	// silentChecks is how many checks in a row must find the peer silent. An answer may be on its
 	// way during one of them.
 	silentChecks = 2
@@ -40,10 +47,14 @@
 	}
 }
 
-// isSilent reports whether a peer has left data or probes without an answer for unackedTimeout.
+// isSilent reports whether a peer has left data without an answer for unackedTimeout, or probes for
+// unansweredProbeTimeout.
 func isSilent(info *unix.TCPInfo) bool {
-	unanswered := info.Probes > 0 || info.Unacked > 0 && info.Retransmits > 0
-	return unanswered && time.Duration(info.Last_ack_recv)*time.Millisecond >= unackedTimeout
+	silence := time.Duration(info.Last_ack_recv) * time.Millisecond
+	if info.Unacked > 0 && info.Retransmits > 0 {
+		return silence >= unackedTimeout
+	}
+	return info.Probes > 0 && silence >= unansweredProbeTimeout
 }
 
 // tcpInfo returns the kernel's state of a connection.
