--- a/engine/client.go
+++ b/engine/client.go
@@ -10,6 +10,7 @@
 //     only on a new connection, if no byte was written to a stale one.
 //   - Redirects are not followed, and proxy settings of the environment are
 //     ignored.
+//   - An answer with an invalid head, or whose connection broke, is ErrBroken.
 //   - The size of what an engine sends is limited: of a line, an error body and
 //     a JSON response.
 //   - A Stream may be used by one goroutine only, except for Close, which any
--- a/engine/responsehead_test.go
+++ b/engine/responsehead_test.go
@@ -5,39 +5,11 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"testing"
 
 	"github.com/briarturn/briarturn/internal/rawserver"
 )
 
-// invalidStatuses are heads with a status that no final response has.
-var invalidStatuses = []string{
-	"HTTP/1.1 000 OK\r\n",
-	"HTTP/1.1 099 OK\r\n",
-	"HTTP/1.1 +20 OK\r\n",
-	"HTTP/1.1 600 OK\r\n",
-	"HTTP/1.1 999 OK\r\n",
-	"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n",
-}
-
-// invalidFields are heads with a line that is no field.
-var invalidFields = []string{
-	"HTTP/1.1 503 X\r\nX Bad: 1\r\n",
-	"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX Bad: 1\r\n",
-	"HTTP/1.1 200 OK\r\nX-Bad : 1\r\n",
-	"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n",
-	"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n",
-	"HTTP/1.1 200 OK\r\nX-\x01Bad: 1\r\n",
-	"HTTP/1.1 200 OK\r\nX-\x7fBad: 1\r\n",
-	"HTTP/1.1 200 OK\r\nX-\tBad: 1\r\n",
-	"HTTP/1.1 200 OK\r\n: 1\r\n",
-	"HTTP/1.1 200 OK\r\nX-Bad\r\n",
-	"HTTP/1.1 200 OK\r\n X-Bad: 1\r\n",
-	"HTTP/1.1 200 OK\r\nX-Bad: \x00\r\n",
-	"HTTP/1.1 200 OK\r\nX-Bad: 1\r2\r\n",
-}
-
 // notRunBody is the error body with which an engine rejects a request.
 const notRunBody = `{"code":"not_run"}`
 
@@ -56,7 +28,7 @@
 // Guards against an answer with an invalid head that is passed on, taken for a success, or for a
 // proof that the request did not run.
 func TestInvalidHeadIsBroken(t *testing.T) {
-	for _, head := range slices.Concat(invalidStatuses, invalidFields) {
+	for _, head := range rawserver.InvalidHeads() {
 		for _, body := range []string{"{}", notRunBody, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfalse"} {
 			c := newRawClient(t, head+"\r\n"+body, readBody)
 			wantAllCallsBroken(t, c, head+body)
--- a/internal/admin/client_test.go
+++ b/internal/admin/client_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"testing"
 
 	"github.com/juju/errors"
@@ -13,24 +12,9 @@
 	"github.com/briarturn/briarturn/internal/rawserver"
 )
 
-// invalidStatuses are heads with a status that no final response has.
-var invalidStatuses = []string{
-	"HTTP/1.1 000 OK\r\n",
-	"HTTP/1.1 999 OK\r\n",
-	"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n",
-}
-
-// invalidFields are heads with a line that is no field.
-var invalidFields = []string{
-	"HTTP/1.1 200 OK\r\nX Bad: 1\r\n",
-	"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n",
-	"HTTP/1.1 200 OK\r\nX-\x01Bad: 1\r\n",
-	"HTTP/1.1 404 Not Found\r\nX Bad: 1\r\n",
-}
-
 // Guards against an invalid head taken for the state of a process.
 func TestInvalidHeadIsAnError(t *testing.T) {
-	for _, head := range slices.Concat(invalidStatuses, invalidFields) {
+	for _, head := range rawserver.InvalidHeads() {
 		wantNoStatus(t, head+"\r\n{}")
 	}
 }
