--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -19,8 +19,8 @@
 	maxFinal = 599
 )
 
-// Check returns ErrInvalid, with the fault, unless a head is that of a final response. What is wrong
-// with a name may hide a field that says where the body ends (RFC 9112, 5.1 and 6.3).
+// Check returns ErrInvalid, with the fault, unless a head is that of a final response. A fault in a
+// name may hide the field that says where the body ends (RFC 9112, 5.1 and 6.3).
 func Check(status int, h http.Header) error {
 	if status < minFinal || status > maxFinal {
 		return errors.Annotatef(ErrInvalid, "status %03d", status)
--- a/internal/serverconn/conn.go
+++ b/internal/serverconn/conn.go
@@ -13,10 +13,11 @@
 	"github.com/juju/errors"
 )
 
-// Conn is a connection to a server. The kernel reports the error of a socket once. If a write gets
-// it, the read beside it sees a regular end (EOF). Read of a Conn returns the error also then.
+// Conn is a connection to a server. The kernel reports an error of a socket once: if a concurrent
+// write gets it, the read sees a regular end (EOF). Read of a Conn returns the error in that case, too.
 //
-// The end of what the server sends ends the writes, too: no response can follow.
+// Once Read has returned io.EOF, writes fail: no response can follow. Reads and writes may be
+// concurrent; Read blocks no longer than that of the connection and a write that is told to return.
 type Conn struct {
 	net.Conn
 
